--- a/platform/engine/client.go
+++ b/clients/engine/client.go
@@ -24,7 +24,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/singleflight"
 
-	"slipcrank.example/platform/web"
+	"slipcrank.example/clients/web"
 )
 
 // An engine has gone if it does not answer so many questions, each within
--- a/platform/engine/stream_test.go
+++ b/clients/engine/stream_test.go
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"slipcrank.example/platform/engine"
-	"slipcrank.example/platform/web"
+	"slipcrank.example/clients/engine"
+	"slipcrank.example/clients/web"
 )
 
 func piece(attempt string, incarnation, offset int, rest string) string {
--- a/platform/oldsite/oldsite.go
+++ b/clients/oldsite/oldsite.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"slipcrank.example/platform/web"
+	"slipcrank.example/clients/web"
 )
 
 const lineBuffer = 64 << 10
--- a/platform/tables/tables.go
+++ b/clients/tables/tables.go
@@ -13,8 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 
+	"slipcrank.example/clients/web"
 	"slipcrank.example/core/store"
-	"slipcrank.example/platform/web"
 )
 
 type (
--- a/platform/web/alive_test.go
+++ b/clients/web/alive_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"slipcrank.example/platform/web"
+	"slipcrank.example/clients/web"
 )
 
 // TestSilentPeerIsAskedWhetherItLives has a peer that answers only after it was
--- a/platform/web/client_test.go
+++ b/clients/web/client_test.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"slipcrank.example/platform/web"
+	"slipcrank.example/clients/web"
 )
 
 // serve answers each request that it reads with what answer writes, on
--- a/cmd/admin/admin.go
+++ b/cmd/admin/admin.go
@@ -14,8 +14,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"slipcrank.example/clients/web"
 	"slipcrank.example/core/fault"
-	"slipcrank.example/platform/web"
 )
 
 type (
--- a/cmd/capacity/overhead_test.go
+++ b/cmd/capacity/overhead_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"slipcrank.example/clients/engine"
+	"slipcrank.example/clients/web"
 	"slipcrank.example/cmd/devel"
-	"slipcrank.example/platform/engine"
-	"slipcrank.example/platform/web"
 	standin "slipcrank.example/standin/engine"
 )
 
--- a/cmd/capacity/request.go
+++ b/cmd/capacity/request.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"slipcrank.example/clients/engine"
+	"slipcrank.example/clients/web"
 	"slipcrank.example/cmd/devel"
 	"slipcrank.example/cmd/load"
 	"slipcrank.example/core/claim"
@@ -17,8 +19,6 @@
 	"slipcrank.example/core/route"
 	"slipcrank.example/core/store"
 	"slipcrank.example/daemon/node"
-	"slipcrank.example/platform/engine"
-	"slipcrank.example/platform/web"
 	standin "slipcrank.example/standin/engine"
 )
 
--- a/cmd/command/fleet.go
+++ b/cmd/command/fleet.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/template"
-	"slipcrank.example/platform/hosts"
 )
 
 const (
--- a/cmd/command/standin.go
+++ b/cmd/command/standin.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	protocol "slipcrank.example/platform/engine"
+	protocol "slipcrank.example/clients/engine"
 	"slipcrank.example/standin/engine"
 	"slipcrank.example/standin/oldsite"
 	"slipcrank.example/standin/platform"
--- a/cmd/devel/cut_test.go
+++ b/cmd/devel/cut_test.go
@@ -9,13 +9,13 @@
 
 	"github.com/google/uuid"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/cmd/devel"
 	"slipcrank.example/core/changes"
 	"slipcrank.example/core/fault"
 	"slipcrank.example/core/member"
 	"slipcrank.example/core/template"
 	"slipcrank.example/daemon/node"
-	"slipcrank.example/platform/hosts"
 	"slipcrank.example/standin/platform"
 )
 
--- a/cmd/devel/devel.go
+++ b/cmd/devel/devel.go
@@ -17,12 +17,12 @@
 
 	"github.com/cockroachdb/errors"
 
+	protocol "slipcrank.example/clients/engine"
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/changes"
 	"slipcrank.example/core/template"
 	"slipcrank.example/daemon/node"
 	"slipcrank.example/daemon/settings"
-	protocol "slipcrank.example/platform/engine"
-	"slipcrank.example/platform/hosts"
 	"slipcrank.example/standin/engine"
 	"slipcrank.example/standin/oldsite"
 	"slipcrank.example/standin/platform"
--- a/cmd/devel/member_test.go
+++ b/cmd/devel/member_test.go
@@ -10,10 +10,10 @@
 	"testing"
 	"time"
 
+	protocol "slipcrank.example/clients/engine"
 	"slipcrank.example/cmd/devel"
 	"slipcrank.example/core/route"
 	"slipcrank.example/core/template"
-	protocol "slipcrank.example/platform/engine"
 	"slipcrank.example/standin/engine"
 )
 
--- a/cmd/devel/placement_test.go
+++ b/cmd/devel/placement_test.go
@@ -7,12 +7,12 @@
 	"testing"
 	"time"
 
+	"slipcrank.example/clients/engine"
+	"slipcrank.example/clients/web"
 	"slipcrank.example/cmd/devel"
 	"slipcrank.example/core/changes"
 	"slipcrank.example/core/template"
 	"slipcrank.example/daemon/settings"
-	"slipcrank.example/platform/engine"
-	"slipcrank.example/platform/web"
 	standin "slipcrank.example/standin/engine"
 )
 
--- a/cmd/load/client.go
+++ b/cmd/load/client.go
@@ -12,9 +12,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"slipcrank.example/clients/web"
 	"slipcrank.example/core/fault"
 	"slipcrank.example/core/prefix"
-	"slipcrank.example/platform/web"
 )
 
 const (
--- a/cmd/policy/policies.go
+++ b/cmd/policy/policies.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	protocol "slipcrank.example/clients/engine"
 	"slipcrank.example/core/route"
-	protocol "slipcrank.example/platform/engine"
 )
 
 // asked is how many engines are asked for: at full size, those of three
--- a/cmd/policy/policy.go
+++ b/cmd/policy/policy.go
@@ -20,10 +20,10 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	protocol "slipcrank.example/clients/engine"
 	"slipcrank.example/core/prefix"
 	"slipcrank.example/core/route"
 	"slipcrank.example/core/template"
-	protocol "slipcrank.example/platform/engine"
 	"slipcrank.example/standin/engine"
 )
 
--- a/cmd/slipcrankd/cut_test.go
+++ b/cmd/slipcrankd/cut_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/google/uuid"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/cmd/devel"
 	"slipcrank.example/core/template"
-	"slipcrank.example/platform/hosts"
 )
 
 // site is two halls of one daemon each. What daemons say to each other and to
--- a/cmd/slipcrankd/process_test.go
+++ b/cmd/slipcrankd/process_test.go
@@ -20,9 +20,9 @@
 
 	"github.com/google/uuid"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/cmd/devel"
 	"slipcrank.example/core/template"
-	"slipcrank.example/platform/hosts"
 )
 
 const (
--- a/daemon/callers/complete.go
+++ b/daemon/callers/complete.go
@@ -9,12 +9,12 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel/attribute"
 
+	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/claim"
 	"slipcrank.example/core/fault"
 	"slipcrank.example/core/prefix"
 	"slipcrank.example/daemon/dispatch"
 	"slipcrank.example/daemon/telemetry"
-	"slipcrank.example/platform/engine"
 )
 
 const (
--- a/daemon/callers/oldsite.go
+++ b/daemon/callers/oldsite.go
@@ -11,14 +11,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"slipcrank.example/clients/oldsite"
+	"slipcrank.example/clients/web"
 	"slipcrank.example/core/claim"
 	"slipcrank.example/core/crossover"
 	"slipcrank.example/core/deadline"
 	"slipcrank.example/core/fault"
 	"slipcrank.example/daemon/calls"
 	"slipcrank.example/daemon/dispatch"
-	"slipcrank.example/platform/oldsite"
-	"slipcrank.example/platform/web"
 )
 
 // lineBufferCount is how many lines of the old site's stream a slow caller may
--- a/daemon/callers/server.go
+++ b/daemon/callers/server.go
@@ -25,6 +25,8 @@
 	"github.com/valyala/fasthttp"
 	"go.opentelemetry.io/otel"
 
+	"slipcrank.example/clients/oldsite"
+	"slipcrank.example/clients/web"
 	"slipcrank.example/core/fault"
 	"slipcrank.example/core/template"
 	"slipcrank.example/daemon/calls"
@@ -33,8 +35,6 @@
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/settings"
 	"slipcrank.example/daemon/telemetry"
-	"slipcrank.example/platform/oldsite"
-	"slipcrank.example/platform/web"
 )
 
 // Header names of callers' requests and of the answers to them.
--- a/daemon/callers/stream.go
+++ b/daemon/callers/stream.go
@@ -10,9 +10,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/fault"
 	"slipcrank.example/daemon/calls"
-	"slipcrank.example/platform/engine"
 )
 
 // beat is how often a comment is written while no token flows: it shows the
--- a/daemon/calls/calls.go
+++ b/daemon/calls/calls.go
@@ -16,14 +16,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"slipcrank.example/clients/hosts"
+	"slipcrank.example/clients/web"
 	"slipcrank.example/core/claim"
 	"slipcrank.example/core/deadline"
 	"slipcrank.example/core/fault"
 	"slipcrank.example/core/limit"
 	"slipcrank.example/core/pause"
 	"slipcrank.example/daemon/control"
-	"slipcrank.example/platform/hosts"
-	"slipcrank.example/platform/web"
 )
 
 const (
--- a/daemon/control/gone_test.go
+++ b/daemon/control/gone_test.go
@@ -6,11 +6,11 @@
 	"testing"
 	"time"
 
+	"slipcrank.example/clients/engine"
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/directory"
 	"slipcrank.example/core/member"
 	"slipcrank.example/daemon/control"
-	"slipcrank.example/platform/engine"
-	"slipcrank.example/platform/hosts"
 )
 
 const gone = "127.0.0.1:9000"
--- a/daemon/control/owned.go
+++ b/daemon/control/owned.go
@@ -5,13 +5,13 @@
 	"slices"
 	"time"
 
+	"slipcrank.example/clients/engine"
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/directory"
 	"slipcrank.example/core/group"
 	"slipcrank.example/core/member"
 	"slipcrank.example/core/route"
 	"slipcrank.example/daemon/event"
-	"slipcrank.example/platform/engine"
-	"slipcrank.example/platform/hosts"
 )
 
 const (
--- a/daemon/control/state.go
+++ b/daemon/control/state.go
@@ -7,13 +7,13 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/directory"
 	"slipcrank.example/core/member"
 	"slipcrank.example/core/placement"
 	"slipcrank.example/core/route"
 	"slipcrank.example/core/template"
 	"slipcrank.example/daemon/event"
-	"slipcrank.example/platform/hosts"
 )
 
 const (
--- a/daemon/control/view.go
+++ b/daemon/control/view.go
@@ -4,11 +4,11 @@
 	"slices"
 	"time"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/directory"
 	"slipcrank.example/core/member"
 	"slipcrank.example/core/route"
 	"slipcrank.example/core/template"
-	"slipcrank.example/platform/hosts"
 )
 
 type (
--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"go.opentelemetry.io/otel/attribute"
 
+	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/deadline"
 	"slipcrank.example/core/directory"
 	"slipcrank.example/core/fault"
@@ -27,7 +28,6 @@
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/peers"
 	"slipcrank.example/daemon/telemetry"
-	"slipcrank.example/platform/engine"
 )
 
 const (
--- a/daemon/dispatch/reservation.go
+++ b/daemon/dispatch/reservation.go
@@ -5,11 +5,11 @@
 	"sync"
 	"time"
 
+	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/group"
 	"slipcrank.example/core/pause"
 	"slipcrank.example/daemon/control"
 	"slipcrank.example/daemon/event"
-	"slipcrank.example/platform/engine"
 )
 
 const (
--- a/daemon/dispatch/reservation_test.go
+++ b/daemon/dispatch/reservation_test.go
@@ -9,11 +9,11 @@
 	"testing"
 	"time"
 
+	"slipcrank.example/clients/engine"
+	"slipcrank.example/clients/web"
 	"slipcrank.example/core/group"
 	"slipcrank.example/core/member"
 	"slipcrank.example/daemon/control"
-	"slipcrank.example/platform/engine"
-	"slipcrank.example/platform/web"
 )
 
 // TestRenewalUnderWayIsNotOvertaken gives a reservation back while a renewal of
--- a/daemon/dispatch/stream.go
+++ b/daemon/dispatch/stream.go
@@ -7,9 +7,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/route"
 	"slipcrank.example/daemon/event"
-	"slipcrank.example/platform/engine"
 )
 
 // stream runs one attempt on an engine and passes its tokens on. It returns
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -16,6 +16,11 @@
 	"github.com/cockroachdb/errors"
 	"github.com/panjf2000/ants/v2"
 
+	"slipcrank.example/clients/engine"
+	"slipcrank.example/clients/hosts"
+	"slipcrank.example/clients/oldsite"
+	"slipcrank.example/clients/tables"
+	"slipcrank.example/clients/web"
 	"slipcrank.example/core/changes"
 	"slipcrank.example/core/claim"
 	"slipcrank.example/core/lease"
@@ -32,11 +37,6 @@
 	"slipcrank.example/daemon/settings"
 	"slipcrank.example/daemon/telemetry"
 	"slipcrank.example/daemon/upkeep"
-	"slipcrank.example/platform/engine"
-	"slipcrank.example/platform/hosts"
-	"slipcrank.example/platform/oldsite"
-	"slipcrank.example/platform/tables"
-	"slipcrank.example/platform/web"
 )
 
 // engineQuiet is how long an engine may say nothing on a stream before it is
--- a/daemon/upkeep/orders.go
+++ b/daemon/upkeep/orders.go
@@ -7,12 +7,12 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/directory"
 	"slipcrank.example/core/lease"
 	"slipcrank.example/core/placement"
 	"slipcrank.example/daemon/control"
 	"slipcrank.example/daemon/event"
-	"slipcrank.example/platform/engine"
 )
 
 const (
--- a/daemon/upkeep/start.go
+++ b/daemon/upkeep/start.go
@@ -5,10 +5,10 @@
 	"slices"
 	"time"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/pause"
 	"slipcrank.example/core/route"
 	"slipcrank.example/daemon/control"
-	"slipcrank.example/platform/hosts"
 )
 
 const (
--- a/daemon/upkeep/start_test.go
+++ b/daemon/upkeep/start_test.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"testing"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/member"
 	"slipcrank.example/daemon/control"
-	"slipcrank.example/platform/hosts"
 )
 
 // TestStartOrderIsATree works out the order at each of a hall's daemons.
--- a/daemon/upkeep/sweep.go
+++ b/daemon/upkeep/sweep.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
+	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/member"
 	"slipcrank.example/daemon/control"
 	"slipcrank.example/daemon/event"
-	"slipcrank.example/platform/engine"
 )
 
 const (
--- a/daemon/upkeep/sweep_test.go
+++ b/daemon/upkeep/sweep_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
+	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/member"
-	"slipcrank.example/platform/engine"
 )
 
 func TestOrphans(t *testing.T) {
--- a/daemon/upkeep/upkeep.go
+++ b/daemon/upkeep/upkeep.go
@@ -21,14 +21,14 @@
 
 	"github.com/panjf2000/ants/v2"
 
+	"slipcrank.example/clients/engine"
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/changes"
 	"slipcrank.example/core/lease"
 	"slipcrank.example/core/placement"
 	"slipcrank.example/daemon/control"
 	"slipcrank.example/daemon/peers"
 	"slipcrank.example/daemon/settings"
-	"slipcrank.example/platform/engine"
-	"slipcrank.example/platform/hosts"
 )
 
 // jitter is the part of a period by which a run may come sooner or later.
--- a/standin/engine/cache.go
+++ b/standin/engine/cache.go
@@ -4,7 +4,7 @@
 	"container/list"
 	"time"
 
-	protocol "slipcrank.example/platform/engine"
+	protocol "slipcrank.example/clients/engine"
 )
 
 type (
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -23,7 +23,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	protocol "slipcrank.example/platform/engine"
+	protocol "slipcrank.example/clients/engine"
 )
 
 var (
--- a/standin/engine/link.go
+++ b/standin/engine/link.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	protocol "slipcrank.example/platform/engine"
+	protocol "slipcrank.example/clients/engine"
 	"slipcrank.example/standin/listen"
 )
 
--- a/standin/engine/memory.go
+++ b/standin/engine/memory.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	protocol "slipcrank.example/clients/engine"
 	"slipcrank.example/core/prefix"
-	protocol "slipcrank.example/platform/engine"
 )
 
 // holding is memory kept for somebody until a time.
--- a/standin/engine/orders.go
+++ b/standin/engine/orders.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	protocol "slipcrank.example/platform/engine"
+	protocol "slipcrank.example/clients/engine"
 )
 
 // Command carries out an order. An engine that checks the fence refuses one
--- a/standin/engine/params.go
+++ b/standin/engine/params.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	protocol "slipcrank.example/platform/engine"
+	protocol "slipcrank.example/clients/engine"
 )
 
 type (
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -13,8 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	protocol "slipcrank.example/clients/engine"
 	"slipcrank.example/core/prefix"
-	protocol "slipcrank.example/platform/engine"
 	"slipcrank.example/standin/listen"
 )
 
--- a/standin/engine/step.go
+++ b/standin/engine/step.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
+	protocol "slipcrank.example/clients/engine"
 	"slipcrank.example/core/prefix"
-	protocol "slipcrank.example/platform/engine"
 )
 
 // plan admits what fits and returns the time of the next step, or 0 if there
--- a/standin/platform/handlers.go
+++ b/standin/platform/handlers.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/store"
-	"slipcrank.example/platform/hosts"
 	"slipcrank.example/standin/listen"
 )
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -22,8 +22,8 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
+	"slipcrank.example/clients/hosts"
 	"slipcrank.example/core/store"
-	"slipcrank.example/platform/hosts"
 	"slipcrank.example/standin/listen"
 )
 
