--- a/clients/web/client.go
+++ b/clients/web/client.go
@@ -181,9 +181,13 @@
 
 // JSON sends in as JSON (nothing, if nil) to path at addr and reads the
 // answer into out (if not nil). A status other than 200 is a [*StatusError].
+// A ctx without a deadline gets the default one.
 func (c *Client) JSON(ctx context.Context, method, addr, path string, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, defaultTimeout)
-	defer cancel()
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, defaultTimeout)
+		defer cancel()
+	}
 	r, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(r)
 	defer fasthttp.ReleaseResponse(a)
--- /dev/null
+++ b/cmd/slipcrankd/entry.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"slipcrank.example/clients/web"
+	"slipcrank.example/daemon/entry"
+	"slipcrank.example/daemon/settings"
+	"slipcrank.example/platform"
+)
+
+// runEntry serves as an entry host on the users' platform until SIGTERM, and
+// returns the exit code. SIGHUP reads the settings again.
+func runEntry() int {
+	path := platform.SettingsPath()
+	s, err := settings.LoadEntry(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitBadSettings
+	}
+	e, err := entry.New(s, entry.Platform{
+		Source:   platform.Source(web.New(), s.Platform),
+		Tables:   platform.Tables(),
+		Decoders: platform.Decoders(),
+		Dialect:  platform.Dialect(),
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	if err := e.Start(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		e.Reload(settings.LoadEntry(path))
+	}
+	e.Stop(context.Background())
+	return 0
+}
--- a/cmd/slipcrankd/main.go
+++ b/cmd/slipcrankd/main.go
@@ -4,6 +4,7 @@
 //
 //	slipcrankd --settings slipcrankd.yaml
 //	slipcrankd --settings slipcrankd.yaml --check
+//	slipcrankd entry    # settings from the file that the platform names
 package main
 
 import (
@@ -28,6 +29,9 @@
 )
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "entry" {
+		os.Exit(runEntry())
+	}
 	klog.InitFlags(nil)
 	path := flag.String("settings", "slipcrankd.yaml", "the YAML file with the settings")
 	check := flag.Bool("check", false, "check the settings and exit")
--- /dev/null
+++ b/core/backend/backend.go
@@ -0,0 +1,159 @@
+// Package backend knows the backend servers of a site: which there are, and
+// which may get new work.
+//
+// A [Book] takes in what the platform's list says, row by row, and never goes
+// back to an older row. Entries lapse by themselves while the platform is
+// away, so one that is gone right after an outage is kept for a short while:
+// if the server lives, its entry returns.
+//
+// # Usage
+//
+//	b := backend.NewBook()
+//	b.Put(server, revision)
+//	b.Remove(id, revision, now)
+//	v := b.View(now)          // immutable
+//	for _, s := range v.Ready("service") { ... }
+package backend
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// lapseGrace is how long after the platform's return a missing entry may
+// still come back. The users' pages say about two seconds.
+const lapseGrace = 2200 * time.Millisecond
+
+type (
+	// Server is one start of a backend server.
+	Server struct {
+		// ID names this start; a restart has another.
+		ID string
+		// Service is the name of what it serves.
+		Service string
+		// Addr is an IP number and a port. After the server's end it may
+		// belong to another.
+		Addr string
+		// Hall is the data hall in which it runs.
+		Hall string
+		// Slots is how many requests it works on at once.
+		Slots int
+		// Draining servers take no new work.
+		Draining bool
+		// Cold is how much longer it is slow from its start.
+		Cold time.Duration
+	}
+
+	// Book collects the entries. One goroutine owns it.
+	Book struct {
+		entries  map[string]entry
+		returned time.Duration // when the platform was last back
+	}
+
+	entry struct {
+		server   Server
+		revision int64
+		gone     bool
+		lapsed   bool // gone, but may return until the grace is over
+	}
+
+	// View is an immutable picture of all servers.
+	View struct {
+		byService map[string][]Server
+		byID      map[string]Server
+		addrs     map[string]bool
+	}
+)
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{entries: map[string]entry{}, returned: -time.Hour} }
+
+// Returned notes that the platform answers again after an outage. Entries
+// that turn out to be gone from now on, and for a short while, may have lapsed.
+func (b *Book) Returned(now time.Duration) { b.returned = now }
+
+// Put takes in an entry, and reports whether it changed what is known.
+func (b *Book) Put(s Server, revision int64) bool {
+	old, ok := b.entries[s.ID]
+	if ok && old.revision >= revision {
+		return false
+	}
+	b.entries[s.ID] = entry{server: s, revision: revision}
+	return !ok || old.gone || old.server != s
+}
+
+// Remove takes in that an entry is gone, and reports whether that was new.
+func (b *Book) Remove(id string, revision int64, now time.Duration) bool {
+	old, ok := b.entries[id]
+	if !ok || old.gone || old.revision > revision {
+		return false
+	}
+	old.revision, old.gone = revision, true
+	old.lapsed = !old.server.Draining && now-b.returned < lapseGrace
+	b.entries[id] = old
+	return true
+}
+
+// Reset takes in a whole list: what it lacks is gone.
+func (b *Book) Reset(present map[string]bool, revision int64, now time.Duration) bool {
+	changed := false
+	for id := range b.entries {
+		if !present[id] && b.Remove(id, revision, now) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Lapsing reports whether servers are kept whose entries lapsed.
+func (b *Book) Lapsing() bool {
+	for _, e := range b.entries {
+		if e.gone && e.lapsed {
+			return true
+		}
+	}
+	return false
+}
+
+// View returns what is known now. Servers whose grace is over are forgotten.
+func (b *Book) View(now time.Duration) *View {
+	v := &View{byService: map[string][]Server{}, byID: map[string]Server{}, addrs: map[string]bool{}}
+	for id, e := range b.entries {
+		if e.gone && (!e.lapsed || now-b.returned >= lapseGrace) {
+			e.lapsed = false
+			b.entries[id] = e
+			continue
+		}
+		v.byID[id] = e.server
+		v.addrs[e.server.Addr] = true
+		if !e.server.Draining {
+			v.byService[e.server.Service] = append(v.byService[e.server.Service], e.server)
+		}
+	}
+	for _, ss := range v.byService {
+		slices.SortFunc(ss, func(a, b Server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	return v
+}
+
+// Ready returns the servers of a service that take new work, by ID.
+func (v *View) Ready(service string) []Server { return v.byService[service] }
+
+// Get returns a server, also one that is draining.
+func (v *View) Get(id string) (Server, bool) {
+	s, ok := v.byID[id]
+	return s, ok
+}
+
+// Takes reports whether a server may still get new work.
+func (v *View) Takes(id string) bool {
+	s, ok := v.byID[id]
+	return ok && !s.Draining
+}
+
+// Serves reports whether any known server has the address.
+func (v *View) Serves(addr string) bool { return v.addrs[addr] }
+
+// Len returns how many servers are known.
+func (v *View) Len() int { return len(v.byID) }
--- /dev/null
+++ b/core/schedule/schedule.go
@@ -0,0 +1,226 @@
+// Package schedule chooses which backend servers run a request.
+//
+// A [Board] holds what runs where: the placements of this host, and those
+// that other hosts tell of. From them and the published model of the engines
+// it predicts, for each way to place a request, when its first token comes
+// and how long the streams beside it stand still, and takes the way that
+// costs least.
+//
+// # Usage
+//
+//	b := schedule.NewBoard()
+//	p, ok := b.Place(now, service, servers, schedule.Request{...})
+//	b.Started(p.ID, now)      // its first token came
+//	b.Ended(p.ID)
+package schedule
+
+import (
+	"sync"
+	"time"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/site"
+)
+
+const (
+	// maxAge forgets placements whose end was never heard of. It is above
+	// the longest deadline that callers use.
+	maxAge = 30 * time.Second
+	// maxHelpers is how many more servers may read one prompt.
+	maxHelpers = 16
+	// lateShare is the part of its value that a late answer loses.
+	lateShare = 0.75
+)
+
+type (
+	// ID names a placement among all hosts.
+	ID struct {
+		Host   uint32
+		Number uint32
+	}
+
+	// Request is what has to be placed.
+	Request struct {
+		Work Work
+		// Objective is the time left until the first event is late, Gap the
+		// longest pause between events that is in time.
+		Objective, Gap time.Duration
+		// Hall is where the request came in.
+		Hall string
+		// Avoid are servers that have failed it.
+		Avoid map[string]bool
+	}
+
+	// Placement is a request on its servers.
+	Placement struct {
+		ID      ID
+		Service string
+		// Lead writes the answer; Helpers read parts of the prompt.
+		Lead    string
+		Helpers []string
+		Work    Work
+		Gap     time.Duration
+		Begun   time.Duration
+		// First is the predicted time to the first token from Begun.
+		First   time.Duration
+		writing bool
+	}
+
+	// Board is what runs where. It is safe for use by many goroutines.
+	Board struct {
+		mu         sync.Mutex
+		host       uint32
+		next       uint32
+		placements map[ID]*Placement
+		byServer   map[string]*load
+		trouble    map[string]trouble
+	}
+
+	// load is what is placed on one server.
+	load struct {
+		placements map[ID]*Placement
+	}
+
+	// trouble is evidence against a server.
+	trouble struct {
+		failures int
+		until    time.Duration
+	}
+)
+
+// NewBoard returns an empty board of a host, whose number is in the ID of each
+// of its placements.
+func NewBoard(host uint32) *Board {
+	return &Board{
+		host:       host,
+		placements: map[ID]*Placement{},
+		byServer:   map[string]*load{},
+		trouble:    map[string]trouble{},
+	}
+}
+
+// Place chooses servers and notes the placement. It reports false if no
+// server takes new work.
+func (b *Board) Place(now time.Duration, s site.Service, servers []backend.Server, r Request) (Placement, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	able := b.able(now, servers, r.Avoid)
+	if len(able) == 0 {
+		return Placement{}, false
+	}
+	p := &Placement{Service: s.Name, Work: r.Work, Gap: r.Gap, Begun: now}
+	if s.Engine == nil || r.Work.Prompt == 0 {
+		p.Lead = b.leastLoaded(able, r.Hall).ID
+	} else {
+		b.choose(now, s.Engine, able, r, p)
+	}
+	b.next++
+	p.ID = ID{b.host, b.next}
+	b.add(p)
+	return *p, true
+}
+
+// Heard takes in a placement of another host.
+func (b *Board) Heard(p Placement) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.placements[p.ID]; !ok {
+		b.add(&p)
+	}
+}
+
+// Started notes that a placement's prompt has been read.
+func (b *Board) Started(id ID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.placements[id]; p != nil {
+		p.writing = true
+	}
+}
+
+// Ended notes that a placement is over.
+func (b *Board) Ended(id ID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.remove(id)
+}
+
+// Forget drops placements whose end was missed.
+func (b *Board) Forget(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, p := range b.placements {
+		if now-p.Begun > maxAge {
+			b.remove(id)
+		}
+	}
+}
+
+// Running returns how many placements a server has.
+func (b *Board) Running(server string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.count(server)
+}
+
+func (b *Board) add(p *Placement) {
+	b.placements[p.ID] = p
+	for _, s := range p.servers() {
+		l := b.byServer[s]
+		if l == nil {
+			l = &load{placements: map[ID]*Placement{}}
+			b.byServer[s] = l
+		}
+		l.placements[p.ID] = p
+	}
+}
+
+func (b *Board) remove(id ID) {
+	p := b.placements[id]
+	if p == nil {
+		return
+	}
+	delete(b.placements, id)
+	for _, s := range p.servers() {
+		l := b.byServer[s]
+		if l == nil {
+			continue
+		}
+		delete(l.placements, id)
+		if len(l.placements) == 0 {
+			delete(b.byServer, s)
+		}
+	}
+}
+
+func (b *Board) count(server string) int {
+	if l := b.byServer[server]; l != nil {
+		return len(l.placements)
+	}
+	return 0
+}
+
+// servers are the lead and the helpers.
+func (p *Placement) servers() []string {
+	return append([]string{p.Lead}, p.Helpers...)
+}
+
+// leastLoaded returns the server with the fewest placements for its slots,
+// and among equals one of the hall.
+func (b *Board) leastLoaded(servers []backend.Server, hall string) backend.Server {
+	best, least := servers[0], 0.0
+	for i, s := range servers {
+		n := float64(b.count(s.ID)) / float64(max(s.Slots, 1))
+		if s.Hall != hall {
+			n += otherHall
+		}
+		if i == 0 || n < least {
+			best, least = s, n
+		}
+	}
+	return best
+}
+
+// otherHall is what the way to another hall counts beside load, in slots'
+// share: a tie-breaker.
+const otherHall = 0.01
--- /dev/null
+++ b/daemon/entry/entry.go
@@ -0,0 +1,248 @@
+// Package entry puts the daemon of an entry host together and runs it.
+//
+// # Usage
+//
+//	e, err := entry.New(settings, entry.Platform{...})
+//	err = e.Start(ctx)
+//	<-signal
+//	e.Stop(ctx)     // a planned stop within the grace
+package entry
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/feed"
+	"slipcrank.example/core/limit"
+	"slipcrank.example/core/pause"
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/daemon/decision"
+	"slipcrank.example/daemon/event"
+	"slipcrank.example/daemon/gateway"
+	"slipcrank.example/daemon/news"
+	"slipcrank.example/daemon/settings"
+	"slipcrank.example/daemon/telemetry"
+	"slipcrank.example/daemon/upstream"
+	"slipcrank.example/daemon/watch"
+)
+
+const (
+	// idleTime closes connections of callers that rest; above what any
+	// configuration lets callers keep them.
+	idleTime = 2 * time.Minute
+	// headerTime is for the head of a request to arrive.
+	headerTime = 10 * time.Second
+	// headerBytes bounds the head of a request.
+	headerBytes = 64 << 10
+	// upkeepPeriod is how often connections and placements are swept.
+	upkeepPeriod = time.Second
+	// sendMargin is kept from the time for which a key is proven: what a
+	// request may need from the check to the backend server.
+	sendMargin = 400 * time.Millisecond
+	// retryPart is the part of the retry budget that is used: hosts count for
+	// themselves, and their windows do not begin together.
+	retryPart = 0.7
+)
+
+type (
+	// Platform is what an entry host needs of the platform it runs on.
+	Platform struct {
+		Source   feed.Source
+		Tables   watch.Tables
+		Decoders watch.Decoders
+		Dialect  gateway.Dialect
+	}
+
+	// Entry is the daemon.
+	Entry struct {
+		settings atomic.Pointer[settings.Entry]
+		platform Platform
+		log      *decision.Log
+		metrics  *telemetry.Metrics
+		watcher  *watch.Watcher
+		board    *schedule.Board
+		pool     *upstream.Pool
+		gateway  *gateway.Gateway
+		news     *news.News
+		callers  *http.Server
+		cancel   context.CancelFunc
+		start    time.Time
+		stopping atomic.Bool
+	}
+)
+
+// New puts a daemon together. It opens the socket for news only.
+func New(s settings.Entry, p Platform) (*Entry, error) {
+	e := &Entry{
+		platform: p,
+		log:      decision.New(os.Stdout, slog.String("host", s.Host)),
+		metrics:  telemetry.NewMetrics(),
+		pool:     upstream.New(),
+		start:    time.Now(),
+	}
+	e.settings.Store(&s)
+	e.board = schedule.NewBoard(hostNumber(s.Host, e.start))
+	n, err := news.Listen(s.Listen.News, e.board, e.log, func() time.Duration { return time.Since(e.start) })
+	if err != nil {
+		return nil, err
+	}
+	e.news = n
+	e.watcher = watch.New(p.Source, p.Tables, p.Decoders, e.log, e.metrics, e.setHosts)
+	budget := limit.NewWindow(s.Bounds.Retries.Span, s.Bounds.Retries.Share*retryPart, e.retrySlack)
+	e.gateway = gateway.New(p.Dialect, e.state, e.pool, e.board, budget, e.log, e.metrics,
+		gateway.WithHall(s.Hall),
+		gateway.WithProof(e.keysProven, e.configCurrent),
+		gateway.WithNews(n.Placed, n.Started, n.Ended),
+	)
+	return e, nil
+}
+
+// hostNumber tells the placements of this start of this host from others.
+func hostNumber(name string, start time.Time) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name + start.String())) // never fails
+	return h.Sum32()
+}
+
+func (e *Entry) state() gateway.State {
+	s := e.watcher.State()
+	return gateway.State{Config: s.Config, Servers: s.Servers}
+}
+
+// keysProven reports whether keys may be trusted now.
+func (e *Entry) keysProven() bool {
+	age, ok := e.watcher.ConfigAge()
+	return ok && age < e.settings.Load().Bounds.KeyProof-sendMargin
+}
+
+// configCurrent reports whether no newer configuration can have been in force
+// for longer than the operators allow.
+func (e *Entry) configCurrent() bool {
+	age, ok := e.watcher.ConfigAge()
+	return ok && age < e.settings.Load().Bounds.Config
+}
+
+// retrySlack is this host's part of the fixed number of retries.
+func (e *Entry) retrySlack() float64 {
+	return e.settings.Load().Bounds.Retries.Extra * retryPart / float64(e.news.Hosts()+1)
+}
+
+func (e *Entry) setHosts(hosts []watch.Host) {
+	own := e.settings.Load().Listen.News
+	var others []netip.AddrPort
+	for _, h := range hosts {
+		a, err := netip.ParseAddrPort(h.News)
+		if err != nil {
+			e.log.Write(event.NewsLost, slog.String("of", h.Name), slog.String("error", err.Error()))
+			continue
+		}
+		if h.News != own {
+			others = append(others, a)
+		}
+	}
+	if len(others) != e.news.Hosts() {
+		e.log.Write(event.HostsChanged, slog.Int("others", len(others)))
+	}
+	e.news.SetHosts(others)
+}
+
+// Start listens and serves until Stop.
+func (e *Entry) Start(ctx context.Context) error {
+	ctx, e.cancel = context.WithCancel(ctx)
+	s := e.settings.Load()
+	callers, err := net.Listen("tcp4", s.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	ready, err := net.Listen("tcp4", s.Listen.Readiness)
+	if err != nil {
+		return errors.Wrap(err, "listen for readiness")
+	}
+	figures, err := net.Listen("tcp4", s.Listen.Metrics)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	e.callers = &http.Server{
+		Handler:           e.gateway,
+		IdleTimeout:       idleTime,
+		ReadHeaderTimeout: headerTime,
+		MaxHeaderBytes:    headerBytes,
+	}
+	go e.serve(e.callers, callers)
+	go e.serve(&http.Server{Handler: http.HandlerFunc(e.readiness), ReadHeaderTimeout: headerTime}, ready)
+	go e.serve(&http.Server{Handler: http.HandlerFunc(e.figures), ReadHeaderTimeout: headerTime}, figures)
+	go e.watcher.Run(ctx)
+	go e.news.Run()
+	go e.announce(ctx)
+	go e.upkeep(ctx)
+	e.log.Write(event.DaemonReady, slog.String("callers", s.Listen.Callers), slog.String("hall", s.Hall))
+	return nil
+}
+
+func (e *Entry) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		e.log.Write(event.HandlerPanic, slog.String("listener", l.Addr().String()), slog.String("error", err.Error()))
+	}
+}
+
+// readiness answers the balancer: 200 while this host can serve.
+func (e *Entry) readiness(w http.ResponseWriter, _ *http.Request) {
+	s := e.watcher.State()
+	if e.stopping.Load() || s.Config == nil || s.Servers.Len() == 0 || !e.keysProven() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Entry) figures(w http.ResponseWriter, _ *http.Request) {
+	e.metrics.Set("log_lines_dropped", e.log.Dropped())
+	e.metrics.Set("upstream_connections_opened", e.pool.Opened())
+	if age, ok := e.watcher.ConfigAge(); ok {
+		e.metrics.Set("config_age_milliseconds", age.Milliseconds())
+	}
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_, _ = w.Write([]byte(e.metrics.Text())) // the reader has gone: nothing to do
+}
+
+// announce tells the platform where this host hears news.
+func (e *Entry) announce(ctx context.Context) {
+	s := e.settings.Load()
+	for ctx.Err() == nil {
+		c, cancel := context.WithTimeout(ctx, announceTime)
+		err := e.platform.Source.Put(c, e.platform.Tables.Hosts, s.Host, []byte(s.Listen.News))
+		cancel()
+		if err == nil {
+			return
+		}
+		e.log.Write(event.PlatformLost, slog.String("doing", "announce"), slog.String("error", err.Error()))
+		_ = pause.UpTo(ctx, announceTime) // ctx is looked at above
+	}
+}
+
+// announceTime bounds one write to the platform, and the pause after one that
+// failed.
+const announceTime = 2 * time.Second
+
+func (e *Entry) upkeep(ctx context.Context) {
+	tick := time.NewTicker(upkeepPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			e.board.Forget(time.Since(e.start))
+			e.pool.Sweep(e.watcher.State().Servers.Serves)
+		}
+	}
+}
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -53,6 +53,19 @@
 	OrderFailed     = Event{1704, "order to engine failed"}
 	PlatformLost    = Event{1801, "platform does not answer"}
 	PlatformBack    = Event{1802, "platform answers again"}
+
+	RequestPlaced  = Event{1511, "request placed"}
+	RequestRetried = Event{1512, "request tried again"}
+	RequestRefused = Event{1513, "request refused"}
+	RequestEnded   = Event{1514, "request ended"}
+	ServerAvoided  = Event{1311, "backend server avoided for a while"}
+	ServersChanged = Event{1312, "backend servers changed"}
+	ConfigInForce  = Event{1411, "configuration in force"}
+	ConfigBad      = Event{1412, "configuration can't be read"}
+	SettingsRead   = Event{1107, "settings read again"}
+	SettingsBad    = Event{1108, "settings can't be used"}
+	NewsLost       = Event{1211, "news of another host can't be read"}
+	HostsChanged   = Event{1212, "other hosts changed"}
 )
 
 // All lists every event by number.
@@ -65,6 +78,9 @@
 	ClaimUndecided, ClaimUnknown, AnswerNotStored,
 	LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 	PlatformLost, PlatformBack,
+	RequestPlaced, RequestRetried, RequestRefused, RequestEnded,
+	ServerAvoided, ServersChanged, ConfigInForce, ConfigBad,
+	SettingsRead, SettingsBad, NewsLost, HostsChanged,
 }
 
 // String returns the number and message, as they stand in the log.
--- /dev/null
+++ b/daemon/gateway/call.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/core/site"
+)
+
+// call is one request of a caller on its way through this host.
+type call struct {
+	id        string
+	method    string
+	target    string
+	host      string
+	path      string
+	header    http.Header
+	body      []byte
+	key       string
+	workspace site.Workspace
+	route     site.Route
+	work      schedule.Work
+	arrived   time.Time
+	deadline  time.Time
+	lastEvent string // of the caller, or the last that was passed on
+
+	attempts int             // servers that it reached
+	tried    map[string]bool // servers that failed it
+	may      bool            // it may have run, or may be running
+	begun    bool            // the head of an answer went to the caller
+	note     string          // what went wrong last, for the log
+}
+
+// defaultHold is how long a request is held whose caller and route say
+// nothing.
+const defaultHold = 30 * time.Second
+
+// read takes in a request. It returns a refusal if it may not go on.
+func (g *Gateway) read(r *http.Request, now time.Time) (*call, *refusal) {
+	s := g.state()
+	if s.Config == nil {
+		return nil, refuse(http.StatusServiceUnavailable, "no_configuration", startWait)
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, int64(s.Config.Limits().BodyBytes)+1))
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, "body_unreadable", 0)
+	}
+	if len(body) > s.Config.Limits().BodyBytes {
+		return nil, refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+	}
+	c := &call{
+		id:        r.Header.Get(g.dialect.Attempt),
+		method:    r.Method,
+		target:    r.RequestURI,
+		host:      r.Host,
+		body:      body,
+		arrived:   now,
+		lastEvent: r.Header.Get(g.dialect.LastEvent),
+		tried:     map[string]bool{},
+	}
+	c.path, _, _ = strings.Cut(c.target, "?")
+	c.key, _ = strings.CutPrefix(r.Header.Get("Authorization"), g.dialect.KeyScheme)
+	if no := g.permit(c, s); no != nil {
+		return c, no
+	}
+	c.header = passed(r.Header, g.dialect.Private...)
+	c.work.Prompt, c.work.Answer = sizes(r.Header.Get(g.dialect.Size))
+	if n, err := strconv.Atoi(r.Header.Get(g.dialect.AnswerHint)); err == nil && n > 0 {
+		c.work.Answer = n
+	}
+	c.deadline = now.Add(hold(r.Header.Get(g.dialect.Deadline), c.route.Timeout))
+	return c, nil
+}
+
+// hold is how long a request is held: what the caller waits, and the route
+// allows.
+func hold(deadline string, timeout time.Duration) time.Duration {
+	d := defaultHold
+	if timeout > 0 {
+		d = timeout
+	}
+	if ms, err := strconv.ParseInt(deadline, 10, 64); err == nil && ms >= 0 {
+		d = min(d, time.Duration(min(ms, int64(time.Hour/time.Millisecond)))*time.Millisecond)
+	}
+	return d
+}
+
+// permit finds the route and the workspace of a call in the configuration in
+// force, and refuses what it doesn't allow. It is asked again before each
+// time the call is sent, since the configuration may have changed.
+func (g *Gateway) permit(c *call, s State) *refusal {
+	host, _, _ := strings.Cut(c.host, ":")
+	route, ok := s.Config.Route(host, c.path)
+	if !ok {
+		return g.deny(http.StatusNotFound, "no_route")
+	}
+	c.route = route
+	if route.Public || !s.Config.Keyed() {
+		return nil
+	}
+	w, ok := s.Config.Workspace(c.key)
+	if !ok {
+		return g.deny(http.StatusUnauthorized, "unknown_key")
+	}
+	if c.workspace = w; !g.fresh() {
+		return refuse(http.StatusServiceUnavailable, "keys_unproven", staleWait)
+	}
+	return nil
+}
+
+// deny refuses for good, unless a newer configuration may allow it.
+func (g *Gateway) deny(status int, why string) *refusal {
+	if !g.current() {
+		return refuse(http.StatusServiceUnavailable, why+"_in_old_configuration", staleWait)
+	}
+	return refuse(status, why, 0)
+}
+
+var errForbidden = errors.New("the configuration no longer allows the request")
--- /dev/null
+++ b/daemon/gateway/gateway.go
@@ -0,0 +1,191 @@
+// Package gateway answers callers: it finds the route of each request, checks
+// its key, has it placed on a backend server and passes the answer back.
+//
+// It tells callers the truth about what has happened. A status of 408, 421,
+// 429 or 503 says that the request has not run and won't; anything that may
+// have run ends otherwise. A request that may run only once is sent once; one
+// that may run again is tried elsewhere while the route's attempts, the retry
+// budget and its time last. A stream that breaks goes on at another server
+// after the last whole event, within the same answer.
+//
+// # Usage
+//
+//	g := gateway.New(dialect, watcher.State, pool, board, ...)
+//	http.Server{Handler: g}
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/limit"
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/core/site"
+	"slipcrank.example/daemon/decision"
+	"slipcrank.example/daemon/event"
+	"slipcrank.example/daemon/telemetry"
+	"slipcrank.example/daemon/upstream"
+)
+
+type (
+	// State is what the gateway decides by: a configuration and the backend
+	// servers.
+	State struct {
+		Config  *site.Config
+		Servers *backend.View
+	}
+
+	// Gateway is an HTTP handler. It is safe for use by many goroutines.
+	Gateway struct {
+		dialect Dialect
+		state   func() State
+		// fresh reports whether keys are proven to be in force, current
+		// whether the configuration is.
+		fresh, current func() bool
+		pool           *upstream.Pool
+		board          *schedule.Board
+		budget         *limit.Window
+		log            *decision.Log
+		metrics        *telemetry.Metrics
+		hall           string
+		start          time.Time
+		draining       atomic.Bool
+		active         atomic.Int64
+		placed         func(schedule.Placement)
+		started, ended func(schedule.ID)
+	}
+
+	// Option changes a gateway under construction.
+	Option func(*Gateway)
+)
+
+// WithProof sets what tells whether keys, and the configuration, are proven
+// to be in force now.
+func WithProof(fresh, current func() bool) Option {
+	return func(g *Gateway) { g.fresh, g.current = fresh, current }
+}
+
+// WithHall sets the data hall of this host.
+func WithHall(h string) Option { return func(g *Gateway) { g.hall = h } }
+
+// WithNews sets who is told of placements, of their first tokens and ends.
+func WithNews(placed func(schedule.Placement), started, ended func(schedule.ID)) Option {
+	return func(g *Gateway) { g.placed, g.started, g.ended = placed, started, ended }
+}
+
+// New returns a gateway.
+func New(d Dialect, state func() State, pool *upstream.Pool, board *schedule.Board, budget *limit.Window,
+	log *decision.Log, metrics *telemetry.Metrics, os ...Option,
+) *Gateway {
+	always := func() bool { return true }
+	g := &Gateway{
+		dialect: d, state: state, pool: pool, board: board, budget: budget, log: log, metrics: metrics,
+		fresh: always, current: always,
+		placed:  func(schedule.Placement) {},
+		started: func(schedule.ID) {},
+		ended:   func(schedule.ID) {},
+		start:   time.Now(),
+	}
+	for _, o := range os {
+		o(g)
+	}
+	return g
+}
+
+// Drain makes each further answer the last of its connection.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Active returns how many requests are in progress.
+func (g *Gateway) Active() int64 { return g.active.Load() }
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	now := time.Now()
+	c, no := g.read(r, now)
+	if no != nil {
+		g.answerRefusal(w, c, no)
+		return
+	}
+	g.budget.Arrived(c.route.Targets, now)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	g.run(ctx, w, c)
+}
+
+// run tries servers until one has answered the call or it has to be given up.
+func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, c *call) {
+	for {
+		out := g.try(ctx, w, c)
+		if out.result == answered {
+			g.done(c, out)
+			return
+		}
+		c.note = out.why
+		if out.result == callerGone {
+			g.logEnd(c, "caller_gone", 0, out)
+			panic(http.ErrAbortHandler)
+		}
+		if !g.again(ctx, c, out) {
+			g.giveUp(w, c, out)
+			return
+		}
+		g.log.Write(event.RequestRetried, slog.String("id", c.id), slog.String("why", out.why),
+			slog.String("server", out.server), slog.Int("attempts", c.attempts))
+		g.metrics.Count("gateway_retries", 1, "why", out.why)
+	}
+}
+
+// again decides whether a failed try may be followed by another.
+func (g *Gateway) again(ctx context.Context, c *call, out outcome) bool {
+	if ctx.Err() != nil || out.result == final {
+		return false
+	}
+	if c.may && !c.route.Resumable() || c.begun && !(c.route.Kind == site.Stream && c.route.Resume) {
+		return false
+	}
+	if out.result == unsent {
+		return len(c.tried) <= maxUnsent
+	}
+	if c.attempts >= max(c.route.Attempts, 1) {
+		c.note += ",attempts_used"
+		return false
+	}
+	if !g.budget.Spend(out.service, time.Now()) {
+		c.note += ",retry_budget_used"
+		return false
+	}
+	return true
+}
+
+// maxUnsent bounds how many servers are tried that can't be reached; each may
+// take the dial timeout.
+const maxUnsent = 4
+
+// place chooses servers for a call.
+func (g *Gateway) place(c *call, s State) (schedule.Placement, site.Service, bool) {
+	service, ok := s.Config.Service(c.route.Pick(rand.Float64()))
+	if !ok {
+		return schedule.Placement{}, service, false
+	}
+	p, ok := g.board.Place(time.Since(g.start), service, s.Servers.Ready(service.Name), schedule.Request{
+		Work:      c.work,
+		Objective: c.route.Objective - time.Since(c.arrived),
+		Gap:       c.route.Gap,
+		Hall:      g.hall,
+		Avoid:     c.tried,
+	})
+	if ok {
+		g.placed(p)
+	}
+	return p, service, ok
+}
--- /dev/null
+++ b/daemon/gateway/log.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"log/slog"
+	"strconv"
+	"time"
+
+	"slipcrank.example/daemon/event"
+)
+
+// done notes an answered call.
+func (g *Gateway) done(c *call, out outcome) {
+	g.logEnd(c, "answered", out.answer.status, out)
+	g.metrics.Time("gateway_answer", time.Since(c.arrived), "route", c.route.Name)
+	if out.first > 0 {
+		g.metrics.Time("gateway_first_event", out.first, "route", c.route.Name)
+	}
+}
+
+// logEnd writes the one line that tells how a call ended.
+func (g *Gateway) logEnd(c *call, how string, status int, out outcome) {
+	g.metrics.Count("gateway_requests", 1, "result", how, "status", strconv.Itoa(status))
+	g.log.Write(event.RequestEnded, slog.String("id", c.id), slog.String("route", c.route.Name),
+		slog.String("result", how), slog.Int("status", status), slog.String("server", out.server),
+		slog.String("why", c.note), slog.Int("attempts", c.attempts), slog.String("last_event", c.lastEvent),
+		slog.Duration("first", out.first), slog.Duration("held", time.Since(c.arrived)))
+}
--- /dev/null
+++ b/daemon/gateway/try.go
@@ -0,0 +1,294 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/core/site"
+	"slipcrank.example/daemon/event"
+	"slipcrank.example/daemon/upstream"
+)
+
+// What has become of one try.
+const (
+	answered   result = iota // the caller has the whole answer
+	unsent                   // no byte has left for the server
+	refused                  // the server says that it has not run it
+	failed                   // it may have run
+	final                    // no other server may be tried
+	callerGone               // nobody waits any more
+)
+
+// maxWhole is the largest answer that is read whole before it is passed on,
+// so that one that breaks can be asked for again.
+const maxWhole = 1 << 20
+
+type (
+	result int
+
+	// outcome is what has become of one try.
+	outcome struct {
+		result  result
+		why     string
+		server  string
+		service string
+		answer  *whole   // of the server, if it is passed on as it is
+		no      *refusal // what the caller is told, if nothing ran
+		first   time.Duration
+	}
+
+	// whole is an answer with its body.
+	whole struct {
+		status int
+		header http.Header
+		body   []byte
+	}
+)
+
+// try places the call and sends it once.
+func (g *Gateway) try(ctx context.Context, w http.ResponseWriter, c *call) outcome {
+	s := g.state()
+	if no := g.permit(c, s); no != nil {
+		return outcome{result: final, why: no.why, no: no}
+	}
+	p, service, ok := g.place(c, s)
+	if !ok {
+		return outcome{result: final, why: "no_server", no: refuse(http.StatusServiceUnavailable, "no_server", busyWait)}
+	}
+	defer func() {
+		g.board.Ended(p.ID)
+		g.ended(p.ID)
+	}()
+	server, _ := s.Servers.Get(p.Lead)
+	g.log.Write(event.RequestPlaced, slog.String("id", c.id), slog.String("route", c.route.Name),
+		slog.String("server", p.Lead), slog.Int("readers", len(p.Helpers)), slog.Int("prompt", c.work.Prompt),
+		slog.Duration("predicted", p.First), slog.Int64("configuration", s.Config.Version()))
+	out := g.send(ctx, w, c, s, p, server)
+	out.server, out.service = p.Lead, service.Name
+	g.judge(c, p, out)
+	return out
+}
+
+// judge notes evidence for and against the server.
+func (g *Gateway) judge(c *call, p schedule.Placement, out outcome) {
+	switch out.result {
+	case answered:
+		g.board.Served(p.Lead)
+	case unsent, failed, refused:
+		c.tried[p.Lead] = true
+		if out.why == "not_allowed" {
+			return
+		}
+		rest := g.board.Failed(p.Lead, time.Since(g.start))
+		g.log.Write(event.ServerAvoided, slog.String("id", c.id), slog.String("server", p.Lead),
+			slog.String("why", out.why), slog.Duration("rest", rest))
+	}
+}
+
+// send sends the call to the lead of its placement and passes the answer on.
+func (g *Gateway) send(parent context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement, server backend.Server) outcome {
+	out := g.exchange(parent, w, c, s, p, server)
+	switch {
+	case out.result == answered:
+	case errors.Is(parent.Err(), context.Canceled):
+		out.result, out.why = callerGone, "caller_gone"
+	case parent.Err() != nil:
+		out.why = "out_of_time"
+	}
+	return out
+}
+
+// exchange sends the call and passes the answer on.
+func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement, server backend.Server) outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	quiet := silence(c, p)
+	alarm := time.AfterFunc(quiet, cancel)
+	defer alarm.Stop()
+	a, err := g.pool.Send(ctx, server.Addr, g.request(c, s, p))
+	if err != nil {
+		return g.failure(c, err, "send")
+	}
+	defer a.Close()
+	if a.Header.Get(g.dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
+		c.attempts++
+		return g.notRun(a)
+	}
+	c.attempts++
+	c.may = true
+	if c.route.Kind == site.Stream && a.Status == http.StatusOK {
+		return g.relay(w, c, p, a, alarm, quiet)
+	}
+	return g.collect(w, c, a)
+}
+
+// failure tells what an error means for the call.
+func (g *Gateway) failure(c *call, err error, doing string) outcome {
+	switch {
+	case errors.Is(err, errForbidden):
+		return outcome{result: unsent, why: "not_allowed"}
+	case upstream.NotSent(err):
+		return outcome{result: unsent, why: "not_reached"}
+	}
+	c.may = true
+	if doing == "send" {
+		c.attempts++
+	}
+	why := doing + "_broken"
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		why = doing + "_timeout"
+	}
+	return outcome{result: failed, why: why}
+}
+
+// notRun takes in an answer that says that the request has not run.
+func (g *Gateway) notRun(a *upstream.Answer) outcome {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole))
+	if err == nil {
+		a.Finish()
+	}
+	return outcome{
+		result: refused,
+		why:    "refused_" + strconv.Itoa(a.Status),
+		answer: &whole{a.Status, a.Header, body},
+	}
+}
+
+// collect reads an answer whole and passes it on.
+func (g *Gateway) collect(w http.ResponseWriter, c *call, a *upstream.Answer) outcome {
+	body, err := io.ReadAll(a.Body)
+	if err != nil {
+		return g.failure(c, err, "answer")
+	}
+	a.Finish()
+	out := outcome{result: answered, answer: &whole{a.Status, a.Header, body}}
+	if a.Status >= http.StatusInternalServerError || promises(a.Status) {
+		out.result, out.why = failed, "status_"+strconv.Itoa(a.Status)
+		return out
+	}
+	g.pass(w, c, out)
+	return out
+}
+
+// pass sends a server's answer to the caller as it is.
+func (g *Gateway) pass(w http.ResponseWriter, c *call, out outcome) {
+	head(w, out.answer.header)
+	w.Header().Set("Content-Length", strconv.Itoa(len(out.answer.body)))
+	w.WriteHeader(out.answer.status)
+	if _, err := w.Write(out.answer.body); err != nil {
+		g.logEnd(c, "write_failed", out.answer.status, out)
+	}
+	if out.result != answered {
+		g.logEnd(c, "passed_failure", out.answer.status, out)
+	}
+}
+
+// head copies a server's headers into an answer of ours.
+func head(w http.ResponseWriter, h http.Header) {
+	closing := w.Header().Get("Connection")
+	for k, vs := range passed(h) {
+		w.Header()[k] = vs
+	}
+	if closing != "" {
+		w.Header().Set("Connection", closing)
+	}
+	if h.Get("Content-Type") == "" {
+		w.Header()["Content-Type"] = nil // no guess of the library's
+	}
+	if h.Get("Date") == "" {
+		w.Header()["Date"] = nil
+	}
+}
+
+// request makes what is sent to the lead of a placement.
+func (g *Gateway) request(c *call, s State, p schedule.Placement) upstream.Request {
+	h := c.header.Clone()
+	left := time.Until(c.deadline)
+	set := func(name, value string) {
+		if name != "" && value != "" {
+			h.Set(name, value)
+		}
+	}
+	set(g.dialect.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+	set(g.dialect.Expect, p.Lead)
+	set(g.dialect.Workspace, c.workspace.Name)
+	set(g.dialect.LastEvent, c.lastEvent)
+	set(g.dialect.Readers, strings.Join(addresses(s, p.Helpers), ","))
+	if c.work.Prompt > 0 {
+		set(g.dialect.Urgency, strconv.Itoa(urgency(c)))
+	}
+	return upstream.Request{
+		Method:   c.method,
+		Target:   c.target,
+		Host:     c.host,
+		Header:   h,
+		Body:     c.body,
+		IDHeader: g.dialect.Attempt,
+		ID:       c.id,
+		Allowed:  func() error { return g.allowed(c, p) },
+	}
+}
+
+// allowed is asked last before a request leaves this host.
+func (g *Gateway) allowed(c *call, p schedule.Placement) error {
+	s := g.state()
+	if !time.Now().Before(c.deadline) || !s.Servers.Takes(p.Lead) || g.permit(c, s) != nil {
+		return errForbidden
+	}
+	return nil
+}
+
+func addresses(s State, ids []string) []string {
+	var out []string
+	for _, id := range ids {
+		if b, ok := s.Servers.Get(id); ok {
+			out = append(out, b.Addr)
+		}
+	}
+	return out
+}
+
+// urgency ranks a call at an engine: short prompts, whose readers wait at a
+// counter, before long ones, and within that by the operator's priority.
+func urgency(c *call) int {
+	n := c.route.Priority
+	if c.workspace.Priority >= 0 {
+		n = c.workspace.Priority
+	}
+	if c.route.Objective > time.Second {
+		n += 3
+	}
+	return min(n, 9)
+}
+
+// silence is how long a server may say nothing before the call is tried at
+// another, where that is allowed.
+func silence(c *call, p schedule.Placement) time.Duration {
+	if !c.route.Resumable() {
+		return time.Hour
+	}
+	if c.route.Kind != site.Stream {
+		return max(silenceObjectives*c.route.Objective, minSilence/2)
+	}
+	return max(minSilence, silenceGaps*c.route.Gap, 2*p.First+minSilence/2)
+}
+
+const (
+	// minSilence is above what any pass of an engine takes under the load of
+	// a usual day; callers of short prompts leave after two seconds.
+	minSilence = 1200 * time.Millisecond
+	// silenceGaps and silenceObjectives are in units of the route's own
+	// bounds: above what a loaded server needs, below what callers endure.
+	silenceGaps       = 3
+	silenceObjectives = 4
+)
--- /dev/null
+++ b/daemon/news/news.go
@@ -0,0 +1,163 @@
+// Package news tells other hosts what is placed on backend servers, and hears
+// it from them.
+//
+// Each placement, first token and end is a datagram to every other host. One
+// that is lost costs a slightly worse choice until the placement is forgotten,
+// and never a promise, so nothing is sent twice and nobody waits: that is why
+// this isn't a call over gRPC.
+//
+// # Usage
+//
+//	n, err := news.Listen(addr, board, log)
+//	n.SetHosts(addrs)
+//	go n.Run()
+//	n.Placed(placement)
+package news
+
+import (
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/daemon/decision"
+	"slipcrank.example/daemon/event"
+)
+
+// maxDatagram stays within one packet of usual links; 17 servers' names fit.
+const maxDatagram = 1400
+
+// What a message tells.
+const (
+	placed  kind = 1
+	started kind = 2
+	ended   kind = 3
+)
+
+type (
+	kind uint8
+
+	// News sends and receives. It is safe for use by many goroutines.
+	News struct {
+		conn  *net.UDPConn
+		board *schedule.Board
+		log   *decision.Log
+		hosts atomic.Pointer[[]netip.AddrPort]
+		now   func() time.Duration
+	}
+
+	// message is one datagram. Keys are numbers, since each costs a byte.
+	message struct {
+		Kind    kind     `cbor:"1,keyasint"`
+		Host    uint32   `cbor:"2,keyasint"`
+		Number  uint32   `cbor:"3,keyasint"`
+		Lead    string   `cbor:"4,keyasint,omitempty"`
+		Helpers []string `cbor:"5,keyasint,omitempty"`
+		Prompt  int      `cbor:"6,keyasint,omitempty"`
+		Answer  int      `cbor:"7,keyasint,omitempty"`
+		GapMS   int64    `cbor:"8,keyasint,omitempty"`
+		FirstMS int64    `cbor:"9,keyasint,omitempty"`
+		Service string   `cbor:"10,keyasint,omitempty"`
+	}
+)
+
+// Listen opens the socket.
+func Listen(addr string, b *schedule.Board, l *decision.Log, now func() time.Duration) (*News, error) {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "address for news")
+	}
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for news")
+	}
+	n := &News{conn: c, board: b, log: l, now: now}
+	n.hosts.Store(&[]netip.AddrPort{})
+	return n, nil
+}
+
+// SetHosts sets who is told.
+func (n *News) SetHosts(hosts []netip.AddrPort) { n.hosts.Store(&hosts) }
+
+// Hosts returns how many others are told.
+func (n *News) Hosts() int { return len(*n.hosts.Load()) }
+
+// Close ends Run.
+func (n *News) Close() error { return n.conn.Close() }
+
+// Placed tells of a new placement.
+func (n *News) Placed(p schedule.Placement) {
+	n.send(message{
+		Kind: placed, Host: p.ID.Host, Number: p.ID.Number, Lead: p.Lead, Helpers: p.Helpers,
+		Prompt: p.Work.Prompt, Answer: p.Work.Answer, GapMS: p.Gap.Milliseconds(),
+		FirstMS: p.First.Milliseconds(), Service: p.Service,
+	})
+}
+
+// Started tells that the prompt of a placement has been read.
+func (n *News) Started(id schedule.ID) {
+	n.send(message{Kind: started, Host: id.Host, Number: id.Number})
+}
+
+// Ended tells that a placement is over.
+func (n *News) Ended(id schedule.ID) { n.send(message{Kind: ended, Host: id.Host, Number: id.Number}) }
+
+func (n *News) send(m message) {
+	hosts := *n.hosts.Load()
+	if len(hosts) == 0 {
+		return
+	}
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		n.log.Write(event.NewsLost, slog.String("error", err.Error()))
+		return
+	}
+	for _, h := range hosts {
+		// A host that can't be reached is one that hears nothing: no retry.
+		_, _ = n.conn.WriteToUDPAddrPort(b, h)
+	}
+}
+
+// Run takes in what others tell until the socket is closed.
+func (n *News) Run() {
+	b := make([]byte, maxDatagram)
+	for {
+		size, from, err := n.conn.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.log.Write(event.NewsLost, slog.String("error", err.Error()))
+			continue
+		}
+		var m message
+		if err := cbor.Unmarshal(b[:size], &m); err != nil {
+			n.log.Write(event.NewsLost, slog.String("from", from.String()), slog.String("error", err.Error()))
+			continue
+		}
+		n.take(m)
+	}
+}
+
+func (n *News) take(m message) {
+	id := schedule.ID{Host: m.Host, Number: m.Number}
+	switch m.Kind {
+	case placed:
+		n.board.Heard(schedule.Placement{
+			ID: id, Service: m.Service, Lead: m.Lead, Helpers: m.Helpers,
+			Work:  schedule.Work{Prompt: m.Prompt, Answer: m.Answer},
+			Gap:   time.Duration(m.GapMS) * time.Millisecond,
+			First: time.Duration(m.FirstMS) * time.Millisecond,
+			Begun: n.now(),
+		})
+	case started:
+		n.board.Started(id)
+	case ended:
+		n.board.Ended(id)
+	}
+}
--- /dev/null
+++ b/daemon/settings/entry.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"slipcrank.example/core/fault"
+)
+
+type (
+	// Entry are the settings of a daemon that serves as an entry host before
+	// backend servers that speak for themselves: an immutable value.
+	Entry struct {
+		// Host names this host.
+		Host string `yaml:"host" validate:"required,max=63"`
+		// Hall is the data hall in which it stands.
+		Hall   string      `yaml:"hall" validate:"required,max=63"`
+		Listen EntryListen `yaml:"listen"`
+		// Platform is the IP number and port of the platform's store.
+		Platform string `yaml:"platform" validate:"required,ipport"`
+		Bounds   Bounds `yaml:"bounds"`
+	}
+
+	// EntryListen has the addresses of an entry host, each an IP number and a
+	// port.
+	EntryListen struct {
+		Callers   string `yaml:"callers" validate:"required,ipport"`
+		Readiness string `yaml:"readiness" validate:"required,ipport"`
+		Metrics   string `yaml:"metrics" validate:"required,ipport"`
+		News      string `yaml:"news" validate:"required,ipport"`
+	}
+
+	// Bounds are what operators promise their callers.
+	Bounds struct {
+		// KeyProof is how long after a key is taken away it may still be
+		// used.
+		KeyProof time.Duration `yaml:"key_proof" validate:"gte=500ms,lte=10m"`
+		// Config is how long after a change an older configuration may be
+		// used.
+		Config time.Duration `yaml:"config" validate:"gte=100ms,lte=10m"`
+		// Grace is the time from SIGTERM to the end of the process.
+		Grace time.Duration `yaml:"grace" validate:"gte=1s,lte=1h"`
+		// Retries bounds, over all hosts, what is sent to a second server.
+		Retries Retries `yaml:"retries"`
+	}
+
+	// Retries is a share of a service's requests in any span, and a number
+	// beside.
+	Retries struct {
+		Share float64       `yaml:"share" validate:"gte=0,lte=1"`
+		Extra float64       `yaml:"extra" validate:"gte=0"`
+		Span  time.Duration `yaml:"span" validate:"gte=1s,lte=10m"`
+	}
+)
+
+// LoadEntry reads the settings of an entry host from a file and checks them.
+func LoadEntry(path string) (Entry, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return Entry{}, fault.Newf(fault.BadRequest, "give a file that can be read",
+			"the settings can't be read: %v", err)
+	}
+	return ParseEntry(b)
+}
+
+// ParseEntry reads the settings of an entry host from YAML and checks them.
+func ParseEntry(b []byte) (Entry, error) {
+	var s Entry
+	if err := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict()).Decode(&s); err != nil {
+		return Entry{}, fault.Newf(fault.BadRequest,
+			"mend the YAML; docs/OPERATIONS.md lists the keys",
+			"the settings can't be read: %s", yaml.FormatError(err, false, false))
+	}
+	return s, validate(s)
+}
--- a/daemon/settings/validate.go
+++ b/daemon/settings/validate.go
@@ -46,7 +46,9 @@
 
 // Validate returns a fault that names the first key with a bad value, the
 // value and the remedy, or nil.
-func (s Settings) Validate() error {
+func (s Settings) Validate() error { return validate(s) }
+
+func validate(s any) error {
 	err := checker.Struct(s)
 	if err == nil {
 		return nil
--- /dev/null
+++ b/daemon/watch/watch.go
@@ -0,0 +1,327 @@
+// Package watch follows the platform's tables and keeps the state that
+// traffic decides by.
+//
+// One goroutine owns the state. Others follow a table each and hand it what
+// they read; after each change it publishes a new immutable [State]. What was
+// read is stamped with the platform's steady clock, so that at any moment it
+// is known how long ago the configuration was proven to be the newest.
+//
+// # Usage
+//
+//	w := watch.New(source, watch.Tables{...}, watch.Decoders{...}, log, metrics)
+//	go w.Run(ctx)
+//	s := w.State()
+//	age, ok := w.ConfigAge()
+package watch
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/feed"
+	"slipcrank.example/core/freshness"
+	"slipcrank.example/core/pause"
+	"slipcrank.example/core/site"
+	"slipcrank.example/daemon/decision"
+	"slipcrank.example/daemon/event"
+	"slipcrank.example/daemon/telemetry"
+)
+
+const (
+	// configWait is how long a question for changes of the configuration
+	// waits. Each answer proves the configuration anew, and keys need that
+	// proof within a few seconds; each question costs money.
+	configWait = 1500 * time.Millisecond
+	// otherWait is the same for tables whose age decides nothing: a change
+	// is told at once in any case.
+	otherWait = 5 * time.Second
+	// answerTime is added to a wait for the way there and back, and for a
+	// platform that is slow.
+	answerTime = 1500 * time.Millisecond
+	// firstPause and longestPause lie between questions that fail.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 600 * time.Millisecond
+	// outageTime is how long questions have to fail for entries of servers to
+	// lapse by the platform's absence: under two heartbeats.
+	outageTime = time.Second
+)
+
+type (
+	// Tables names the platform's tables.
+	Tables struct {
+		Config, ConfigKey, Servers, Hosts string
+	}
+
+	// Decoders read rows.
+	Decoders struct {
+		Config func(value []byte) (*site.Config, error)
+		Server func(key string, value []byte) (backend.Server, error)
+	}
+
+	// Host is another host of the site, with the address for its news.
+	Host struct {
+		Name, News string
+	}
+
+	// State is what traffic decides by.
+	State struct {
+		Config  *site.Config
+		Servers *backend.View
+		Hosts   []Host
+	}
+
+	// Watcher follows the tables.
+	Watcher struct {
+		source  feed.Source
+		tables  Tables
+		decode  Decoders
+		log     *decision.Log
+		metrics *telemetry.Metrics
+		start   time.Time
+		clock   *freshness.Clock
+		state   atomic.Pointer[State]
+		proven  atomic.Int64 // stamp of the newest proof of the configuration, -1 for none
+		reads   chan read
+		onHosts func([]Host)
+
+		// Owned by Run's goroutine.
+		book   *backend.Book
+		config *site.Config
+		hosts  map[string]Host
+		lost   map[string]bool
+	}
+
+	// read is what a follower has learnt, or that it can't.
+	read struct {
+		table string
+		batch feed.Batch
+		whole bool
+		err   error
+		after time.Duration // how long questions had failed before
+	}
+)
+
+// New returns a watcher.
+func New(s feed.Source, t Tables, d Decoders, l *decision.Log, m *telemetry.Metrics, onHosts func([]Host)) *Watcher {
+	w := &Watcher{
+		source: s, tables: t, decode: d, log: l, metrics: m, onHosts: onHosts,
+		start: time.Now(),
+		clock: freshness.NewClock(),
+		reads: make(chan read),
+		book:  backend.NewBook(),
+		hosts: map[string]Host{},
+		lost:  map[string]bool{},
+	}
+	w.proven.Store(-1)
+	w.state.Store(&State{Servers: w.book.View(0)})
+	return w
+}
+
+// State returns the newest state.
+func (w *Watcher) State() *State { return w.state.Load() }
+
+// ConfigAge returns how long ago, at most, the configuration in force was
+// proven to be the newest. It reports false before the first proof.
+func (w *Watcher) ConfigAge() (time.Duration, bool) {
+	p := w.proven.Load()
+	if p < 0 {
+		return 0, false
+	}
+	return w.clock.Age(time.Duration(p), w.now())
+}
+
+// Run follows the tables until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	go w.follow(ctx, w.tables.Config, configWait)
+	go w.follow(ctx, w.tables.Servers, otherWait)
+	go w.follow(ctx, w.tables.Hosts, otherWait)
+	tick := time.NewTicker(lapseTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-w.reads:
+			w.take(r)
+		case <-tick.C:
+			if w.book.Lapsing() {
+				w.publish()
+			}
+		}
+	}
+}
+
+// lapseTick is how often kept servers are looked at whose entries lapsed.
+const lapseTick = 250 * time.Millisecond
+
+func (w *Watcher) now() time.Duration { return time.Since(w.start) }
+
+// follow reads a table whole, then its changes.
+func (w *Watcher) follow(ctx context.Context, table string, wait time.Duration) {
+	var revision int64
+	listed := false
+	var failing time.Time
+	rest := firstPause
+	for ctx.Err() == nil {
+		b, err := w.ask(ctx, table, listed, revision, wait)
+		if errors.Is(err, feed.ErrHistoryGone) {
+			listed = false
+			continue
+		}
+		r := read{table: table, batch: b, whole: !listed, err: err}
+		if err == nil && !failing.IsZero() {
+			r.after = time.Since(failing)
+			failing = time.Time{}
+		}
+		if !w.hand(ctx, r) {
+			return
+		}
+		if err != nil {
+			if failing.IsZero() {
+				failing = time.Now()
+			}
+			_ = pause.UpTo(ctx, rest) // ctx is looked at above
+			rest = min(2*rest, longestPause)
+			continue
+		}
+		rest, listed, revision = firstPause, true, b.Revision
+	}
+}
+
+func (w *Watcher) ask(ctx context.Context, table string, listed bool, revision int64, wait time.Duration) (feed.Batch, error) {
+	if !listed {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
+	defer cancel()
+	sent := w.now()
+	var b feed.Batch
+	var err error
+	if listed {
+		b, err = w.source.Follow(ctx, table, revision, wait)
+	} else {
+		b, err = w.source.List(ctx, table)
+	}
+	w.metrics.Count("platform_calls", 1, "table", table)
+	if err == nil {
+		w.clock.Observe(sent, b.Stamp)
+	}
+	return b, err
+}
+
+func (w *Watcher) hand(ctx context.Context, r read) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case w.reads <- r:
+		return true
+	}
+}
+
+// take brings what was read into the state.
+func (w *Watcher) take(r read) {
+	if r.err != nil {
+		if !w.lost[r.table] {
+			w.lost[r.table] = true
+			w.log.Write(event.PlatformLost, slog.String("table", r.table), slog.String("error", r.err.Error()))
+		}
+		return
+	}
+	if w.lost[r.table] {
+		w.lost[r.table] = false
+		w.log.Write(event.PlatformBack, slog.String("table", r.table), slog.Duration("after", r.after))
+	}
+	changed := false
+	switch r.table {
+	case w.tables.Config:
+		changed = w.takeConfig(r)
+	case w.tables.Servers:
+		changed = w.takeServers(r)
+	case w.tables.Hosts:
+		changed = w.takeHosts(r)
+	}
+	if changed {
+		w.publish()
+	}
+	if r.table == w.tables.Config && w.config != nil {
+		w.proven.Store(int64(r.batch.Stamp))
+	}
+}
+
+func (w *Watcher) takeConfig(r read) bool {
+	for _, row := range r.batch.Rows {
+		if row.Key != w.tables.ConfigKey || row.Gone {
+			continue
+		}
+		c, err := w.decode.Config(row.Value)
+		if err != nil {
+			w.log.Write(event.ConfigBad, slog.Int64("revision", row.Revision), slog.String("error", err.Error()))
+			continue
+		}
+		if w.config != nil && c.Version() <= w.config.Version() {
+			continue
+		}
+		w.config = c
+		w.log.Write(event.ConfigInForce, slog.Int64("version", c.Version()), slog.Int64("revision", row.Revision))
+		return true
+	}
+	return false
+}
+
+func (w *Watcher) takeServers(r read) bool {
+	now := w.now()
+	if r.after > outageTime {
+		w.book.Returned(now)
+	}
+	changed := false
+	present := map[string]bool{}
+	for _, row := range r.batch.Rows {
+		if row.Gone {
+			changed = w.book.Remove(row.Key, row.Revision, now) || changed
+			continue
+		}
+		present[row.Key] = true
+		s, err := w.decode.Server(row.Key, row.Value)
+		if err != nil {
+			w.log.Write(event.ConfigBad, slog.String("server", row.Key), slog.String("error", err.Error()))
+			continue
+		}
+		changed = w.book.Put(s, row.Revision) || changed
+	}
+	if r.whole {
+		changed = w.book.Reset(present, r.batch.Revision, now) || changed
+	}
+	if changed {
+		v := w.book.View(now)
+		w.log.Write(event.ServersChanged, slog.Int("servers", v.Len()), slog.Int64("revision", r.batch.Revision))
+	}
+	return changed
+}
+
+func (w *Watcher) takeHosts(r read) bool {
+	if r.whole {
+		clear(w.hosts)
+	}
+	for _, row := range r.batch.Rows {
+		if row.Gone {
+			delete(w.hosts, row.Key)
+			continue
+		}
+		w.hosts[row.Key] = Host{Name: row.Key, News: string(row.Value)}
+	}
+	return r.whole || len(r.batch.Rows) > 0
+}
+
+func (w *Watcher) publish() {
+	s := &State{Config: w.config, Servers: w.book.View(w.now())}
+	for _, h := range w.hosts {
+		s.Hosts = append(s.Hosts, h)
+	}
+	w.state.Store(s)
+	w.onHosts(s.Hosts)
+}
