Take in the newest of several missed configurations

Cause: after an outage one answer of the feed holds a row for each change missed; the watcher stopped at the first that was newer, and stamped it as the newest. Ruled out: a delayed answer (the log shows revision 32 taken at 11.787 with revision 40 in the store), a clock bound (age was right). Test: TestNewestOfSeveralMissedConfigurationsIsInForce, red first.

--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -168,7 +168,11 @@
 	var failing time.Time
 	rest := firstPause
 	for ctx.Err() == nil {
-		b, err := w.ask(ctx, table, listed, revision, wait)
+		patience := wait
+		if !failing.IsZero() {
+			patience = 0 // what was missed is wanted now, and that the platform is back
+		}
+		b, err := w.ask(ctx, table, listed, revision, patience)
 		if errors.Is(err, feed.ErrHistoryGone) {
 			listed = false
 			continue
@@ -253,7 +257,10 @@
 	}
 }
 
+// takeConfig brings the newest of the configurations that were read into
+// force: an answer may hold one for each change that was missed.
 func (w *Watcher) takeConfig(r read) bool {
+	changed := false
 	for _, row := range r.batch.Rows {
 		if row.Key != w.tables.ConfigKey || row.Gone {
 			continue
@@ -268,9 +275,9 @@
 		}
 		w.config = c
 		w.log.Write(event.ConfigInForce, slog.Int64("version", c.Version()), slog.Int64("revision", row.Revision))
-		return true
+		changed = true
 	}
-	return false
+	return changed
 }
 
 func (w *Watcher) takeServers(r read) bool {
--- /dev/null
+++ b/daemon/watch/watch_test.go
@@ -0,0 +1,235 @@
+package watch_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/feed"
+	"slipcrank.example/core/pause"
+	"slipcrank.example/core/site"
+	"slipcrank.example/daemon/decision"
+	"slipcrank.example/daemon/telemetry"
+	"slipcrank.example/daemon/watch"
+)
+
+const (
+	configTable  = "configs"
+	serversTable = "servers"
+)
+
+// fakeStore answers questions from rows that a test changes. It is used inside
+// a synctest bubble, whose goroutines it may block.
+type fakeStore struct {
+	start   time.Time
+	rows    map[string][]feed.Row
+	changed chan struct{}
+	rev     int64
+	down    bool
+	silent  bool
+}
+
+var errDown = errors.New("the platform is down")
+
+func newStore() *fakeStore {
+	return &fakeStore{start: time.Now(), rows: map[string][]feed.Row{}, changed: make(chan struct{})}
+}
+
+func (f *fakeStore) put(table, key, value string) {
+	f.rev++
+	f.rows[table] = append(f.rows[table], feed.Row{Key: key, Value: []byte(value), Revision: f.rev})
+	f.tell()
+}
+
+func (f *fakeStore) remove(table, key string) {
+	f.rev++
+	f.rows[table] = append(f.rows[table], feed.Row{Key: key, Revision: f.rev, Gone: true})
+	f.tell()
+}
+
+func (f *fakeStore) tell() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeStore) setDown(down bool) {
+	f.down = down
+	f.tell()
+}
+
+func (f *fakeStore) batch(table string, after int64) feed.Batch {
+	b := feed.Batch{Revision: f.rev, Stamp: time.Since(f.start) + time.Hour}
+	for _, r := range f.rows[table] {
+		if r.Revision > after {
+			b.Rows = append(b.Rows, r)
+		}
+	}
+	return b
+}
+
+func (f *fakeStore) list(_ context.Context, table string) (feed.Batch, error) {
+	if f.down {
+		return feed.Batch{}, errDown
+	}
+	live := map[string]feed.Row{}
+	for _, r := range f.rows[table] {
+		live[r.Key] = r
+	}
+	b := f.batch(table, f.rev)
+	for _, r := range live {
+		if !r.Gone {
+			b.Rows = append(b.Rows, r)
+		}
+	}
+	return b, nil
+}
+
+func (f *fakeStore) follow(ctx context.Context, table string, after int64, wait time.Duration) (feed.Batch, error) {
+	end := time.After(wait)
+	for {
+		if f.down {
+			return feed.Batch{}, errDown
+		}
+		if b := f.batch(table, after); len(b.Rows) > 0 {
+			return b, nil
+		}
+		select {
+		case <-ctx.Done():
+			return feed.Batch{}, ctx.Err()
+		case <-end:
+			return f.batch(table, after), nil
+		case <-f.changed:
+		}
+	}
+}
+
+// run gives a running watcher to f in a bubble with its own time.
+func run(t *testing.T, f func(s *fakeStore, w *watch.Watcher)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newStore()
+		l := decision.New(io.Discard)
+		w := watch.New(
+			feed.Source{List: s.list, Follow: s.follow},
+			watch.Tables{Config: configTable, ConfigKey: "config", Servers: serversTable, Hosts: "hosts"},
+			watch.Decoders{
+				Config: func(b []byte) (*site.Config, error) {
+					n, err := strconv.ParseInt(string(b), 10, 64)
+					return site.New(n, nil, nil, nil, site.Limits{}), err
+				},
+				Server: func(key string, b []byte) (backend.Server, error) {
+					s := backend.Server{ID: key}
+					return s, json.Unmarshal(b, &s)
+				},
+			},
+			l, telemetry.NewMetrics(), func([]watch.Host) {})
+		go w.Run(ctx)
+		f(s, w)
+		cancel()
+		synctest.Wait()
+		l.Close()
+	})
+}
+
+func settle() { pass(time.Millisecond) }
+
+// pass lets some of the bubble's time go by.
+func pass(d time.Duration) {
+	_ = pause.For(context.Background(), d) // never ends early
+	synctest.Wait()
+}
+
+func TestNewestOfSeveralMissedConfigurationsIsInForce(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		s.put(configTable, "config", "1")
+		settle()
+		s.setDown(true)
+		settle()
+		for _, v := range []string{"2", "3", "5"} {
+			s.put(configTable, "config", v)
+		}
+		s.setDown(false)
+		pass(2 * time.Second)
+		if got := w.State().Config.Version(); got != 5 {
+			t.Errorf("version %d is in force, want 5", got)
+		}
+	})
+}
+
+func TestOlderConfigurationNeverReturns(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		s.put(configTable, "config", "7")
+		settle()
+		s.put(configTable, "config", "6")
+		settle()
+		if got := w.State().Config.Version(); got != 7 {
+			t.Errorf("version %d is in force, want 7", got)
+		}
+	})
+}
+
+func TestServersLeave(t *testing.T) {
+	const ready, draining = `{"Service":"s"}`, `{"Service":"s","Draining":true}`
+	for name, tc := range map[string]struct {
+		do   func(s *fakeStore)
+		wait time.Duration
+		want int // ready servers of two
+	}{
+		"one says that it drains":             {func(s *fakeStore) { s.put(serversTable, "a", draining) }, time.Millisecond, 1},
+		"one is gone":                         {func(s *fakeStore) { s.remove(serversTable, "a") }, time.Millisecond, 1},
+		"both lapse in an outage":             {outage("a", "b"), time.Second, 2},
+		"and don't return":                    {outage("a", "b"), 4 * time.Second, 0},
+		"one drains and goes while it's away": {func(s *fakeStore) { s.put(serversTable, "a", draining); settle(); outage("a")(s) }, time.Second, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(s *fakeStore, w *watch.Watcher) {
+				s.put(serversTable, "a", ready)
+				s.put(serversTable, "b", ready)
+				settle()
+				tc.do(s)
+				pass(tc.wait)
+				if got := len(w.State().Servers.Ready("s")); got != tc.want {
+					t.Errorf("%d servers are ready, want %d", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+// outage has the platform down for four seconds, in which entries go.
+func outage(ids ...string) func(s *fakeStore) {
+	return func(s *fakeStore) {
+		s.setDown(true)
+		pass(4 * time.Second)
+		for _, id := range ids {
+			s.remove(serversTable, id)
+		}
+		s.setDown(false)
+	}
+}
+
+func TestConfigAge(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		if _, ok := w.ConfigAge(); ok {
+			t.Error("there is an age before the first proof")
+		}
+		s.put(configTable, "config", "1")
+		pass(10 * time.Second)
+		if age, ok := w.ConfigAge(); !ok || age > 2*time.Second {
+			t.Errorf("age %v, %v, want at most 2s while the platform answers", age, ok)
+		}
+		s.setDown(true)
+		pass(10 * time.Second)
+		if age, ok := w.ConfigAge(); !ok || age < 10*time.Second {
+			t.Errorf("age %v, %v, want at least 10s after 10s without the platform", age, ok)
+		}
+	})
+}
