Keep short streams together and read long prompts away from them

Change: streams that mind short pauses share engines in an order that all hosts have; long prompts come from its other end; full slots and memory count. Left: prompts above one engine's memory are refused.

--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -28,8 +28,6 @@
 	maxAge = 30 * time.Second
 	// maxHelpers is how many more servers may read one prompt.
 	maxHelpers = 16
-	// lateShare is the part of its value that a late answer loses.
-	lateShare = 0.75
 )
 
 type (
--- /dev/null
+++ b/core/schedule/schedule_test.go
@@ -0,0 +1,151 @@
+package schedule_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/core/site"
+)
+
+// engine is the one that the users publish.
+var engine = &site.Engine{
+	Slots: 16, Memory: 232_000, Stride: 43,
+	Step: 1020 * time.Microsecond, PerWriter: 2260 * time.Nanosecond, PerContext: 4310 * time.Nanosecond,
+	ReadRate: 206_000, PerPairs: 138 * time.Microsecond, Chunk: 2048,
+	UsualPrompt: 12_331, UsualAnswer: 1303,
+}
+
+var (
+	service = site.Service{Name: "model", Engine: engine}
+	short   = schedule.Request{
+		Work:      schedule.Work{Prompt: 5000, Answer: 1400},
+		Objective: 300 * time.Millisecond, Gap: 250 * time.Millisecond,
+	}
+	long = schedule.Request{
+		Work:      schedule.Work{Prompt: 133_000, Answer: 700},
+		Objective: 2500 * time.Millisecond, Gap: time.Second,
+	}
+)
+
+func servers(n int) []backend.Server {
+	var ss []backend.Server
+	for i := range n {
+		ss = append(ss, backend.Server{ID: fmt.Sprintf("s%02d", i), Service: service.Name, Addr: fmt.Sprintf("127.0.0.1:%d", 9000+i), Slots: engine.Slots})
+	}
+	return ss
+}
+
+func place(t *testing.T, b *schedule.Board, ss []backend.Server, r schedule.Request) schedule.Placement {
+	t.Helper()
+	p, ok := b.Place(0, service, ss, r)
+	if !ok {
+		t.Fatal("no server was found")
+	}
+	return p
+}
+
+func TestShortStreamsStayTogether(t *testing.T) {
+	b := schedule.NewBoard(1)
+	used := map[string]int{}
+	for range 12 {
+		p := place(t, b, servers(18), short)
+		b.Started(p.ID)
+		used[p.Lead]++
+	}
+	if len(used) > 2 {
+		t.Errorf("12 short streams are on %d engines, want at most 2: %v", len(used), used)
+	}
+}
+
+func TestLongPromptSparesShortStreams(t *testing.T) {
+	b := schedule.NewBoard(1)
+	ss := servers(18)
+	busy := map[string]bool{}
+	for range 30 {
+		p := place(t, b, ss, short)
+		b.Started(p.ID)
+		busy[p.Lead] = true
+	}
+	// Even in 18 parts, reading this takes longer than short streams endure.
+	r := long
+	r.Work.Prompt = 230_000
+	p := place(t, b, ss, r)
+	if p.First > r.Objective {
+		t.Errorf("the long prompt is predicted after %v, over its objective", p.First)
+	}
+	for _, s := range append([]string{p.Lead}, p.Helpers...) {
+		if busy[s] {
+			t.Errorf("the long prompt is read on %s beside short streams", s)
+		}
+	}
+	if len(p.Helpers) == 0 {
+		t.Error("the long prompt is read by one engine although others are idle")
+	}
+}
+
+func TestFullEnginesLeadNothingMore(t *testing.T) {
+	for name, tc := range map[string]struct {
+		request schedule.Request
+		fill    int // of two engines, requests that fill one
+	}{
+		"slots":  {short, 16},
+		"memory": {long, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := schedule.NewBoard(1)
+			led := map[string]int{}
+			for range 2 * tc.fill {
+				p := place(t, b, servers(2), tc.request)
+				b.Started(p.ID)
+				led[p.Lead]++
+			}
+			for s, n := range led {
+				if n > tc.fill {
+					t.Errorf("%s leads %d requests, room is for %d", s, n, tc.fill)
+				}
+			}
+		})
+	}
+}
+
+func TestFailedServersRest(t *testing.T) {
+	b := schedule.NewBoard(1)
+	ss := servers(3)
+	first := place(t, b, ss, short)
+	b.Ended(first.ID)
+	rest := b.Failed(first.Lead, 0)
+	if p := place(t, b, ss, short); p.Lead == first.Lead {
+		t.Errorf("%s got a request while it rests", p.Lead)
+	}
+	p, _ := b.Place(rest+time.Millisecond, service, ss[:1], short)
+	if p.Lead != ss[0].ID {
+		t.Errorf("the only server is not used, got %q", p.Lead)
+	}
+}
+
+func TestNewsOfOtherHostsCounts(t *testing.T) {
+	ss := servers(2)
+	here, there := schedule.NewBoard(1), schedule.NewBoard(2)
+	p := place(t, there, ss, long)
+	here.Heard(p)
+	if own := place(t, here, ss, long); own.Lead == p.Lead {
+		t.Errorf("both hosts lead from %s", own.Lead)
+	}
+	here.Ended(p.ID)
+	if n := here.Running(p.Lead); n > 1 {
+		t.Errorf("%s still has %d placements after the end was heard", p.Lead, n)
+	}
+}
+
+func TestRequestAvoidsServersThatFailedIt(t *testing.T) {
+	r := short
+	r.Avoid = map[string]bool{"s00": true}
+	p := place(t, schedule.NewBoard(1), servers(2), r)
+	if slices.Contains(append(p.Helpers, p.Lead), "s00") {
+		t.Error("a server that failed the request got it again")
+	}
+}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -33,6 +33,9 @@
 // so that one that breaks can be asked for again.
 const maxWhole = 1 << 20
 
+// errSilent is a server that has said nothing for too long.
+var errSilent = errors.New("the backend server has fallen silent")
+
 type (
 	result int
 
@@ -110,11 +113,22 @@
 
 // exchange sends the call and passes the answer on.
 func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement, server backend.Server) outcome {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	quiet := silence(c, p)
-	alarm := time.AfterFunc(quiet, cancel)
+	alarm := time.AfterFunc(quiet, func() { cancel(errSilent) })
 	defer alarm.Stop()
+	out := g.answer(ctx, w, c, s, p, server, alarm, quiet)
+	if out.result == failed && errors.Is(context.Cause(ctx), errSilent) {
+		out.why = "server_silent"
+	}
+	return out
+}
+
+// answer sends the call and passes on what comes back, as its kind asks.
+func (g *Gateway) answer(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement,
+	server backend.Server, alarm *time.Timer, quiet time.Duration,
+) outcome {
 	a, err := g.pool.Send(ctx, server.Addr, g.request(c, s, p))
 	if err != nil {
 		return g.failure(c, err, "send")
