--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -21,6 +21,9 @@
 	nearBound = 0.7
 	// delayCost is for a first token at the objective beside one at once.
 	delayCost = 0.3
+	// laterCost is for each further objective that passes: a late answer is
+	// worth the same whenever it comes, while its caller waits.
+	laterCost = 0.05
 	// openCost is for the first stream on an engine without any as sensitive
 	// to pauses. It keeps such streams together, so that long prompts find
 	// engines where nobody minds.
@@ -30,8 +33,11 @@
 	orderCost = 0.05
 	// helperCost is for each helper: one that goes costs the whole request.
 	helperCost = 0.002
-	// fullCost is for a lead whose slots or memory are taken.
+	// fullCost is for a lead whose slots are taken, and for memory that is
+	// not there.
 	fullCost = 2
+	// spreadCost is for memory that has to be set aside on other engines.
+	spreadCost = 0.1
 )
 
 // leastPart is the smallest part of a prompt that is worth a helper: its
@@ -49,9 +55,17 @@
 		pass     time.Duration
 		reading  time.Duration
 		streams  []stream
+		waiters  []waiter
 		tightest time.Duration // shortest pause that a stream here minds
 	}
 
+	// waiter is a request whose prompt, or a part of it, is yet to be read
+	// here.
+	waiter struct {
+		waited, objective time.Duration
+		value             float64
+	}
+
 	// stream is one that a pause may make late.
 	stream struct {
 		gap   time.Duration
@@ -62,6 +76,8 @@
 	plan struct {
 		lead    state
 		helpers []state
+		shares  []Share
+		fits    bool
 		cost    float64
 		first   time.Duration
 	}
@@ -86,12 +102,37 @@
 			best = c
 		}
 	}
-	p.Lead, p.First = best.lead.server.ID, best.first
+	p.Lead, p.First, p.Shares = best.lead.server.ID, best.first, best.shares
+	p.Fits = best.fits
+	p.Displaces = displaced(e, states, r, value)
 	for _, h := range best.helpers {
 		p.Helpers = append(p.Helpers, h.server.ID)
 	}
 }
 
+const (
+	// fullBacklog is the mean time that engines have yet to read from which
+	// on all their time is taken: a new prompt then displaces others.
+	fullBacklog = 500 * time.Millisecond
+	// displacedValue is what a second of an engine's time is worth then: the
+	// value of long prompts of usual length, which are the work that gives
+	// way, by the time that they take.
+	displacedValue = 2.5
+)
+
+// displaced is the value of what engines could do instead, beside the value
+// of the request itself. Reading takes time with the square of the length,
+// and value grows with the length, so the longest prompts come above one
+// first.
+func displaced(e *site.Engine, states []state, r Request, value float64) float64 {
+	var backlog time.Duration
+	for _, s := range states {
+		backlog += s.reading
+	}
+	busy := min(float64(backlog)/float64(len(states))/float64(fullBacklog), 1)
+	return busy * displacedValue * readTime(e, r.Work.Prompt, 1).Seconds() / value
+}
+
 // planOver returns the best way to read a prompt in k parts.
 func planOver(e *site.Engine, states []state, k int, r Request, value float64) plan {
 	part := readTime(e, r.Work.Prompt, k)
@@ -100,7 +141,7 @@
 	})
 	c := plan{lead: leads, cost: leads.leadCost(e, part, r, value), first: leads.first(part)}
 	if k == 1 {
-		return c
+		return c.fit(e, r, value)
 	}
 	rest := make([]state, 0, len(states))
 	for _, s := range states {
@@ -110,7 +151,7 @@
 	}
 	costs := make(map[string]float64, len(rest))
 	for _, s := range rest {
-		costs[s.server.ID] = s.helpCost(part, r, value)
+		costs[s.server.ID] = s.helpCost(e, part, r, value)
 	}
 	slices.SortFunc(rest, func(a, b state) int {
 		return cmp.Compare(costs[a.server.ID], costs[b.server.ID])
@@ -126,38 +167,76 @@
 			c.first = f
 		}
 	}
+	return c.fit(e, r, value)
+}
+
+// fit sets memory aside on helpers for what the lead has no room for.
+func (c plan) fit(e *site.Engine, r Request, value float64) plan {
+	lacking := c.lead.context + r.Work.Prompt + r.Work.Answer - room(e)
+	if lacking <= 0 {
+		c.fits = true
+		return c
+	}
+	lacking = min(lacking, r.Work.Prompt)
+	byRoom := slices.Clone(c.helpers)
+	slices.SortFunc(byRoom, func(a, b state) int { return cmp.Compare(a.context, b.context) })
+	for _, h := range byRoom {
+		free := room(e) - h.context
+		if lacking <= 0 || free < leastPart {
+			break
+		}
+		n := min(free, lacking)
+		c.shares = append(c.shares, Share{Server: h.server.ID, Tokens: n})
+		lacking -= n
+	}
+	if c.fits = lacking <= 0; !c.fits {
+		c.shares = nil
+		c.cost += fullCost * value
+	}
 	return c
 }
 
+// room is what is used of an engine's memory: the lengths of answers are
+// guesses.
+func room(e *site.Engine) int { return int(float64(e.Memory) * usedMemory) }
+
+const usedMemory = 0.92
+
 // leadCost is what it costs that the engine leads a request.
 func (s state) leadCost(e *site.Engine, part time.Duration, r Request, value float64) float64 {
 	cost := s.loss(s.pause(part)) + delay(s.first(part), r.Objective, value)
-	if s.running >= s.server.Slots || s.context+r.Work.Prompt+r.Work.Answer > e.Memory {
+	if s.running >= s.server.Slots {
 		cost += fullCost * value
 	}
-	if s.tightest == 0 || s.tightest > r.Gap {
+	if lacking := s.context + r.Work.Prompt + r.Work.Answer - room(e); lacking > 0 {
+		cost += spreadCost * value * (1 + float64(lacking)/float64(e.Memory))
+	}
+	if sensitive(e, r.Gap) && (s.tightest == 0 || s.tightest > r.Gap) {
 		cost += openCost * value
 	}
-	return cost + s.place(r)*value
+	return cost + s.place(e, r)*value
 }
 
 // helpCost ranks an engine as a helper.
-func (s state) helpCost(part time.Duration, r Request, value float64) float64 {
-	return s.loss(s.pause(part)) + delay(s.first(part), r.Objective, value) + s.place(r)*value
+func (s state) helpCost(e *site.Engine, part time.Duration, r Request, value float64) float64 {
+	return s.loss(s.pause(part)) + delay(s.first(part), r.Objective, value) + s.place(e, r)*value
 }
 
-// place is the cost of the engine's place in the order. Long prompts take it
-// from the other end.
-func (s state) place(r Request) float64 {
-	if r.Gap > shortGap {
-		return (1 - s.order) * orderCost
+// place is the cost of the engine's place in the order. Streams that mind
+// pauses take it from one end, others from the other.
+func (s state) place(e *site.Engine, r Request) float64 {
+	if sensitive(e, r.Gap) {
+		return s.order * orderCost
 	}
-	return s.order * orderCost
+	return (1 - s.order) * orderCost
 }
 
-// shortGap is the longest pause that streams mind whose callers wait at a
-// counter.
-const shortGap = 400 * time.Millisecond
+// sensitive reports whether a stream minds a pause as long as an engine takes
+// to read as much as it can in one pass.
+func sensitive(e *site.Engine, gap time.Duration) bool {
+	most := float64(max(e.Stride, 1)*e.Chunk) / e.ReadRate * float64(time.Second)
+	return gap > 0 && gap < time.Duration(most)
+}
 
 // delay is what a first token after so long costs.
 func delay(first, objective time.Duration, value float64) float64 {
@@ -165,7 +244,7 @@
 		return value * (lateShare + delayCost*first.Seconds())
 	}
 	f := float64(first) / float64(objective)
-	return value * (delayCost*f + lateShare*risk(f))
+	return value * (delayCost*min(f, 1) + lateShare*risk(f) + laterCost*max(f-1, 0))
 }
 
 // risk is how likely a bound is missed at a prediction of so much of it.
@@ -181,9 +260,13 @@
 // way, and the next one.
 func (s state) first(part time.Duration) time.Duration { return s.pass/2 + s.pause(part) }
 
-// loss is the value that the engine's streams lose by such a pause.
+// loss is the value that others on the engine lose by such a pause: streams
+// that stand still too long, and first tokens that come later.
 func (s state) loss(pause time.Duration) float64 {
 	var sum float64
+	for _, w := range s.waiters {
+		sum += delay(w.waited+pause, w.objective, w.value) - delay(w.waited+s.pause(0), w.objective, w.value)
+	}
 	for _, t := range s.streams {
 		sum += t.value * lateShare * risk(float64(pause)/float64(t.gap))
 	}
@@ -205,6 +288,16 @@
 func (st *state) add(now time.Duration, e *site.Engine, p *Placement) {
 	if !p.writing && now-p.Begun < 2*p.First+st.reading {
 		st.reading += readTime(e, p.Work.Prompt, len(p.Helpers)+1)
+		if p.Objective > 0 {
+			st.waiters = append(st.waiters, waiter{now - p.Begun, p.Objective, Value(e, p.Work)})
+		}
+	}
+	shared := 0
+	for _, h := range p.Shares {
+		shared += h.Tokens
+		if h.Server == st.server.ID {
+			st.context += h.Tokens
+		}
 	}
 	if p.Lead != st.server.ID {
 		if !p.writing {
@@ -213,7 +306,7 @@
 		return
 	}
 	st.running++
-	st.context += p.Work.Prompt + p.Work.Answer
+	st.context += p.Work.Prompt + p.Work.Answer - shared
 	if p.Gap <= 0 {
 		return
 	}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -56,14 +56,29 @@
 		// Lead writes the answer; Helpers read parts of the prompt.
 		Lead    string
 		Helpers []string
-		Work    Work
-		Gap     time.Duration
-		Begun   time.Duration
+		// Shares are the memory that helpers set aside for the prompt.
+		Shares []Share
+		// Fits reports whether the memory for the request is there.
+		Fits bool
+		// Displaces is the value of what the servers could do instead, beside
+		// the value of the request: above 1 it had better come later.
+		Displaces float64
+		Work Work
+		// Objective is the time from Begun until its first event is late.
+		Objective time.Duration
+		Gap       time.Duration
+		Begun     time.Duration
 		// First is the predicted time to the first token from Begun.
 		First   time.Duration
 		writing bool
 	}
 
+	// Share is memory of one server, in tokens of a prompt.
+	Share struct {
+		Server string
+		Tokens int
+	}
+
 	// Board is what runs where. It is safe for use by many goroutines.
 	Board struct {
 		mu         sync.Mutex
@@ -106,8 +121,9 @@
 	if len(able) == 0 {
 		return Placement{}, false
 	}
-	p := &Placement{Service: s.Name, Work: r.Work, Gap: r.Gap, Begun: now}
+	p := &Placement{Service: s.Name, Work: r.Work, Objective: r.Objective, Gap: r.Gap, Begun: now}
 	if s.Engine == nil || r.Work.Prompt == 0 {
+		p.Fits = true
 		p.Lead = b.leastLoaded(able, r.Hall).ID
 	} else {
 		b.choose(now, s.Engine, able, r, p)
@@ -154,6 +170,14 @@
 	}
 }
 
+// Pause returns how long the streams of a server are predicted to stand still
+// by what is yet to be read there.
+func (b *Board) Pause(now time.Duration, e *site.Engine, s backend.Server) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(now, e, s).pause(0)
+}
+
 // Running returns how many placements a server has.
 func (b *Board) Running(server string) int {
 	b.mu.Lock()
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -28,6 +28,7 @@
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/gateway"
+	"slipcrank.example/daemon/memory"
 	"slipcrank.example/daemon/news"
 	"slipcrank.example/daemon/settings"
 	"slipcrank.example/daemon/telemetry"
@@ -60,6 +61,7 @@
 		Tables   watch.Tables
 		Decoders watch.Decoders
 		Dialect  gateway.Dialect
+		Orders   memory.Orders
 	}
 
 	// Entry is the daemon.
@@ -100,6 +102,7 @@
 	budget := limit.NewWindow(s.Bounds.Retries.Span, s.Bounds.Retries.Share*retryPart, e.retrySlack)
 	e.gateway = gateway.New(p.Dialect, e.state, e.pool, e.board, budget, e.log, e.metrics,
 		gateway.WithHall(s.Hall),
+		gateway.WithMemory(memory.New(p.Orders, e.log)),
 		gateway.WithProof(e.keysProven, e.configCurrent),
 		gateway.WithNews(n.Placed, n.Started, n.Ended),
 	)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/event"
+	"slipcrank.example/daemon/memory"
 	"slipcrank.example/daemon/telemetry"
 	"slipcrank.example/daemon/upstream"
 )
@@ -56,6 +57,7 @@
 		start          time.Time
 		draining       atomic.Bool
 		active         atomic.Int64
+		memory         *memory.Keeper // nil if none can be set aside
 		placed         func(schedule.Placement)
 		started, ended func(schedule.ID)
 	}
@@ -78,6 +80,9 @@
 	return func(g *Gateway) { g.placed, g.started, g.ended = placed, started, ended }
 }
 
+// WithMemory sets what sets memory of backend servers aside.
+func WithMemory(k *memory.Keeper) Option { return func(g *Gateway) { g.memory = k } }
+
 // New returns a gateway.
 func New(d Dialect, state func() State, pool *upstream.Pool, board *schedule.Board, budget *limit.Window,
 	log *decision.Log, metrics *telemetry.Metrics, os ...Option,
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -21,6 +21,8 @@
 	staleWait = 100 * time.Millisecond
 	// busyWait is about two passes of an engine.
 	busyWait = 150 * time.Millisecond
+	// memoryWait is about how long a large prompt keeps its memory.
+	memoryWait = 1500 * time.Millisecond
 	// spread is the part of a wait by which callers are spread.
 	spread = 0.5
 )
--- /dev/null
+++ b/daemon/gateway/silence.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/core/site"
+)
+
+const (
+	// minSilence is above what passes of an engine take on a usual day;
+	// callers of short prompts leave after two seconds.
+	minSilence = 1200 * time.Millisecond
+	// silenceGaps and silenceObjectives are in units of the route's own
+	// bounds: above what a loaded server needs, below what callers endure.
+	silenceGaps       = 3
+	silenceObjectives = 4
+	// explainedPart is by how much a predicted pause may be exceeded.
+	explainedPart = 1.5
+)
+
+// alarm rings when a server has said nothing for too long.
+type alarm struct {
+	quiet time.Duration
+	more  func() time.Duration // silence that is explained beside quiet
+	ring  func()
+
+	mu    sync.Mutex
+	timer *time.Timer
+	last  time.Time
+	off   bool
+}
+
+func (a *alarm) start() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last = time.Now()
+	a.timer = time.AfterFunc(a.quiet, a.look)
+}
+
+// heard notes that the server has said something.
+func (a *alarm) heard() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.last = time.Now()
+}
+
+func (a *alarm) stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.off = true
+	a.timer.Stop()
+}
+
+// look rings, or looks again when the silence would be too long.
+func (a *alarm) look() {
+	bound := a.quiet
+	a.mu.Lock()
+	silent := time.Since(a.last)
+	a.mu.Unlock()
+	if silent >= bound {
+		bound += a.more()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.off {
+		return
+	}
+	if silent = time.Since(a.last); silent >= bound {
+		a.off = true
+		go a.ring()
+		return
+	}
+	a.timer.Reset(bound - silent)
+}
+
+// silence is how long a server may say nothing before the call is tried at
+// another, where that is allowed.
+func silence(c *call, p schedule.Placement) time.Duration {
+	if !c.route.Resumable() {
+		return time.Hour
+	}
+	if c.route.Kind != site.Stream {
+		return max(silenceObjectives*c.route.Objective, minSilence/2)
+	}
+	return max(minSilence, silenceGaps*c.route.Gap, 2*p.First+minSilence/2)
+}
+
+// explained returns what tells how much silence of the server is explained by
+// the prompts that it has to read.
+func (g *Gateway) explained(s State, p schedule.Placement, server backend.Server) func() time.Duration {
+	service, _ := s.Config.Service(p.Service)
+	return func() time.Duration {
+		if service.Engine == nil {
+			return 0
+		}
+		pause := g.board.Pause(time.Since(g.start), service.Engine, server)
+		return time.Duration(explainedPart * float64(pause))
+	}
+}
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -25,13 +25,13 @@
 // relay passes the events of a stream on, each as soon as it is whole. What
 // stands behind the last whole event of a stream that breaks is dropped, so
 // that it can go on at another server.
-func (g *Gateway) relay(w http.ResponseWriter, c *call, p schedule.Placement, a *upstream.Answer, alarm *time.Timer, quiet time.Duration) outcome {
+func (g *Gateway) relay(w http.ResponseWriter, c *call, p schedule.Placement, a *upstream.Answer, al *alarm) outcome {
 	events := bufio.NewReaderSize(a.Body, readSize)
 	control := http.NewResponseController(w)
 	out := outcome{answer: &whole{status: a.Status}}
 	for n := 0; ; n++ {
 		e, err := nextEvent(events)
-		alarm.Reset(quiet)
+		al.heard()
 		if errors.Is(err, io.EOF) && len(e) == 0 {
 			break
 		}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -16,6 +17,7 @@
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/event"
+	"slipcrank.example/daemon/memory"
 	"slipcrank.example/daemon/upstream"
 )
 
@@ -74,14 +76,79 @@
 	}()
 	server, _ := s.Servers.Get(p.Lead)
 	g.log.Write(event.RequestPlaced, slog.String("id", c.id), slog.String("route", c.route.Name),
-		slog.String("server", p.Lead), slog.Int("readers", len(p.Helpers)), slog.Int("prompt", c.work.Prompt),
+		slog.String("server", p.Lead), slog.Int("readers", len(p.Helpers)), slog.Int("shares", len(p.Shares)), slog.Float64("displaces", p.Displaces), slog.Int("prompt", c.work.Prompt),
 		slog.Duration("predicted", p.First), slog.Int64("configuration", s.Config.Version()))
+	if !p.Fits && service.Engine != nil && c.work.Prompt > service.Engine.Memory {
+		return outcome{result: final, why: "no_memory", server: p.Lead, no: refuse(http.StatusServiceUnavailable, "no_memory", memoryWait)}
+	}
+	if no := g.postpone(c, p); no != nil {
+		return outcome{result: final, why: no.why, server: p.Lead, no: no}
+	}
+	hold, err := g.hold(ctx, s, p)
+	if err != nil {
+		return outcome{result: unsent, why: "memory_not_held", server: p.Lead, service: service.Name}
+	}
+	if hold != nil {
+		defer hold.Release()
+	}
 	out := g.send(ctx, w, c, s, p, server)
 	out.server, out.service = p.Lead, service.Name
 	g.judge(c, p, out)
 	return out
 }
 
+// postpone refuses a call that can't be served in its time, and asks one to
+// come back that would displace more than it is worth. One that has come back
+// is served.
+func (g *Gateway) postpone(c *call, p schedule.Placement) *refusal {
+	if c.attempts > 0 || c.may {
+		return nil
+	}
+	left := time.Until(c.deadline)
+	if p.First > left {
+		return refuse(http.StatusServiceUnavailable, "no_time", busyWait)
+	}
+	if p.Displaces <= 1 || left < time.Duration(firstPart*float64(c.route.Timeout)) {
+		return nil
+	}
+	after := time.Duration(returnPart * float64(left) / (1 + spread))
+	return refuse(http.StatusServiceUnavailable, "engines_busy", after)
+}
+
+const (
+	// firstPart is the part of a route's time that a caller has left when it
+	// asks for the first time; callers that come back have less.
+	firstPart = 0.93
+	// returnPart is the part of their time after which callers still come
+	// back.
+	returnPart = 0.3
+)
+
+// hold sets memory aside on the helpers of a placement that need it.
+func (g *Gateway) hold(ctx context.Context, s State, p schedule.Placement) (*memory.Hold, error) {
+	if len(p.Shares) == 0 || g.memory == nil {
+		return nil, nil
+	}
+	parts := make([]memory.Part, 0, len(p.Shares))
+	for _, h := range p.Shares {
+		b, _ := s.Servers.Get(h.Server)
+		parts = append(parts, memory.Part{Addr: b.Addr, Tokens: h.Tokens})
+	}
+	return g.memory.Hold(ctx, ticket(p.ID), parts)
+}
+
+// ticket names the reservations of a placement.
+func ticket(id schedule.ID) string { return fmt.Sprintf("%x-%x", id.Host, id.Number) }
+
+// blames reports whether a try that ended so is evidence against its server:
+// not where our own time or right had run out, or the server answered.
+func (c *call) blames(out outcome) bool {
+	if out.why == "not_allowed" || out.why == "out_of_time" || !time.Now().Before(c.deadline) {
+		return false
+	}
+	return out.result != failed || out.answer == nil
+}
+
 // judge notes evidence for and against the server.
 func (g *Gateway) judge(c *call, p schedule.Placement, out outcome) {
 	switch out.result {
@@ -89,7 +156,7 @@
 		g.board.Served(p.Lead)
 	case unsent, failed, refused:
 		c.tried[p.Lead] = true
-		if out.why == "not_allowed" {
+		if !c.blames(out) {
 			return
 		}
 		rest := g.board.Failed(p.Lead, time.Since(g.start))
@@ -115,10 +182,10 @@
 func (g *Gateway) exchange(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement, server backend.Server) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	quiet := silence(c, p)
-	alarm := time.AfterFunc(quiet, func() { cancel(errSilent) })
-	defer alarm.Stop()
-	out := g.answer(ctx, w, c, s, p, server, alarm, quiet)
+	a := &alarm{quiet: silence(c, p), more: g.explained(s, p, server), ring: func() { cancel(errSilent) }}
+	a.start()
+	defer a.stop()
+	out := g.answer(ctx, w, c, s, p, server, a)
 	if out.result == failed && errors.Is(context.Cause(ctx), errSilent) {
 		out.why = "server_silent"
 	}
@@ -127,7 +194,7 @@
 
 // answer sends the call and passes on what comes back, as its kind asks.
 func (g *Gateway) answer(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement,
-	server backend.Server, alarm *time.Timer, quiet time.Duration,
+	server backend.Server, al *alarm,
 ) outcome {
 	a, err := g.pool.Send(ctx, server.Addr, g.request(c, s, p))
 	if err != nil {
@@ -141,7 +208,7 @@
 	c.attempts++
 	c.may = true
 	if c.route.Kind == site.Stream && a.Status == http.StatusOK {
-		return g.relay(w, c, p, a, alarm, quiet)
+		return g.relay(w, c, p, a, al)
 	}
 	return g.collect(w, c, a)
 }
@@ -237,7 +304,7 @@
 	set(g.dialect.Expect, p.Lead)
 	set(g.dialect.Workspace, c.workspace.Name)
 	set(g.dialect.LastEvent, c.lastEvent)
-	set(g.dialect.Readers, strings.Join(addresses(s, p.Helpers), ","))
+	set(g.dialect.Readers, strings.Join(readers(s, p), ","))
 	if c.work.Prompt > 0 {
 		set(g.dialect.Urgency, strconv.Itoa(urgency(c)))
 	}
@@ -262,14 +329,23 @@
 	return nil
 }
 
-func addresses(s State, ids []string) []string {
-	var out []string
-	for _, id := range ids {
-		if b, ok := s.Servers.Get(id); ok {
-			out = append(out, b.Addr)
+// readers are the addresses of a placement's helpers, those with memory set
+// aside first and with its name.
+func readers(s State, p schedule.Placement) []string {
+	var first, then []string
+	holds := map[string]bool{}
+	for _, h := range p.Shares {
+		holds[h.Server] = true
+		if b, ok := s.Servers.Get(h.Server); ok {
+			first = append(first, b.Addr+"/"+ticket(p.ID))
 		}
 	}
-	return out
+	for _, id := range p.Helpers {
+		if b, ok := s.Servers.Get(id); ok && !holds[id] {
+			then = append(then, b.Addr)
+		}
+	}
+	return append(first, then...)
 }
 
 // urgency ranks a call at an engine: short prompts, whose readers wait at a
@@ -284,25 +360,3 @@
 	}
 	return min(n, 9)
 }
-
-// silence is how long a server may say nothing before the call is tried at
-// another, where that is allowed.
-func silence(c *call, p schedule.Placement) time.Duration {
-	if !c.route.Resumable() {
-		return time.Hour
-	}
-	if c.route.Kind != site.Stream {
-		return max(silenceObjectives*c.route.Objective, minSilence/2)
-	}
-	return max(minSilence, silenceGaps*c.route.Gap, 2*p.First+minSilence/2)
-}
-
-const (
-	// minSilence is above what any pass of an engine takes under the load of
-	// a usual day; callers of short prompts leave after two seconds.
-	minSilence = 1200 * time.Millisecond
-	// silenceGaps and silenceObjectives are in units of the route's own
-	// bounds: above what a loaded server needs, below what callers endure.
-	silenceGaps       = 3
-	silenceObjectives = 4
-)
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -51,18 +51,26 @@
 		now   func() time.Duration
 	}
 
+	share struct {
+		_      struct{} `cbor:",toarray"`
+		Server string
+		Tokens int
+	}
+
 	// message is one datagram. Keys are numbers, since each costs a byte.
 	message struct {
-		Kind    kind     `cbor:"1,keyasint"`
-		Host    uint32   `cbor:"2,keyasint"`
-		Number  uint32   `cbor:"3,keyasint"`
-		Lead    string   `cbor:"4,keyasint,omitempty"`
-		Helpers []string `cbor:"5,keyasint,omitempty"`
-		Prompt  int      `cbor:"6,keyasint,omitempty"`
-		Answer  int      `cbor:"7,keyasint,omitempty"`
-		GapMS   int64    `cbor:"8,keyasint,omitempty"`
-		FirstMS int64    `cbor:"9,keyasint,omitempty"`
-		Service string   `cbor:"10,keyasint,omitempty"`
+		Kind        kind     `cbor:"1,keyasint"`
+		Host        uint32   `cbor:"2,keyasint"`
+		Number      uint32   `cbor:"3,keyasint"`
+		Lead        string   `cbor:"4,keyasint,omitempty"`
+		Helpers     []string `cbor:"5,keyasint,omitempty"`
+		Prompt      int      `cbor:"6,keyasint,omitempty"`
+		Answer      int      `cbor:"7,keyasint,omitempty"`
+		GapMS       int64    `cbor:"8,keyasint,omitempty"`
+		FirstMS     int64    `cbor:"9,keyasint,omitempty"`
+		ObjectiveMS int64    `cbor:"12,keyasint,omitempty"`
+		Service     string   `cbor:"10,keyasint,omitempty"`
+		Shares      []share  `cbor:"11,keyasint,omitempty"`
 	}
 )
 
@@ -92,10 +100,15 @@
 
 // Placed tells of a new placement.
 func (n *News) Placed(p schedule.Placement) {
+	var shares []share
+	for _, s := range p.Shares {
+		shares = append(shares, share{Server: s.Server, Tokens: s.Tokens})
+	}
 	n.send(message{
 		Kind: placed, Host: p.ID.Host, Number: p.ID.Number, Lead: p.Lead, Helpers: p.Helpers,
 		Prompt: p.Work.Prompt, Answer: p.Work.Answer, GapMS: p.Gap.Milliseconds(),
-		FirstMS: p.First.Milliseconds(), Service: p.Service,
+		ObjectiveMS: p.Objective.Milliseconds(),
+		FirstMS:     p.First.Milliseconds(), Service: p.Service, Shares: shares,
 	})
 }
 
@@ -148,12 +161,17 @@
 	id := schedule.ID{Host: m.Host, Number: m.Number}
 	switch m.Kind {
 	case placed:
+		var shares []schedule.Share
+		for _, s := range m.Shares {
+			shares = append(shares, schedule.Share{Server: s.Server, Tokens: s.Tokens})
+		}
 		n.board.Heard(schedule.Placement{
-			ID: id, Service: m.Service, Lead: m.Lead, Helpers: m.Helpers,
-			Work:  schedule.Work{Prompt: m.Prompt, Answer: m.Answer},
-			Gap:   time.Duration(m.GapMS) * time.Millisecond,
-			First: time.Duration(m.FirstMS) * time.Millisecond,
-			Begun: n.now(),
+			ID: id, Service: m.Service, Lead: m.Lead, Helpers: m.Helpers, Shares: shares,
+			Work:      schedule.Work{Prompt: m.Prompt, Answer: m.Answer},
+			Gap:       time.Duration(m.GapMS) * time.Millisecond,
+			Objective: time.Duration(m.ObjectiveMS) * time.Millisecond,
+			First:     time.Duration(m.FirstMS) * time.Millisecond,
+			Begun:     n.now(),
 		})
 	case started:
 		n.board.Started(id)
