Predict waits for slots; postpone by the harm that a plan does

Long prompts that were late anyway went to one engine, whose 16 streams then stood still for seconds; harm counted at most as lateness, although callers leave.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -33,9 +33,13 @@
 	orderCost = 0.05
 	// helperCost is for each helper: one that goes costs the whole request.
 	helperCost = 0.002
-	// fullCost is for a lead whose slots are taken, and for memory that is
-	// not there.
+	// fullCost is for memory, or helpers, that are not there.
 	fullCost = 2
+	// leftValue is what streams lose beyond a late answer by a pause so long
+	// that their callers leave.
+	leftValue = 1 - lateShare
+	// leftGaps is that pause, in pauses that they mind. The users say eight.
+	leftGaps = 8
 	// spreadCost is for memory that has to be set aside on other engines.
 	spreadCost = 0.1
 )
@@ -48,10 +52,12 @@
 	// state is what is predicted of one engine.
 	state struct {
 		server   backend.Server
+		stride   int
 		order    float64 // place among the service's engines, 0 to 1
 		running  int
 		helping  int
 		context  int // of all that write or will
+		answers  int // tokens that the running ones are to write
 		pass     time.Duration
 		reading  time.Duration
 		streams  []stream
@@ -79,6 +85,7 @@
 		shares  []Share
 		fits    bool
 		cost    float64
+		harm    float64 // the part of the cost that falls on others
 		first   time.Duration
 	}
 )
@@ -104,7 +111,7 @@
 	}
 	p.Lead, p.First, p.Shares = best.lead.server.ID, best.first, best.shares
 	p.Fits = best.fits
-	p.Displaces = displaced(e, states, r, value)
+	p.Displaces = (best.harm + displaced(e, states, r)) / (value * kept(best.first, r.Objective))
 	for _, h := range best.helpers {
 		p.Helpers = append(p.Helpers, h.server.ID)
 	}
@@ -120,17 +127,24 @@
 	displacedValue = 2.5
 )
 
-// displaced is the value of what engines could do instead, beside the value
-// of the request itself. Reading takes time with the square of the length,
-// and value grows with the length, so the longest prompts come above one
-// first.
-func displaced(e *site.Engine, states []state, r Request, value float64) float64 {
+// kept is the part of its value that a request keeps at a prediction.
+func kept(first, objective time.Duration) float64 {
+	if objective <= 0 {
+		return 1 - lateShare
+	}
+	return 1 - lateShare*risk(float64(first)/float64(objective))
+}
+
+// displaced is the value of what engines could do instead. Reading takes time
+// with the square of the length, and value grows with the length, so it
+// exceeds that of the longest prompts first.
+func displaced(e *site.Engine, states []state, r Request) float64 {
 	var backlog time.Duration
 	for _, s := range states {
 		backlog += s.reading
 	}
 	busy := min(float64(backlog)/float64(len(states))/float64(fullBacklog), 1)
-	return busy * displacedValue * readTime(e, r.Work.Prompt, 1).Seconds() / value
+	return busy * displacedValue * readTime(e, r.Work.Prompt, 1).Seconds()
 }
 
 // planOver returns the best way to read a prompt in k parts.
@@ -139,7 +153,7 @@
 	leads := slices.MinFunc(states, func(a, b state) int {
 		return cmp.Compare(a.leadCost(e, part, r, value), b.leadCost(e, part, r, value))
 	})
-	c := plan{lead: leads, cost: leads.leadCost(e, part, r, value), first: leads.first(part)}
+	c := plan{lead: leads, cost: leads.leadCost(e, part, r, value), first: leads.first(part), harm: leads.loss(leads.pause(part))}
 	if k == 1 {
 		return c.fit(e, r, value)
 	}
@@ -161,8 +175,10 @@
 		c.cost += fullCost * value
 	}
 	for _, h := range c.helpers {
-		c.cost += h.loss(h.pause(part)) + helperCost*value
-		if f := h.first(part); f > c.first {
+		harm := h.loss(h.pause(part))
+		c.harm += harm
+		c.cost += harm + helperCost*value
+		if f := h.firstRead(part); f > c.first {
 			c.cost += delay(f, r.Objective, value) - delay(c.first, r.Objective, value)
 			c.first = f
 		}
@@ -205,9 +221,6 @@
 // leadCost is what it costs that the engine leads a request.
 func (s state) leadCost(e *site.Engine, part time.Duration, r Request, value float64) float64 {
 	cost := s.loss(s.pause(part)) + delay(s.first(part), r.Objective, value)
-	if s.running >= s.server.Slots {
-		cost += fullCost * value
-	}
 	if lacking := s.context + r.Work.Prompt + r.Work.Answer - room(e); lacking > 0 {
 		cost += spreadCost * value * (1 + float64(lacking)/float64(e.Memory))
 	}
@@ -219,7 +232,7 @@
 
 // helpCost ranks an engine as a helper.
 func (s state) helpCost(e *site.Engine, part time.Duration, r Request, value float64) float64 {
-	return s.loss(s.pause(part)) + delay(s.first(part), r.Objective, value) + s.place(e, r)*value
+	return s.loss(s.pause(part)) + delay(s.firstRead(part), r.Objective, value) + s.place(e, r)*value
 }
 
 // place is the cost of the engine's place in the order. Streams that mind
@@ -256,9 +269,24 @@
 // read.
 func (s state) pause(part time.Duration) time.Duration { return s.pass + s.reading + part }
 
-// first is how long the first token takes: what is left of the pass under
-// way, and the next one.
-func (s state) first(part time.Duration) time.Duration { return s.pass/2 + s.pause(part) }
+// firstRead is how long it takes until a part is read: what is left of the
+// pass under way, and the next one.
+func (s state) firstRead(part time.Duration) time.Duration { return s.pass/2 + s.pause(part) }
+
+// first is how long the first token takes, with the wait for a slot.
+func (s state) first(part time.Duration) time.Duration { return s.wait() + s.firstRead(part) }
+
+// wait is how long it takes until a slot is free for one more request, if all
+// that run write as many tokens as they are expected to.
+func (s state) wait() time.Duration {
+	before := s.running - s.server.Slots + 1
+	if before <= 0 || s.running == 0 {
+		return 0
+	}
+	passes := float64(s.answers) / float64(s.running) / float64(s.stride)
+	hold := passes * float64(s.pass+s.reading/2)
+	return time.Duration(float64(before) / float64(s.server.Slots) * hold)
+}
 
 // loss is the value that others on the engine lose by such a pause: streams
 // that stand still too long, and first tokens that come later.
@@ -268,14 +296,15 @@
 		sum += delay(w.waited+pause, w.objective, w.value) - delay(w.waited+s.pause(0), w.objective, w.value)
 	}
 	for _, t := range s.streams {
-		sum += t.value * lateShare * risk(float64(pause)/float64(t.gap))
+		gaps := float64(pause) / float64(t.gap)
+		sum += t.value * (lateShare*risk(gaps) + leftValue*risk(gaps/leftGaps))
 	}
 	return sum
 }
 
 // state predicts an engine from its placements.
 func (b *Board) state(now time.Duration, e *site.Engine, s backend.Server) state {
-	st := state{server: s}
+	st := state{server: s, stride: max(e.Stride, 1)}
 	if l := b.byServer[s.ID]; l != nil {
 		for _, p := range l.placements {
 			st.add(now, e, p)
@@ -306,6 +335,7 @@
 		return
 	}
 	st.running++
+	st.answers += p.Work.Answer
 	st.context += p.Work.Prompt + p.Work.Answer - shared
 	if p.Gap <= 0 {
 		return
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -63,7 +63,7 @@
 		// Displaces is the value of what the servers could do instead, beside
 		// the value of the request: above 1 it had better come later.
 		Displaces float64
-		Work Work
+		Work      Work
 		// Objective is the time from Begun until its first event is late.
 		Objective time.Duration
 		Gap       time.Duration
@@ -170,12 +170,13 @@
 	}
 }
 
-// Pause returns how long the streams of a server are predicted to stand still
-// by what is yet to be read there.
+// Pause returns how long a server is predicted to say nothing on a stream, by
+// what is yet to be read there and what waits for slots.
 func (b *Board) Pause(now time.Duration, e *site.Engine, s backend.Server) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.state(now, e, s).pause(0)
+	st := b.state(now, e, s)
+	return st.pause(0) + st.wait()
 }
 
 // Running returns how many placements a server has.
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -23,5 +23,5 @@
 	g.log.Write(event.RequestEnded, slog.String("id", c.id), slog.String("route", c.route.Name),
 		slog.String("result", how), slog.Int("status", status), slog.String("server", out.server),
 		slog.String("why", c.note), slog.Int("attempts", c.attempts), slog.String("last_event", c.lastEvent),
-		slog.Duration("first", out.first), slog.Duration("held", time.Since(c.arrived)))
+		slog.Duration("first", out.first), slog.Duration("pause", c.pause), slog.Duration("held", time.Since(c.arrived)))
 }
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -29,9 +29,15 @@
 	events := bufio.NewReaderSize(a.Body, readSize)
 	control := http.NewResponseController(w)
 	out := outcome{answer: &whole{status: a.Status}}
+	last := time.Now()
 	for n := 0; ; n++ {
 		e, err := nextEvent(events)
 		al.heard()
+		now := time.Now()
+		if c.begun {
+			c.pause = max(c.pause, now.Sub(last))
+		}
+		last = now
 		if errors.Is(err, io.EOF) && len(e) == 0 {
 			break
 		}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -112,6 +112,7 @@
 		return nil
 	}
 	after := time.Duration(returnPart * float64(left) / (1 + spread))
+	g.metrics.Count("gateway_postponed", 1, "route", c.route.Name)
 	return refuse(http.StatusServiceUnavailable, "engines_busy", after)
 }
 
