--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -318,7 +318,10 @@
 	if !p.writing && now-p.Begun < 2*p.First+st.reading {
 		st.reading += readTime(e, p.Work.Prompt, len(p.Helpers)+1)
 		if p.Objective > 0 {
-			st.waiters = append(st.waiters, waiter{now - p.Begun, p.Objective, Value(e, p.Work)})
+			// Its first token waits for the last of its parts, so each part
+			// stands for its share of the harm.
+			value := Value(e, p.Work) / float64(len(p.Helpers)+1)
+			st.waiters = append(st.waiters, waiter{now - p.Begun, p.Objective, value})
 		}
 	}
 	shared := 0
