--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -13,7 +13,7 @@
 const (
 	// noticeTime is how long new connections are still taken after a planned
 	// stop began: the balancer asks once a second and needs two misses.
-	noticeTime = 3 * time.Second
+	noticeTime = 2800 * time.Millisecond
 	// stopMargin is kept from the grace for the end of the process.
 	stopMargin = 700 * time.Millisecond
 	// stopPoll is how often a stop looks whether all requests have ended.
@@ -26,9 +26,9 @@
 func (e *Entry) Stop(ctx context.Context) {
 	begun := time.Now()
 	e.stopping.Store(true)
-	e.gateway.Drain()
-	e.log.Write(event.DaemonDraining, slog.Int64("active", e.gateway.Active()))
 	limit := e.settings.Load().Bounds.Grace - stopMargin
+	e.gateway.Drain(begun.Add(noticeTime), begun.Add(limit))
+	e.log.Write(event.DaemonDraining, slog.Int64("active", e.gateway.Active()))
 	for time.Since(begun) < limit {
 		if time.Since(begun) > noticeTime && e.gateway.Active() == 0 {
 			break
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -55,13 +55,18 @@
 		metrics        *telemetry.Metrics
 		hall           string
 		start          time.Time
-		draining       atomic.Bool
+		stop           atomic.Pointer[stop]
 		active         atomic.Int64
 		memory         *memory.Keeper // nil if none can be set aside
 		placed         func(schedule.Placement)
 		started, ended func(schedule.ID)
 	}
 
+	// stop is a planned stop.
+	stop struct {
+		notice, end time.Time
+	}
+
 	// Option changes a gateway under construction.
 	Option func(*Gateway)
 )
@@ -102,8 +107,10 @@
 	return g
 }
 
-// Drain makes each further answer the last of its connection.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// Drain begins a planned stop: each further answer is the last of its
+// connection. From the time notice on, requests are refused that may not end
+// before the time end.
+func (g *Gateway) Drain(notice, end time.Time) { g.stop.Store(&stop{notice, end}) }
 
 // Active returns how many requests are in progress.
 func (g *Gateway) Active() int64 { return g.active.Load() }
@@ -112,11 +119,14 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.draining.Load() {
+	if g.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	now := time.Now()
 	c, no := g.read(r, now)
+	if no == nil {
+		no = g.stopping(c, now)
+	}
 	if no != nil {
 		g.answerRefusal(w, c, no)
 		return
@@ -127,6 +137,22 @@
 	g.run(ctx, w, c)
 }
 
+// stopping refuses a call that may not end before a planned stop does.
+func (g *Gateway) stopping(c *call, now time.Time) *refusal {
+	s := g.stop.Load()
+	if s == nil || now.Before(s.notice) {
+		return nil
+	}
+	if c.route.Kind != site.Stream && now.Add(stopObjectives*c.route.Objective).Before(s.end) {
+		return nil
+	}
+	return refuse(http.StatusServiceUnavailable, "stopping", staleWait)
+}
+
+// stopObjectives is within how many of its objectives a plain call has ended
+// almost always.
+const stopObjectives = 4
+
 // run tries servers until one has answered the call or it has to be given up.
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, c *call) {
 	for {
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -28,7 +28,7 @@
 func (g *Gateway) relay(w http.ResponseWriter, c *call, p schedule.Placement, a *upstream.Answer, al *alarm) outcome {
 	events := bufio.NewReaderSize(a.Body, readSize)
 	control := http.NewResponseController(w)
-	out := outcome{answer: &whole{status: a.Status}}
+	out := outcome{}
 	last := time.Now()
 	for n := 0; ; n++ {
 		e, err := nextEvent(events)
@@ -76,7 +76,7 @@
 		c.begun = true
 	}
 	a.Finish()
-	out.result = answered
+	out.result, out.answer = answered, &whole{status: a.Status}
 	return out
 }
 
