Forget placements of hosts that have fallen silent

Cause: the placements of a killed host stayed on other hosts' boards for 30 s and took slots that were free. Hosts without news now tell twice a second that they are there; after 1.6 s of silence their placements are dropped.

--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -26,6 +26,9 @@
 	// maxAge forgets placements whose end was never heard of. It is above
 	// the longest deadline that callers use.
 	maxAge = 30 * time.Second
+	// hostSilence is how long another host may tell nothing before it counts
+	// as gone: three of the messages that it sends when it has no news.
+	hostSilence = 1600 * time.Millisecond
 	// maxHelpers is how many more servers may read one prompt.
 	maxHelpers = 16
 )
@@ -87,6 +90,7 @@
 		placements map[ID]*Placement
 		byServer   map[string]*load
 		trouble    map[string]trouble
+		heard      map[uint32]time.Duration // when other hosts were heard last
 	}
 
 	// load is what is placed on one server.
@@ -109,6 +113,7 @@
 		placements: map[ID]*Placement{},
 		byServer:   map[string]*load{},
 		trouble:    map[string]trouble{},
+		heard:      map[uint32]time.Duration{},
 	}
 }
 
@@ -159,12 +164,26 @@
 	b.remove(id)
 }
 
-// Forget drops placements whose end was missed.
+// Alive notes that another host is there, whatever it tells.
+func (b *Board) Alive(host uint32, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.heard[host] = now
+}
+
+// Forget drops placements whose end was missed, and those of hosts that have
+// fallen silent: backend servers end the requests of a host that is gone.
 func (b *Board) Forget(now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for h, at := range b.heard {
+		if now-at > hostSilence {
+			delete(b.heard, h)
+		}
+	}
 	for id, p := range b.placements {
-		if now-p.Begun > maxAge {
+		_, alive := b.heard[id.Host]
+		if now-p.Begun > maxAge || id.Host != b.host && !alive {
 			b.remove(id)
 		}
 	}
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -149,3 +149,27 @@
 		t.Error("a server that failed the request got it again")
 	}
 }
+
+func TestPlacementsOfSilentHostsAreForgotten(t *testing.T) {
+	const told = time.Second
+	for name, tc := range map[string]struct {
+		now  time.Duration
+		want int
+	}{
+		"heard of a moment ago": {told + time.Second, 1},
+		"silent for long":       {told + 5*time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ss := servers(1)
+			here, there := schedule.NewBoard(1), schedule.NewBoard(2)
+			p := place(t, there, ss, short)
+			p.Begun = told
+			here.Alive(p.ID.Host, told)
+			here.Heard(p)
+			here.Forget(tc.now)
+			if n := here.Running(p.Lead); n != tc.want {
+				t.Errorf("%d placements of the other host count, want %d", n, tc.want)
+			}
+		})
+	}
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -44,8 +44,10 @@
 	headerTime = 10 * time.Second
 	// headerBytes bounds the head of a request.
 	headerBytes = 64 << 10
-	// upkeepPeriod is how often connections and placements are swept.
-	upkeepPeriod = time.Second
+	// upkeepPeriod is how often placements are swept and other hosts told that
+	// this one is there; connections are swept each sweepEvery times.
+	upkeepPeriod = 250 * time.Millisecond
+	sweepEvery   = 4
 	// sendMargin is kept from the time for which a key is proven: what a
 	// request may need from the check to the backend server.
 	sendMargin = 400 * time.Millisecond
@@ -77,6 +79,7 @@
 		news     *news.News
 		callers  *http.Server
 		cancel   context.CancelFunc
+		number   uint32 // of this start of this host
 		start    time.Time
 		stopping atomic.Bool
 	}
@@ -92,7 +95,8 @@
 		start:    time.Now(),
 	}
 	e.settings.Store(&s)
-	e.board = schedule.NewBoard(hostNumber(s.Host, e.start))
+	e.number = hostNumber(s.Host, e.start)
+	e.board = schedule.NewBoard(e.number)
 	n, err := news.Listen(s.Listen.News, e.board, e.log, func() time.Duration { return time.Since(e.start) })
 	if err != nil {
 		return nil, err
@@ -239,13 +243,16 @@
 func (e *Entry) upkeep(ctx context.Context) {
 	tick := time.NewTicker(upkeepPeriod)
 	defer tick.Stop()
-	for {
+	for n := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 			e.board.Forget(time.Since(e.start))
-			e.pool.Sweep(e.watcher.State().Servers.Serves)
+			e.news.Alive(e.number)
+			if n++; n%sweepEvery == 0 {
+				e.pool.Sweep(e.watcher.State().Servers.Serves)
+			}
 		}
 	}
 }
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -37,6 +37,7 @@
 	placed  kind = 1
 	started kind = 2
 	ended   kind = 3
+	alive   kind = 4
 )
 
 type (
@@ -49,6 +50,7 @@
 		log   *decision.Log
 		hosts atomic.Pointer[[]netip.AddrPort]
 		now   func() time.Duration
+		told  atomic.Int64 // when something was sent last
 	}
 
 	share struct {
@@ -121,6 +123,7 @@
 func (n *News) Ended(id schedule.ID) { n.send(message{Kind: ended, Host: id.Host, Number: id.Number}) }
 
 func (n *News) send(m message) {
+	n.told.Store(int64(n.now()))
 	hosts := *n.hosts.Load()
 	if len(hosts) == 0 {
 		return
@@ -136,6 +139,17 @@
 	}
 }
 
+// Alive tells that this host is there, if it has told nothing for a while.
+func (n *News) Alive(host uint32) {
+	if n.now()-time.Duration(n.told.Load()) > AlivePeriod {
+		n.send(message{Kind: alive, Host: host})
+	}
+}
+
+// AlivePeriod is how long a host may have no news before it tells that it is
+// there. A third of the time after which others take it for gone.
+const AlivePeriod = 500 * time.Millisecond
+
 // Run takes in what others tell until the socket is closed.
 func (n *News) Run() {
 	b := make([]byte, maxDatagram)
@@ -158,6 +172,7 @@
 }
 
 func (n *News) take(m message) {
+	n.board.Alive(m.Host, n.now())
 	id := schedule.ID{Host: m.Host, Number: m.Number}
 	switch m.Kind {
 	case placed:
