Ask streams that would be late to come back once

Ruled out: reading beside them (p50 85 ms), lost news, dead hosts' placements. A stream that is predicted late at its first attempt is now refused at once, with when to come back; one that came back is served.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -111,6 +111,7 @@
 	}
 	p.Lead, p.First, p.Shares = best.lead.server.ID, best.first, best.shares
 	p.Fits = best.fits
+	p.LeadRuns, p.LeadReads = best.lead.running, best.lead.reading
 	p.Displaces = (best.harm + displaced(e, states, r)) / (value * kept(best.first, r.Objective))
 	for _, h := range best.helpers {
 		p.Helpers = append(p.Helpers, h.server.ID)
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -72,8 +72,12 @@
 		Gap       time.Duration
 		Begun     time.Duration
 		// First is the predicted time to the first token from Begun.
-		First   time.Duration
-		writing bool
+		First time.Duration
+		// LeadRuns is how many other requests the lead had, LeadReads how long
+		// it had yet to read.
+		LeadRuns  int
+		LeadReads time.Duration
+		writing   bool
 	}
 
 	// Share is memory of one server, in tokens of a prompt.
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -76,7 +76,8 @@
 	}()
 	server, _ := s.Servers.Get(p.Lead)
 	g.log.Write(event.RequestPlaced, slog.String("id", c.id), slog.String("route", c.route.Name),
-		slog.String("server", p.Lead), slog.Int("readers", len(p.Helpers)), slog.Int("shares", len(p.Shares)), slog.Float64("displaces", p.Displaces), slog.Int("prompt", c.work.Prompt),
+		slog.String("server", p.Lead), slog.Int("readers", len(p.Helpers)), slog.Int("shares", len(p.Shares)), slog.Float64("displaces", p.Displaces), slog.Int("lead_runs", p.LeadRuns), slog.Duration("lead_reads", p.LeadReads),
+		slog.Int("prompt", c.work.Prompt),
 		slog.Duration("predicted", p.First), slog.Int64("configuration", s.Config.Version()))
 	if !p.Fits && service.Engine != nil && c.work.Prompt > service.Engine.Memory {
 		return outcome{result: final, why: "no_memory", server: p.Lead, no: refuse(http.StatusServiceUnavailable, "no_memory", memoryWait)}
@@ -98,8 +99,8 @@
 }
 
 // postpone refuses a call that can't be served in its time, and asks one to
-// come back that would displace more than it is worth. One that has come back
-// is served.
+// come back that would be late, or displace more than it is worth: taken in
+// now, it would make others late as well. One that has come back is served.
 func (g *Gateway) postpone(c *call, p schedule.Placement) *refusal {
 	if c.attempts > 0 || c.may {
 		return nil
@@ -108,7 +109,8 @@
 	if p.First > left {
 		return refuse(http.StatusServiceUnavailable, "no_time", busyWait)
 	}
-	if p.Displaces <= 1 || left < time.Duration(firstPart*float64(c.route.Timeout)) {
+	late := c.route.Kind == site.Stream && time.Since(c.arrived)+p.First > c.route.Objective
+	if !late && p.Displaces <= 1 || left < time.Duration(firstPart*float64(c.route.Timeout)) {
 		return nil
 	}
 	after := time.Duration(returnPart * float64(left) / (1 + spread))
