--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -122,10 +122,15 @@
 	// fullBacklog is the mean time that engines have yet to read from which
 	// on all their time is taken: a new prompt then displaces others.
 	fullBacklog = 500 * time.Millisecond
-	// displacedValue is what a second of an engine's time is worth then: the
-	// value of long prompts of usual length, which are the work that gives
-	// way, by the time that they take.
-	displacedValue = 2.5
+	// readValue is what a second of an engine's time is worth then: the value
+	// of long prompts of usual length, which are the work that gives way, by
+	// the time that they take.
+	readValue = 2.5
+	// freeSlots and fullSlots are the parts of all slots between which short
+	// streams begin to be displaced, and slotValue is what a second of an
+	// engine's time is worth to these.
+	freeSlots, fullSlots = 0.6, 0.9
+	slotValue            = 5
 )
 
 // kept is the part of its value that a request keeps at a prediction.
@@ -141,11 +146,15 @@
 // exceeds that of the longest prompts first.
 func displaced(e *site.Engine, states []state, r Request) float64 {
 	var backlog time.Duration
+	running, slots := 0, 0
 	for _, s := range states {
 		backlog += s.reading
+		running += min(s.running, s.server.Slots)
+		slots += s.server.Slots
 	}
-	busy := min(float64(backlog)/float64(len(states))/float64(fullBacklog), 1)
-	return busy * displacedValue * readTime(e, r.Work.Prompt, 1).Seconds()
+	reads := min(float64(backlog)/float64(len(states))/float64(fullBacklog), 1)
+	writes := min(max(float64(running)/float64(max(slots, 1))-freeSlots, 0)/(fullSlots-freeSlots), 1)
+	return max(reads*readValue, writes*slotValue) * readTime(e, r.Work.Prompt, 1).Seconds()
 }
 
 // planOver returns the best way to read a prompt in k parts.
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -109,6 +109,9 @@
 	if p.First > left {
 		return refuse(http.StatusServiceUnavailable, "no_time", busyWait)
 	}
+	if p.Displaces > returnedMost {
+		return refuse(http.StatusServiceUnavailable, "engines_full", memoryWait)
+	}
 	late := c.route.Kind == site.Stream && time.Since(c.arrived)+p.First > c.route.Objective
 	if !late && p.Displaces <= 1 || left < time.Duration(firstPart*float64(c.route.Timeout)) {
 		return nil
@@ -122,6 +125,11 @@
 	// firstPart is the part of a route's time that a caller has left when it
 	// asks for the first time; callers that come back have less.
 	firstPart = 0.93
+	// returnedMost is by how many times what a call displaces may exceed its
+	// value if it has come back: far more than at first, since its caller has
+	// waited, yet short of one late manuscript that costs a hundred callers
+	// at counters their time.
+	returnedMost = 8
 	// returnPart is the part of their time after which callers still come
 	// back.
 	returnPart = 0.3
