Gather changes that come together; prove the configuration within its bound

Ruled out: heartbeats in the feed (106 answers with rows on the small site, all at the start), hosts that change their choice (177 lines for 76 hosts). Changes are gathered for 0.2 s, 1 s right after a start; readers ask twice within the bound.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -51,6 +51,9 @@
 	// sendMargin is kept from the time for which a key is proven: what a
 	// request may need from the check to the backend server.
 	sendMargin = 400 * time.Millisecond
+	// proofsWithinBound is how many proofs of the configuration are asked for
+	// within the time in which a change has to be in force.
+	proofsWithinBound = 2
 	// retryPart is the part of the retry budget that is used: hosts count for
 	// themselves, and their windows do not begin together.
 	retryPart = 0.7
@@ -104,6 +107,7 @@
 		return nil, err
 	}
 	e.news = n
+	p.Tables.ConfigWait = s.Bounds.Config / proofsWithinBound
 	e.watcher = watch.New(p.Source, p.Tables, p.Decoders, e.log, e.metrics, e.setHosts)
 	e.relays, e.relay = relay.NewClient(e.watcher, e.log), relay.NewServer(e.watcher)
 	budget := limit.NewWindow(s.Bounds.Retries.Span, s.Bounds.Retries.Share*retryPart, e.retrySlack)
--- a/daemon/entry/readers.go
+++ b/daemon/entry/readers.go
@@ -22,12 +22,11 @@
 	hallReaders = 2
 	// heardHosts is how many others each host hears.
 	heardHosts = 2
-	// relayAge is how old the newest proof may be before a host that is told
-	// by others asks the platform itself: readers get one at least each
-	// second and a half, and a change has to be in force two seconds after it.
-	relayAge = 1700 * time.Millisecond
+	// askMargin is how long before the age at which a change has to be in
+	// force a host that is told by others asks the platform itself.
+	askMargin = 300 * time.Millisecond
 	// askTime is how long it then goes on asking.
-	askTime = 5 * time.Second
+	askTime = 3 * time.Second
 	// announcePeriod is how often a host writes its row anew, which also reads
 	// the platform's clock, so that its bound doesn't grow by drift.
 	announcePeriod = 2 * time.Minute
@@ -91,7 +90,7 @@
 	place := slices.Index(byRank(append(hall, own)), own)
 	reads := place < hallReaders
 	now := time.Now()
-	if age, ok := e.watcher.ConfigAge(); !reads && (!ok || age > relayAge) {
+	if age, ok := e.watcher.ConfigAge(); !reads && (!ok || age > s.Bounds.Config-askMargin) {
 		r.asking = now.Add(askTime)
 	}
 	reads = reads || now.Before(r.asking)
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -86,9 +86,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for news")
 	}
+	return New(c, b, l, now), nil
+}
+
+// New returns news on an open socket.
+func New(c *net.UDPConn, b *schedule.Board, l *decision.Log, now func() time.Duration) *News {
 	n := &News{conn: c, board: b, log: l, now: now}
 	n.hosts.Store(&[]netip.AddrPort{})
-	return n, nil
+	return n
 }
 
 // SetHosts sets who is told.
--- /dev/null
+++ b/daemon/news/news_test.go
@@ -0,0 +1,78 @@
+package news_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"slipcrank.example/core/pause"
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/daemon/decision"
+	"slipcrank.example/daemon/news"
+)
+
+const patience = 20 * time.Second
+
+// listen returns news on a free port, with the board that it fills.
+func listen(t *testing.T, host uint32) (*news.News, *schedule.Board, netip.AddrPort) {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := c.LocalAddr().(*net.UDPAddr).AddrPort()
+	b := schedule.NewBoard(host)
+	start := time.Now()
+	n := news.New(c, b, decision.New(io.Discard), func() time.Duration { return time.Since(start) })
+	go n.Run()
+	t.Cleanup(func() { _ = n.Close() })
+	return n, b, addr
+}
+
+func TestPlacementsAreHeard(t *testing.T) {
+	there, _, _ := listen(t, 1)
+	_, board, addr := listen(t, 2)
+	there.SetHosts([]netip.AddrPort{addr})
+	p := schedule.Placement{
+		ID: schedule.ID{Host: 1, Number: 5}, Lead: "a", Helpers: []string{"b"},
+		Shares: []schedule.Share{{Server: "b", Tokens: 100}}, Work: schedule.Work{Prompt: 1000, Answer: 10},
+		Gap: time.Second, Objective: time.Second, First: time.Second,
+	}
+	// A datagram may be lost, so each is told again until it is heard.
+	until(t, "the placement counts on lead and helper", func() { there.Placed(p) }, func() bool {
+		return board.Running("a") == 1 && board.Running("b") == 1
+	})
+	until(t, "its end is heard", func() { there.Ended(p.ID) }, func() bool { return board.Running("a") == 0 })
+	until(t, "the host counts as alive", func() { there.Alive(1) }, func() bool { return board.HeardFrom(1, 0) })
+}
+
+func TestMalformedNewsIsDropped(t *testing.T) {
+	there, _, _ := listen(t, 1)
+	_, board, addr := listen(t, 2)
+	c, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, b := range [][]byte{nil, {0xff}, []byte("no news"), {0xa1, 0x01}} {
+		_, _ = c.Write(b)
+	}
+	there.SetHosts([]netip.AddrPort{addr})
+	p := schedule.Placement{ID: schedule.ID{Host: 1, Number: 1}, Lead: "a"}
+	until(t, "news is heard after it", func() { there.Placed(p) }, func() bool { return board.Running("a") == 1 })
+}
+
+func until(t *testing.T, what string, do func(), done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		do()
+		if done() {
+			return
+		}
+		_ = pause.For(context.Background(), 5*time.Millisecond) // never ends early
+	}
+	t.Fatalf("not within %v: %s", patience, what)
+}
--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -103,16 +103,17 @@
 	}
 }
 
-// welcome tells a new listener all that is known.
+// welcome tells a new listener all that is known. Without a reading of the
+// platform's clock nothing can be proven to it, so it has to come again.
 func (w *Watcher) welcome(c chan Update) {
-	w.heard[c] = true
-	now := w.Now()
-	age, known := w.clock.Age(0, now) // of the reading zero: what the clock shows
+	clock, known := w.clock.Age(0, w.Now()) // the age of the reading zero is what the clock shows
 	if !known {
-		age = 0
+		close(c)
+		return
 	}
+	w.heard[c] = true
 	for name, t := range w.rows {
-		u := Update{Table: name, Whole: true, Revision: t.revision, Stamp: t.stamp, Clock: age}
+		u := Update{Table: name, Whole: true, Revision: t.revision, Stamp: t.stamp, Clock: clock}
 		for _, r := range t.rows {
 			u.Rows = append(u.Rows, r)
 		}
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -34,16 +34,21 @@
 )
 
 const (
-	// configWait is how long a question for changes of the configuration
-	// waits. Each answer proves the configuration anew, and keys need that
-	// proof within a few seconds; each question costs money.
-	configWait = 1500 * time.Millisecond
-	// otherWait is the same for tables whose age decides nothing: a change
-	// is told at once in any case.
+	// otherWait is how long a question for changes waits where the age of
+	// what is known decides nothing: a change is told at once in any case.
 	otherWait = 5 * time.Second
 	// answerTime is added to a wait for the way there and back, and for a
 	// platform that is slow.
 	answerTime = 1500 * time.Millisecond
+	// gather lies between an answer with changes and the next question, so
+	// that changes which come together cost one call. It is a small part of
+	// the two seconds within which they have to be in force.
+	gather = 200 * time.Millisecond
+	// firstGather is the same in the time startTime after a start, in which
+	// servers come one after the other and each host asks for itself, since
+	// it doesn't know the others yet.
+	firstGather = time.Second
+	startTime   = 5 * time.Second
 	// firstPause and longestPause lie between questions that fail.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 600 * time.Millisecond
@@ -56,6 +61,9 @@
 	// Tables names the platform's tables.
 	Tables struct {
 		Config, ConfigKey, Servers, Hosts string
+		// ConfigWait is how long a question for changes of the configuration
+		// waits. Each answer proves it anew, and each question costs money.
+		ConfigWait time.Duration
 	}
 
 	// Decoders read rows.
@@ -156,7 +164,7 @@
 
 // Run follows the tables until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	go w.follow(ctx, w.tables.Config, configWait)
+	go w.follow(ctx, w.tables.Config, w.tables.ConfigWait)
 	go w.follow(ctx, w.tables.Servers, otherWait)
 	go w.follow(ctx, w.tables.Hosts, otherWait)
 	tick := time.NewTicker(lapseTick)
@@ -231,7 +239,18 @@
 			continue
 		}
 		rest, listed, revision = firstPause, true, b.Revision
+		if len(b.Rows) > 0 {
+			_ = pause.For(ctx, w.gathering()) // ctx is looked at above
+		}
+	}
+}
+
+// gathering is how long to wait for more changes before the next question.
+func (w *Watcher) gathering() time.Duration {
+	if w.Now() < startTime {
+		return firstGather
 	}
+	return gather
 }
 
 func (w *Watcher) ask(ctx context.Context, table string, listed bool, revision int64, wait time.Duration) (feed.Batch, error) {
