--- a/cmd/slipcrankd/main.go
+++ b/cmd/slipcrankd/main.go
@@ -22,7 +22,7 @@
 	"slipcrank.example/daemon/telemetry"
 )
 
-// Exit codes; docs/OPERATING.md lists them.
+// Exit codes; docs/OPERATIONS.md lists them.
 const (
 	exitFailed      = 1
 	exitBadSettings = 2
--- a/core/template/template.go
+++ b/core/template/template.go
@@ -114,7 +114,7 @@
 	d := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict())
 	if err := d.Decode(&t); err != nil {
 		return Template{}, fault.Newf(fault.BadRequest,
-			"mend the YAML; docs/OPERATING.md lists the keys of a template",
+			"mend the YAML; docs/OPERATIONS.md lists the keys of a template",
 			"the template can't be read: %s", yaml.FormatError(err, false, false))
 	}
 	t = t.withDefaults()
--- a/daemon/callers/server.go
+++ b/daemon/callers/server.go
@@ -175,7 +175,7 @@
 	case strings.HasPrefix(path, servicePrefix+"/"):
 		s.with(c, s.service)
 	default:
-		s.fail(c, "", fault.Newf(fault.NotFound, "see docs/OPERATING.md for the paths", "there is no path %s", path))
+		s.fail(c, "", fault.Newf(fault.NotFound, "see docs/OPERATIONS.md for the paths", "there is no path %s", path))
 	}
 }
 
--- a/daemon/entry/readers.go
+++ b/daemon/entry/readers.go
@@ -90,7 +90,7 @@
 	place := slices.Index(byRank(append(hall, own)), own)
 	reads := place < hallReaders
 	now := time.Now()
-	if age, ok := e.watcher.ConfigAge(); !reads && (!ok || age > s.Bounds.Config-askMargin) {
+	if age, ok := e.watcher.ToldAge(); !reads && (!ok || age > s.Bounds.Config-askMargin) {
 		r.asking = now.Add(askTime)
 	}
 	reads = reads || now.Before(r.asking)
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -119,6 +119,21 @@
 	})
 }
 
+// TestEchoIsNoProofOfOthers has two hosts hear each other, of which one alone
+// reaches the platform: what comes back to it tells it nothing.
+func TestEchoIsNoProofOfOthers(t *testing.T) {
+	reader, other := watcher(t, func() int { return 3 }), watcher(t, nil)
+	hear(t, other, serve(t, reader))
+	hear(t, reader, serve(t, other))
+	eventually(t, "the other host is told", func() bool { _, ok := other.ToldAge(); return ok })
+	for range 20 {
+		if _, ok := reader.ToldAge(); ok {
+			t.Fatal("the reader takes its own proofs for another host's")
+		}
+		_ = pause.For(context.Background(), poll) // never ends early
+	}
+}
+
 // TestNothingOldIsTakenFromAnotherHost hears a host that has been left behind.
 func TestNothingOldIsTakenFromAnotherHost(t *testing.T) {
 	behind := watcher(t, func() int { return 3 })
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -145,7 +145,7 @@
 	s := Default()
 	if err := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict()).Decode(&s); err != nil {
 		return Settings{}, fault.Newf(fault.BadRequest,
-			"mend the YAML; docs/OPERATING.md lists the keys",
+			"mend the YAML; docs/OPERATIONS.md lists the keys",
 			"the settings can't be read: %s", yaml.FormatError(err, false, false))
 	}
 	return s, s.Validate()
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -60,16 +60,16 @@
 	}
 }
 
-// TestEveryKeyIsDocumented compares the keys with docs/OPERATING.md.
+// TestEveryKeyIsDocumented compares the keys with docs/OPERATIONS.md.
 func TestEveryKeyIsDocumented(t *testing.T) {
-	b, err := os.ReadFile("../../docs/OPERATING.md")
+	b, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	keys := keysOf(reflect.TypeFor[settings.Settings](), "")
 	for _, k := range keys {
 		if !strings.Contains(string(b), "| `"+k+"` |") {
-			t.Errorf("docs/OPERATING.md lacks the key %s", k)
+			t.Errorf("docs/OPERATIONS.md lacks the key %s", k)
 		}
 	}
 	if len(keys) < 20 {
--- a/daemon/settings/validate.go
+++ b/daemon/settings/validate.go
@@ -61,7 +61,7 @@
 	_, key, _ := strings.Cut(f.Namespace(), ".")
 	remedy, ok := remedies[f.Tag()]
 	if !ok {
-		remedy = "see docs/OPERATING.md"
+		remedy = "see docs/OPERATIONS.md"
 	}
 	if strings.Contains(remedy, "%s") {
 		remedy = fmt.Sprintf(remedy, f.Param())
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -100,6 +100,7 @@
 		clock   *freshness.Clock
 		state   atomic.Pointer[State]
 		proven  atomic.Int64 // stamp of the newest proof of the configuration, -1 for none
+		told    atomic.Int64 // the same of the newest that other hosts told first
 		reads   chan read
 		onHosts func([]Host)
 		reading atomic.Bool // the platform is asked
@@ -145,6 +146,7 @@
 	}
 	w.reading.Store(true)
 	w.proven.Store(-1)
+	w.told.Store(-1)
 	w.state.Store(&State{Servers: w.book.View(0)})
 	return w
 }
@@ -154,12 +156,18 @@
 
 // ConfigAge returns how long ago, at most, the configuration in force was
 // proven to be the newest. It reports false before the first proof.
-func (w *Watcher) ConfigAge() (time.Duration, bool) {
-	p := w.proven.Load()
-	if p < 0 {
+func (w *Watcher) ConfigAge() (time.Duration, bool) { return w.age(w.proven.Load()) }
+
+// ToldAge is the age of the newest proof that came from another host before
+// this one had it from the platform: how old the configuration would be if
+// this host didn't ask.
+func (w *Watcher) ToldAge() (time.Duration, bool) { return w.age(w.told.Load()) }
+
+func (w *Watcher) age(stamp int64) (time.Duration, bool) {
+	if stamp < 0 {
 		return 0, false
 	}
-	return w.clock.Age(time.Duration(p), w.Now())
+	return w.clock.Age(time.Duration(stamp), w.Now())
 }
 
 // Run follows the tables until ctx ends.
@@ -313,6 +321,9 @@
 	}
 	if r.table == w.tables.Config && w.config != nil {
 		w.proven.Store(max(w.proven.Load(), int64(r.batch.Stamp)))
+		if r.told {
+			w.told.Store(int64(r.batch.Stamp))
+		}
 	}
 	w.pass(r)
 }
