Blame the server that an answer names; bound kept connections by what servers take

Fields that nothing used go. Tests of upstream and of reservations, the latter in a bubble's time with orders that come late.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -41,8 +41,6 @@
 		Slots int
 		// Draining servers take no new work.
 		Draining bool
-		// Cold is how much longer it is slow from its start.
-		Cold time.Duration
 	}
 
 	// Book collects the entries. One goroutine owns it.
@@ -146,6 +144,19 @@
 	return s, ok
 }
 
+// Find returns the server with this ID or address.
+func (v *View) Find(name string) (Server, bool) {
+	if s, ok := v.byID[name]; ok {
+		return s, true
+	}
+	for _, s := range v.byID {
+		if s.Addr == name {
+			return s, true
+		}
+	}
+	return Server{}, false
+}
+
 // Takes reports whether a server may still get new work.
 func (v *View) Takes(id string) bool {
 	s, ok := v.byID[id]
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -96,9 +96,9 @@
 		platform: p,
 		log:      decision.New(os.Stdout, slog.String("host", s.Host)),
 		metrics:  telemetry.NewMetrics(),
-		pool:     upstream.New(),
 		start:    time.Now(),
 	}
+	e.pool = upstream.New(upstream.WithMaxIdle(e.maxIdle))
 	e.settings.Store(&s)
 	e.number = hostNumber(s.Host, e.start)
 	e.board = schedule.NewBoard(e.number)
@@ -150,6 +150,30 @@
 	return e.settings.Load().Bounds.Retries.Extra * retryPart / float64(e.news.Hosts()+1)
 }
 
+// maxIdle is how many connections to one server this host may keep, so that
+// all hosts together leave half of what the server takes to those in use.
+func (e *Entry) maxIdle() int {
+	c := e.watcher.State().Config
+	if c == nil {
+		return 1
+	}
+	least := 0
+	for _, name := range c.Services() {
+		s, _ := c.Service(name)
+		if s.MaxConns > 0 && (least == 0 || s.MaxConns < least) {
+			least = s.MaxConns
+		}
+	}
+	if least == 0 {
+		return idleUnbounded
+	}
+	return max(least/2/(e.news.Hosts()+1), 1)
+}
+
+// idleUnbounded is how many connections are kept to a server that names no
+// bound: about two for each of an engine's slots.
+const idleUnbounded = 32
+
 func (e *Entry) setHosts(hosts []watch.Host) {
 	own := e.settings.Load().Listen.News
 	var others []netip.AddrPort
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -47,6 +47,7 @@
 		why     string
 		server  string
 		service string
+		fault   string   // the server that the answer blames, by ID or address
 		answer  *whole   // of the server, if it is passed on as it is
 		no      *refusal // what the caller is told, if nothing ran
 		first   time.Duration
@@ -166,12 +167,16 @@
 	case answered:
 		g.board.Served(p.Lead)
 	case unsent, failed, refused:
-		c.tried[p.Lead] = true
+		blamed := p.Lead
+		if s, ok := g.state().Servers.Find(out.fault); ok && out.fault != "" {
+			blamed = s.ID
+		}
+		c.tried[blamed] = true
 		if !c.blames(out) {
 			return
 		}
-		rest := g.board.Failed(p.Lead, time.Since(g.start))
-		g.log.Write(event.ServerAvoided, slog.String("id", c.id), slog.String("server", p.Lead),
+		rest := g.board.Failed(blamed, time.Since(g.start))
+		g.log.Write(event.ServerAvoided, slog.String("id", c.id), slog.String("server", blamed),
 			slog.String("why", out.why), slog.Duration("rest", rest))
 	}
 }
@@ -252,6 +257,7 @@
 	return outcome{
 		result: refused,
 		why:    "refused_" + strconv.Itoa(a.Status),
+		fault:  a.Header.Get(g.dialect.AtServer),
 		answer: &whole{a.Status, a.Header, body},
 	}
 }
--- /dev/null
+++ b/daemon/memory/memory_test.go
@@ -0,0 +1,119 @@
+package memory_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/pause"
+	"slipcrank.example/daemon/decision"
+	"slipcrank.example/daemon/memory"
+)
+
+// server is a backend server's memory, in a bubble's time.
+type server struct {
+	mu     sync.Mutex
+	until  time.Time // of the reservation
+	refuse bool
+	lose   int           // so many answers to reservations are lost
+	late   time.Duration // those are carried out so much later
+}
+
+var errLost = errors.New("no answer")
+
+func (s *server) reserve(hold time.Duration) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuse {
+		return memory.ErrNoRoom
+	}
+	if s.lose > 0 {
+		s.lose--
+		time.AfterFunc(s.late, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.until = time.Now().Add(hold)
+		})
+		return errLost
+	}
+	s.until = time.Now().Add(hold)
+	return nil
+}
+
+func (s *server) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until = time.Time{}
+}
+
+func (s *server) held() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.until)
+}
+
+func keeper(servers map[string]*server, l *decision.Log) *memory.Keeper {
+	return memory.New(memory.Orders{
+		Reserve: func(_ context.Context, addr, _ string, _ int, hold time.Duration) error {
+			return servers[addr].reserve(hold)
+		},
+		Release: func(_ context.Context, addr, _ string) error {
+			servers[addr].release()
+			return nil
+		},
+	}, l)
+}
+
+func after(d time.Duration) {
+	_ = pause.For(context.Background(), d) // never ends early
+	synctest.Wait()
+}
+
+func TestHold(t *testing.T) {
+	for name, tc := range map[string]struct {
+		a, b *server
+		held bool // both, while it is wanted
+	}{
+		"both have room":               {&server{}, &server{}, true},
+		"one has none":                 {&server{}, &server{refuse: true}, false},
+		"one is lost and never comes":  {&server{}, &server{lose: 1, late: time.Hour}, false},
+		"one is carried out too late":  {&server{}, &server{lose: 1, late: 5 * time.Second}, false},
+		"one is carried out very late": {&server{lose: 1, late: 12 * time.Second}, &server{}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := decision.New(io.Discard)
+				defer l.Close()
+				servers := map[string]*server{"a": tc.a, "b": tc.b}
+				h, err := keeper(servers, l).Hold(context.Background(), "id", []memory.Part{{Addr: "a", Tokens: 5}, {Addr: "b", Tokens: 5}})
+				if (err == nil) != tc.held {
+					t.Fatalf("got %v", err)
+				}
+				if h != nil {
+					after(10 * time.Second)
+					if !tc.a.held() || !tc.b.held() {
+						t.Error("a reservation lapsed while it was wanted")
+					}
+					h.Release()
+				}
+				// An order that comes late sets memory aside for no longer
+				// than the pause between two releases.
+				freed := time.Duration(0)
+				for range 40 {
+					after(500 * time.Millisecond)
+					if freed += 500 * time.Millisecond; tc.a.held() || tc.b.held() {
+						freed = 0
+					}
+				}
+				if freed < 5*time.Second {
+					t.Errorf("memory was held %v before the end", freed)
+				}
+			})
+		})
+	}
+}
--- a/daemon/upstream/conn.go
+++ b/daemon/upstream/conn.go
@@ -13,9 +13,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	since  time.Time // when it was last given back
-	until  time.Time // after which the server may close it; zero if unknown
-	used   bool      // a request was answered on it before
+	until  time.Time // after which the server may close it, once it rests
 }
 
 // quiet reports whether the connection is open and nothing has arrived on it
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -45,7 +45,8 @@
 	// restMargin is kept from what the server tells, which it does in whole
 	// seconds.
 	restMargin = 500 * time.Millisecond
-	// maxIdle bounds kept connections to one server.
+	// maxIdle bounds kept connections to one server where nothing else is
+	// said.
 	maxIdle = 32
 	// maxStale is how many answers of other requests are skipped before a
 	// connection is given up.
@@ -56,13 +57,8 @@
 var (
 	// ErrNotSent marks a request of which no byte has left this host.
 	ErrNotSent = errors.New("nothing was sent to the backend server")
-	// ErrGone is a kept connection that the server has closed, found before
-	// the request was written.
-	ErrGone = errors.New("the backend server has closed the connection")
 	// ErrCrossed is an answer to another request.
 	ErrCrossed = errors.New("the answer belongs to another request")
-	// ErrExpired is a request whose right to be sent ended before it was.
-	ErrExpired = errors.New("the request may no longer be sent")
 )
 
 type (
@@ -78,9 +74,6 @@
 		IDHeader, ID string
 		// Allowed is asked last before the first byte leaves; nil allows.
 		Allowed func() error
-		// Repeatable requests may be written to a kept connection that the
-		// server may be closing just now.
-		Repeatable bool
 	}
 
 	// Answer is a backend server's. Its body is read as it comes.
@@ -104,6 +97,7 @@
 	Pool struct {
 		dial func(ctx context.Context, addr string) (net.Conn, error)
 		now  func() time.Time
+		most func() int // kept connections to one server
 
 		mu     sync.Mutex
 		idle   map[string][]*conn
@@ -119,6 +113,9 @@
 	return func(p *Pool) { p.dial = f }
 }
 
+// WithMaxIdle sets what tells how many connections to one server are kept.
+func WithMaxIdle(f func() int) Option { return func(p *Pool) { p.most = f } }
+
 // New returns a pool without connections.
 func New(os ...Option) *Pool {
 	d := net.Dialer{
@@ -133,6 +130,7 @@
 	}
 	p := &Pool{
 		now:  time.Now,
+		most: func() int { return maxIdle },
 		idle: map[string][]*conn{},
 		dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
 	}
@@ -272,11 +270,11 @@
 // keep puts a connection back for the next request.
 func (p *Pool) keep(addr string, c *conn, rest time.Duration) {
 	now := p.now()
-	c.since, c.until, c.used = now, now.Add(rest), true
+	c.until = now.Add(rest)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cs := p.idle[addr]
-	if len(cs) >= maxIdle {
+	for len(cs) > 0 && len(cs) >= p.most() {
 		_ = cs[0].Close()
 		cs = cs[1:]
 	}
--- /dev/null
+++ b/daemon/upstream/upstream_test.go
@@ -0,0 +1,167 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/pause"
+	"slipcrank.example/daemon/upstream"
+)
+
+const fine = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// serve answers the n-th request on each connection with what answer returns;
+// an empty text closes the connection.
+func serve(t *testing.T, answer func(n int) string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(b)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					a := answer(n)
+					if _, err := io.WriteString(c, a); err != nil || a == "" {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func request() upstream.Request {
+	return upstream.Request{Method: "POST", Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("b"), IDHeader: "Id", ID: "1"}
+}
+
+// ask sends a request, reads the answer whole and gives the connection back.
+func ask(t *testing.T, p *upstream.Pool, addr string, r upstream.Request) (string, error) {
+	t.Helper()
+	a, err := p.Send(context.Background(), addr, r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := io.ReadAll(a.Body)
+	if err == nil {
+		a.Finish()
+	}
+	return string(b), err
+}
+
+func TestConnectionsAreKept(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answer string
+		opened int64 // for three requests
+	}{
+		"kept":                {fine, 1},
+		"closed by word":      {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 3},
+		"surplus bytes":       {fine + "HTTP/1.1 200 OK\r\n", 3},
+		"kept for no time":    {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", 3},
+		"kept for some time":  {"HTTP/1.1 200 OK\r\nKeep-Alive: max=5, timeout=60\r\nContent-Length: 2\r\n\r\nok", 1},
+		"interim answer":      {"HTTP/1.1 100 Continue\r\n\r\n" + fine, 1},
+		"another's, then own": {"HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nbad" + fine, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(int) string { return tc.answer })
+			p := upstream.New()
+			for range 3 {
+				if b, err := ask(t, p, addr, request()); err != nil || b != "ok" {
+					t.Fatalf("got %q, %v", b, err)
+				}
+			}
+			if n := p.Opened(); n != tc.opened {
+				t.Errorf("%d connections were opened, want %d", n, tc.opened)
+			}
+		})
+	}
+}
+
+func TestServerThatClosedItsConnectionIsDialledAnew(t *testing.T) {
+	addr := serve(t, func(n int) string {
+		if n > 0 {
+			return ""
+		}
+		return fine
+	})
+	p := upstream.New()
+	if _, err := ask(t, p, addr, request()); err != nil {
+		t.Fatal(err)
+	}
+	// The second request on the connection is read and closed: it may have
+	// run, so the error must not say that it was not sent.
+	_, err := ask(t, p, addr, request())
+	if err == nil || upstream.NotSent(err) {
+		t.Errorf("got %v, want an error of a request that may have run", err)
+	}
+	if _, err := ask(t, p, addr, request()); err != nil {
+		t.Errorf("after it: %v", err)
+	}
+}
+
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := l.Addr().String()
+	_ = l.Close()
+	if _, err := ask(t, upstream.New(), closed, request()); !upstream.NotSent(err) {
+		t.Errorf("nobody listens: %v", err)
+	}
+	r := request()
+	no := errors.New("no longer allowed")
+	r.Allowed = func() error { return no }
+	addr := serve(t, func(int) string { return fine })
+	if _, err := ask(t, upstream.New(), addr, r); !upstream.NotSent(err) || !errors.Is(err, no) {
+		t.Errorf("not allowed: %v", err)
+	}
+}
+
+func TestEndOfContextEndsTheWait(t *testing.T) {
+	addr := serve(t, func(int) string {
+		_ = pause.For(context.Background(), time.Hour) // the server never answers
+		return ""
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	if _, err := upstream.New().Send(ctx, addr, request()); err == nil || upstream.NotSent(err) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestSweepClosesWhatServesNothing(t *testing.T) {
+	addr := serve(t, func(int) string { return fine })
+	p := upstream.New()
+	for range 2 {
+		if _, err := ask(t, p, addr, request()); err != nil {
+			t.Fatal(err)
+		}
+		p.Sweep(func(string) bool { return false })
+	}
+	if n := p.Opened(); n != 2 {
+		t.Errorf("%d connections were opened, want 2", n)
+	}
+}
