--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"time"
 
 	"slipcrank.example/core/fault"
 	"slipcrank.example/daemon/settings"
@@ -66,7 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	keys := keysOf(reflect.TypeFor[settings.Settings](), "")
+	keys := append(keysOf(reflect.TypeFor[settings.Settings](), ""), keysOf(reflect.TypeFor[settings.Entry](), "")...)
 	for _, k := range keys {
 		if !strings.Contains(string(b), "| `"+k+"` |") {
 			t.Errorf("docs/OPERATIONS.md lacks the key %s", k)
@@ -104,3 +105,44 @@
 		}
 	})
 }
+
+const entryText = `host: h
+hall: oslo-a
+listen: {callers: "127.0.0.1:1", readiness: "127.0.0.1:2", metrics: "127.0.0.1:3", news: "127.0.0.1:4"}
+platform: "127.0.0.1:5"
+bounds:
+  key_proof: 5000ms
+  config: 2000ms
+  grace: 8s
+  retries: {share: 0.2, extra: 100, span: 10s}
+`
+
+func TestEntrySettings(t *testing.T) {
+	for name, tc := range map[string]struct {
+		old, now string
+		want     string // in the error; empty for none
+	}{
+		"good":            {"", "", ""},
+		"unknown key":     {"hall:", "hale:", "hale"},
+		"no host":         {"host: h", "host: \"\"", "host"},
+		"bad address":     {"127.0.0.1:4", "somewhere", "listen.news"},
+		"share over one":  {"share: 0.2", "share: 2", "bounds.retries.share"},
+		"no time at all":  {"grace: 8s", "grace: 0s", "bounds.grace"},
+		"no YAML":         {"host: h", "{", "read"},
+		"a list":          {entryText, "- 1", "read"},
+		"no unit of time": {"key_proof: 5000ms", "key_proof: soon", "read"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, err := settings.ParseEntry([]byte(strings.Replace(entryText, tc.old, tc.now, 1)))
+			if tc.want == "" {
+				if err != nil || s.Bounds.KeyProof != 5*time.Second {
+					t.Errorf("%+v, %v", s, err)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), tc.want) {
+				t.Errorf("error %v, want one that names %q", err, tc.want)
+			}
+		})
+	}
+}
