--- a/clients/engine/types.go
+++ b/clients/engine/types.go
@@ -5,7 +5,7 @@
 // Header names of a generation request, beside the caller's own body.
 const (
 	HeaderRequest  = "X-Request-Id"
-	HeaderAttempt  = "X-Attempt-Id"
+	HeaderAttempt  = "Slipcrank-Attempt"
 	HeaderPriority = "X-Priority"
 	HeaderVersion  = "X-Model-Version"
 	HeaderResume   = "X-Resume-Offset"
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -53,6 +53,7 @@
 	state struct {
 		server   backend.Server
 		stride   int
+		slow     float64 // by how much it is slower than the model
 		order    float64 // place among the service's engines, 0 to 1
 		running  int
 		helping  int
@@ -111,6 +112,7 @@
 	}
 	p.Lead, p.First, p.Shares = best.lead.server.ID, best.first, best.shares
 	p.Fits = best.fits
+	p.Pass = passTime(e, best.lead.running+1, best.lead.context+r.Work.Prompt)
 	p.LeadRuns, p.LeadReads = best.lead.running, best.lead.reading
 	p.Displaces = (best.harm + displaced(e, states, r)) / (value * kept(best.first, r.Objective))
 	for _, h := range best.helpers {
@@ -277,7 +279,9 @@
 
 // pause is how long streams on the engine stand still if so much more is
 // read.
-func (s state) pause(part time.Duration) time.Duration { return s.pass + s.reading + part }
+func (s state) pause(part time.Duration) time.Duration {
+	return s.pass + s.reading + time.Duration(s.slow*float64(part))
+}
 
 // firstRead is how long it takes until a part is read: what is left of the
 // pass under way, and the next one.
@@ -320,7 +324,9 @@
 			st.add(now, e, p)
 		}
 	}
-	st.pass = passTime(e, st.running, st.context)
+	st.slow = b.slowness(s.ID, now)
+	st.pass = time.Duration(st.slow * float64(passTime(e, st.running, st.context)))
+	st.reading = time.Duration(st.slow * float64(st.reading))
 	return st
 }
 
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -73,6 +73,8 @@
 		Begun     time.Duration
 		// First is the predicted time to the first token from Begun.
 		First time.Duration
+		// Pass is how long the lead's passes are expected to take.
+		Pass time.Duration
 		// LeadRuns is how many other requests the lead had, LeadReads how long
 		// it had yet to read.
 		LeadRuns  int
@@ -94,6 +96,9 @@
 		placements map[ID]*Placement
 		byServer   map[string]*load
 		trouble    map[string]trouble
+		answers    map[string]answers // by server
+		usual      map[string]answers // by service
+		paces      map[string]pace
 		heard      map[uint32]time.Duration // when other hosts were heard last
 	}
 
@@ -101,12 +106,6 @@
 	load struct {
 		placements map[ID]*Placement
 	}
-
-	// trouble is evidence against a server.
-	trouble struct {
-		failures int
-		until    time.Duration
-	}
 )
 
 // NewBoard returns an empty board of a host, whose number is in the ID of each
@@ -117,6 +116,9 @@
 		placements: map[ID]*Placement{},
 		byServer:   map[string]*load{},
 		trouble:    map[string]trouble{},
+		answers:    map[string]answers{},
+		usual:      map[string]answers{},
+		paces:      map[string]pace{},
 		heard:      map[uint32]time.Duration{},
 	}
 }
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -173,3 +173,52 @@
 		})
 	}
 }
+
+func TestServersThatFailMoreThanOthersRest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		usual, own int // one of so many answers is a failure; 0 for none
+		rests      bool
+	}{
+		"as often as the others":   {7, 7, false},
+		"never, as the others":     {0, 0, false},
+		"every second one":         {7, 2, true},
+		"every second, others not": {0, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := schedule.NewBoard(1)
+			fails := func(n, of int) bool { return of > 0 && n%of == of-1 }
+			rests := false
+			for n := range 60 {
+				for _, s := range []string{"a", "b", "c", "d"} {
+					b.Answered("s", s, fails(n, tc.usual), 0)
+				}
+				if b.Answered("s", "own", fails(n, tc.own), 0) > 0 {
+					rests = true
+				}
+			}
+			if rests != tc.rests {
+				t.Errorf("it rests: %v, want %v", rests, tc.rests)
+			}
+		})
+	}
+}
+
+func TestSlowEnginesGetLess(t *testing.T) {
+	b := schedule.NewBoard(1)
+	ss := servers(2)
+	first := place(t, b, ss, short)
+	b.Ended(first.ID)
+	for range 30 {
+		b.Passed(first.Lead, 8*first.Pass, first.Pass, 0)
+	}
+	other := place(t, b, ss, short)
+	if other.Lead == first.Lead {
+		t.Errorf("%s got the request although it is eight times as slow", first.Lead)
+	}
+	b.Ended(other.ID)
+	// After a while without news it is tried again.
+	p, _ := b.Place(time.Minute, service, ss[:1], short)
+	if p.First > 2*first.First {
+		t.Errorf("after a minute %v is predicted, at first %v", p.First, first.First)
+	}
+}
--- a/core/schedule/trouble.go
+++ b/core/schedule/trouble.go
@@ -13,13 +13,60 @@
 	longestRest = 4 * time.Second
 	// most is the largest part of a service's servers that rest at once.
 	most = 0.5
+	// memory is the part of earlier answers that counts on with each further
+	// one: about the last ten count.
+	memory = 0.9
+	// fewAnswers is how many answers have to count before a server may be
+	// taken for worse than the others.
+	fewAnswers = 3
+	// worseTimes and worsePart are by how much the part of its answers that
+	// are failures has to exceed that of the service: services may fail a
+	// tenth and more by themselves.
+	worseTimes = 2
+	worsePart  = 0.15
+	// supposed is how many answers of a service are supposed before any is
+	// known.
+	supposed = 10
 )
 
-// Failed notes evidence against a server. It rests for a while, longer with
-// each failure in a row.
+// trouble is evidence against a server.
+type trouble struct {
+	failures int // in a row
+	until    time.Duration
+}
+
+// answers are decayed counts of answers.
+type answers struct {
+	failed, all float64
+}
+
+func (a answers) with(failed bool) answers {
+	a.failed, a.all = a.failed*memory, a.all*memory+1
+	if failed {
+		a.failed++
+	}
+	return a
+}
+
+// part is the part that failed, on top of earlier answers of which so many are
+// supposed, one of them a failure.
+func (a answers) part(supposed float64) float64 {
+	if a.all+supposed == 0 {
+		return 0
+	}
+	return (a.failed + min(supposed, 1)) / (a.all + supposed)
+}
+
+// Failed notes evidence against a server: it could not be reached, refused,
+// broke off or fell silent. It rests for a while, longer with each failure in
+// a row.
 func (b *Board) Failed(server string, now time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.rest(server, now)
+}
+
+func (b *Board) rest(server string, now time.Duration) time.Duration {
 	t := b.trouble[server]
 	t.failures++
 	rest := min(firstRest<<min(t.failures-1, 8), longestRest)
@@ -28,11 +75,35 @@
 	return rest
 }
 
-// Served notes that a server has done what was asked.
-func (b *Board) Served(server string) {
+// Answered notes that a server has answered, with a failure of its own or
+// not. One that fails much more often than its service does rests; the time
+// for which is returned, zero for none.
+func (b *Board) Answered(service, server string, failed bool, now time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.trouble, server)
+	own := b.answers[server].with(failed)
+	b.answers[server] = own
+	usual := b.usual[service]
+	if own.all >= fewAnswers && own.part(0) > worseTimes*usual.part(supposed)+worsePart {
+		return b.rest(server, now)
+	}
+	// Servers that are much worse don't change what is usual.
+	b.usual[service] = answers{usual.failed * slowMemory, usual.all * slowMemory}.plus(failed)
+	if !failed {
+		delete(b.trouble, server)
+	}
+	return 0
+}
+
+// slowMemory is as memory, for a whole service.
+const slowMemory = 0.99
+
+func (a answers) plus(failed bool) answers {
+	a.all++
+	if failed {
+		a.failed++
+	}
+	return a
 }
 
 // able returns the servers that a request may go to. Servers that rest are
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -36,6 +36,7 @@
 		now := time.Now()
 		if c.begun {
 			c.pause = max(c.pause, now.Sub(last))
+			g.board.Passed(p.Lead, now.Sub(last), p.Pass, time.Since(g.start))
 		}
 		last = now
 		if errors.Is(err, io.EOF) && len(e) == 0 {
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -152,30 +152,32 @@
 // ticket names the reservations of a placement.
 func ticket(id schedule.ID) string { return fmt.Sprintf("%x-%x", id.Host, id.Number) }
 
-// blames reports whether a try that ended so is evidence against its server:
-// not where our own time or right had run out, or the server answered.
-func (c *call) blames(out outcome) bool {
-	if out.why == "not_allowed" || out.why == "out_of_time" || !time.Now().Before(c.deadline) {
-		return false
-	}
-	return out.result != failed || out.answer == nil
-}
-
-// judge notes evidence for and against the server.
+// judge notes evidence for and against the server. Where our own time or
+// right had run out there is none.
 func (g *Gateway) judge(c *call, p schedule.Placement, out outcome) {
-	switch out.result {
-	case answered:
-		g.board.Served(p.Lead)
-	case unsent, failed, refused:
-		blamed := p.Lead
-		if s, ok := g.state().Servers.Find(out.fault); ok && out.fault != "" {
-			blamed = s.ID
-		}
-		c.tried[blamed] = true
-		if !c.blames(out) {
-			return
-		}
-		rest := g.board.Failed(blamed, time.Since(g.start))
+	now := time.Since(g.start)
+	var rest time.Duration
+	switch {
+	case out.result == answered:
+		g.board.Answered(p.Service, p.Lead, false, now)
+		return
+	case out.result == callerGone, out.result == final:
+		return
+	}
+	blamed := p.Lead
+	if s, ok := g.state().Servers.Find(out.fault); ok && out.fault != "" {
+		blamed = s.ID
+	}
+	c.tried[blamed] = true
+	switch {
+	case out.why == "not_allowed", out.why == "out_of_time", !time.Now().Before(c.deadline):
+		return
+	case out.result == failed && out.answer != nil:
+		rest = g.board.Answered(p.Service, blamed, true, now)
+	default:
+		rest = g.board.Failed(blamed, now)
+	}
+	if rest > 0 {
 		g.log.Write(event.ServerAvoided, slog.String("id", c.id), slog.String("server", blamed),
 			slog.String("why", out.why), slog.Duration("rest", rest))
 	}
