--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -32,7 +32,7 @@
 	// share, over the whole service.
 	orderCost = 0.05
 	// helperCost is for each helper: one that goes costs the whole request.
-	helperCost = 0.002
+	helperCost = 0.004
 	// fullCost is for memory, or helpers, that are not there.
 	fullCost = 2
 	// leftValue is what streams lose beyond a late answer by a pause so long
@@ -44,9 +44,14 @@
 	spreadCost = 0.1
 )
 
-// leastPart is the smallest part of a prompt that is worth a helper: its
-// reading takes about as long as a few steps.
-const leastPart = 800
+const (
+	// leastPart is the smallest part of a prompt that is worth a helper: its
+	// reading takes about as long as a pass of a few steps.
+	leastPart = 800
+	// alone is the part of its objective up to which a prompt is read by one
+	// engine: a helper that can't be reached would refuse it for nothing.
+	alone = 0.5
+)
 
 type (
 	// state is what is predicted of one engine.
@@ -109,6 +114,9 @@
 		if k == 1 || c.cost < best.cost {
 			best = c
 		}
+		if k == 1 && best.harm == 0 && float64(best.first) < alone*float64(r.Objective) {
+			break
+		}
 	}
 	p.Lead, p.First, p.Shares = best.lead.server.ID, best.first, best.shares
 	p.Fits = best.fits
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -222,3 +222,11 @@
 		t.Errorf("after a minute %v is predicted, at first %v", p.First, first.First)
 	}
 }
+
+func TestPromptInTimeAloneGetsNoHelpers(t *testing.T) {
+	r := short
+	r.Work.Prompt = 10_000
+	if p := place(t, schedule.NewBoard(1), servers(18), r); len(p.Helpers) > 0 {
+		t.Errorf("%d helpers for a prompt that one engine reads in time", len(p.Helpers))
+	}
+}
