Let streams that would only be late come back sooner

Cause: a short stream that was postponed in a burst came back after 2 to 3 s, whatever the shortage was. It now comes back after twice the predicted time. Tests of the bounds and of coming back once.

--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -30,6 +31,9 @@
 	KeyScheme: "Key ", Private: []string{"Authorization", "Workspace", "Only", "Rank", "Readers", "Host", "Content-Length"},
 }
 
+// engine reads a prompt of 10,000 tokens in a tenth of a second.
+var engine = &site.Engine{Slots: 4, Memory: 100_000, Stride: 1, Step: time.Millisecond, ReadRate: 100_000, Chunk: 1000}
+
 type (
 	// server is a backend server that answers as a test says.
 	server struct {
@@ -122,6 +126,9 @@
 		f.servers = append(f.servers, s)
 		book.Put(backend.Server{ID: fmt.Sprintf("i%d", i), Service: "plain", Addr: s.addr, Slots: 4}, int64(i+1))
 	}
+	if len(f.servers) > 0 {
+		book.Put(backend.Server{ID: "e0", Service: "engine", Addr: f.servers[0].addr, Slots: 4}, 100)
+	}
 	f.view = book.View(0)
 	route := func(name string, k site.Kind, attempts int) site.Route {
 		return site.Route{
@@ -132,10 +139,13 @@
 	}
 	public := route("public", site.Repeatable, 1)
 	public.Public = true
+	late := route("late", site.Stream, 2)
+	late.Objective, late.Targets[0].Service = time.Nanosecond, "engine"
 	f.config = site.New(1, []site.Route{
 		route("safe", site.Repeatable, 2), route("once", site.Once, 1), route("once-two", site.Once, 2),
 		route("resume", site.Stream, 2), route("stream", site.Stream, 2), public,
-	}, []site.Service{{Name: "plain"}}, map[string]site.Workspace{"k1": {Name: "w1"}},
+		late,
+	}, []site.Service{{Name: "plain"}, {Name: "engine", Engine: engine}}, map[string]site.Workspace{"k1": {Name: "w1"}},
 		site.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 10})
 	l := decision.New(io.Discard)
 	t.Cleanup(l.Close)
@@ -385,3 +395,33 @@
 		})
 	}
 }
+
+// TestLateStreamsComeBackOnce has a route whose objective nothing can meet.
+func TestLateStreamsComeBackOnce(t *testing.T) {
+	for name, tc := range map[string]struct {
+		wait        string // that the caller has left, of 5 s
+		status      int
+		least, most float64 // seconds until it may come back
+	}{
+		"the first time": {"5000", 503, 0.3, 0.5},
+		"once back":      {"4000", 200, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, streamFrom(events))
+			a := f.ask("POST", "/late/", "b", "Size", "10000,10", "Wait-Ms", tc.wait)
+			if a.status != tc.status {
+				t.Fatalf("status %d, want %d", a.status, tc.status)
+			}
+			if tc.status == 200 {
+				return
+			}
+			after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			if err != nil || after < tc.least || after > tc.most {
+				t.Errorf("come back after %q s, want %v to %v", a.header.Get("Retry-After"), tc.least, tc.most)
+			}
+			if f.runs() != 0 {
+				t.Error("a refused stream has run")
+			}
+		})
+	}
+}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -118,6 +118,9 @@
 		return nil
 	}
 	after := time.Duration(returnPart * float64(left) / (1 + spread))
+	if p.Displaces <= 1 {
+		after = min(after, max(returnFirsts*p.First, leastReturn))
+	}
 	g.metrics.Count("gateway_postponed", 1, "route", c.route.Name)
 	return refuse(http.StatusServiceUnavailable, "engines_busy", after)
 }
@@ -132,8 +135,14 @@
 	// at counters their time.
 	returnedMost = 8
 	// returnPart is the part of their time after which callers still come
-	// back.
+	// back: a third, and a little less for the way.
 	returnPart = 0.3
+	// returnFirsts is after how many of its predicted times a call that would
+	// only be late comes back, leastReturn the least: by then about as many
+	// slots were free as were missing, and its caller waits no longer than
+	// need be.
+	returnFirsts = 2
+	leastReturn  = 300 * time.Millisecond
 )
 
 // hold sets memory aside on the helpers of a placement that need it.
