Trust predictions nearer to the bounds; open engines for short streams sooner

Cause: predictions of first tokens err by 5 ms at the median, so counting a loss from 0.7 of a bound on gave away room.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -18,7 +18,7 @@
 	lateShare = 0.75
 	// nearBound is the part of a bound from which on a prediction counts
 	// towards its loss, growing to the whole at the bound: predictions err.
-	nearBound = 0.7
+	nearBound = 0.85
 	// delayCost is for a first token at the objective beside one at once.
 	delayCost = 0.3
 	// laterCost is for each further objective that passes: a late answer is
@@ -27,7 +27,7 @@
 	// openCost is for the first stream on an engine without any as sensitive
 	// to pauses. It keeps such streams together, so that long prompts find
 	// engines where nobody minds.
-	openCost = 0.35
+	openCost = 0.2
 	// orderCost puts the engines of a service in one order that all hosts
 	// share, over the whole service.
 	orderCost = 0.05
