Bound tries that never leave; tell news only of what is sent; smaller pieces

Cause (read, then shown by a test): a call whose memory is never there was placed again without a pause or a bound; the test counted 282,125 orders in 3.75 s. Tries that never leave are now bounded, whatever the reason. News told of placements that were refused at once. Start of the entry daemon, postponing and the log line of a placement stand by themselves now.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -338,37 +338,42 @@
 	return st
 }
 
-func (st *state) add(now time.Duration, e *site.Engine, p *Placement) {
-	if !p.writing && now-p.Begun < 2*p.First+st.reading {
-		st.reading += readTime(e, p.Work.Prompt, len(p.Helpers)+1)
+// readSlack is how much later than twice the predicted time a prompt counts as
+// read although its first token was not heard of.
+const readSlack = 500 * time.Millisecond
+
+// add counts a placement.
+func (s *state) add(now time.Duration, e *site.Engine, p *Placement) {
+	if !p.writing && now-p.Begun < 2*p.First+readSlack {
+		s.reading += readTime(e, p.Work.Prompt, len(p.Helpers)+1)
 		if p.Objective > 0 {
 			// Its first token waits for the last of its parts, so each part
 			// stands for its share of the harm.
 			value := Value(e, p.Work) / float64(len(p.Helpers)+1)
-			st.waiters = append(st.waiters, waiter{now - p.Begun, p.Objective, value})
+			s.waiters = append(s.waiters, waiter{now - p.Begun, p.Objective, value})
 		}
 	}
 	shared := 0
 	for _, h := range p.Shares {
 		shared += h.Tokens
-		if h.Server == st.server.ID {
-			st.context += h.Tokens
+		if h.Server == s.server.ID {
+			s.context += h.Tokens
 		}
 	}
-	if p.Lead != st.server.ID {
+	if p.Lead != s.server.ID {
 		if !p.writing {
-			st.helping++
+			s.helping++
 		}
 		return
 	}
-	st.running++
-	st.answers += p.Work.Answer
-	st.context += p.Work.Prompt + p.Work.Answer - shared
+	s.running++
+	s.answers += p.Work.Answer
+	s.context += p.Work.Prompt + p.Work.Answer - shared
 	if p.Gap <= 0 {
 		return
 	}
-	st.streams = append(st.streams, stream{p.Gap, Value(e, p.Work)})
-	if st.tightest == 0 || p.Gap < st.tightest {
-		st.tightest = p.Gap
+	s.streams = append(s.streams, stream{p.Gap, Value(e, p.Work)})
+	if s.tightest == 0 || p.Gap < s.tightest {
+		s.tightest = p.Gap
 	}
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -195,23 +195,11 @@
 
 // Start listens and serves until Stop.
 func (e *Entry) Start(ctx context.Context) error {
-	ctx, e.cancel = context.WithCancel(ctx)
 	s := e.settings.Load()
-	callers, err := net.Listen("tcp4", s.Listen.Callers)
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	ready, err := net.Listen("tcp4", s.Listen.Readiness)
-	if err != nil {
-		return errors.Wrap(err, "listen for readiness")
-	}
-	figures, err := net.Listen("tcp4", s.Listen.Metrics)
-	if err != nil {
-		return errors.Wrap(err, "listen for metrics")
-	}
-	told, err := net.Listen("tcp4", s.Listen.News)
+	l := s.Listen
+	listeners, err := listen(l.Callers, l.Readiness, l.Metrics, l.News)
 	if err != nil {
-		return errors.Wrap(err, "listen for other hosts")
+		return err
 	}
 	e.callers = &http.Server{
 		Handler:           e.gateway,
@@ -219,24 +207,38 @@
 		ReadHeaderTimeout: headerTime,
 		MaxHeaderBytes:    headerBytes,
 	}
-	go e.serve(e.callers, callers)
-	go e.serve(&http.Server{Handler: http.HandlerFunc(e.readiness), ReadHeaderTimeout: headerTime}, ready)
-	go e.serve(&http.Server{Handler: http.HandlerFunc(e.figures), ReadHeaderTimeout: headerTime}, figures)
-	go func() {
-		if err := e.relay.Serve(told); err != nil {
-			e.log.Write(event.HandlerPanic, slog.String("listener", told.Addr().String()), slog.String("error", err.Error()))
-		}
-	}()
+	ctx, e.cancel = context.WithCancel(ctx)
+	go e.serve(e.callers, listeners[0])
+	go e.serve(&http.Server{Handler: http.HandlerFunc(e.readiness), ReadHeaderTimeout: headerTime}, listeners[1])
+	go e.serve(&http.Server{Handler: http.HandlerFunc(e.figures), ReadHeaderTimeout: headerTime}, listeners[2])
+	go e.serve(e.relay, listeners[3])
 	go e.watcher.Run(ctx)
 	go e.news.Run()
 	go e.announce(ctx)
 	go e.upkeep(ctx)
-	e.log.Write(event.DaemonReady, slog.String("callers", s.Listen.Callers), slog.String("hall", s.Hall))
+	e.log.Write(event.DaemonReady, slog.String("callers", l.Callers), slog.String("hall", s.Hall))
 	return nil
 }
 
-func (e *Entry) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+// listen opens listeners in order, or none.
+func listen(addrs ...string) ([]net.Listener, error) {
+	var open []net.Listener
+	for _, a := range addrs {
+		l, err := net.Listen("tcp4", a)
+		if err != nil {
+			for _, o := range open {
+				_ = o.Close() // the error before it is the one to tell
+			}
+			return nil, errors.Wrapf(err, "listen on %s", a)
+		}
+		open = append(open, l)
+	}
+	return open, nil
+}
+
+// serve answers on l until its server is closed.
+func (e *Entry) serve(s interface{ Serve(net.Listener) error }, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		e.log.Write(event.HandlerPanic, slog.String("listener", l.Addr().String()), slog.String("error", err.Error()))
 	}
 }
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -30,6 +30,7 @@
 	lastEvent string // of the caller, or the last that was passed on
 
 	attempts int             // servers that it reached
+	unsent   int             // tries of which nothing left this host
 	tried    map[string]bool // servers that failed it
 	may      bool            // it may have run, or may be running
 	begun    bool            // the head of an answer went to the caller
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -185,7 +185,8 @@
 		return false
 	}
 	if out.result == unsent {
-		return len(c.tried) <= maxUnsent
+		c.unsent++
+		return c.unsent <= maxUnsent
 	}
 	if c.attempts >= max(c.route.Attempts, 1) {
 		c.note += ",attempts_used"
@@ -198,8 +199,8 @@
 	return true
 }
 
-// maxUnsent bounds how many servers are tried that can't be reached; each may
-// take the dial timeout.
+// maxUnsent bounds how often nothing leaves for a server, since it can't be
+// reached or has no memory; each time may take the dial timeout.
 const maxUnsent = 4
 
 // place chooses servers for a call.
@@ -215,8 +216,5 @@
 		Hall:      g.hall,
 		Avoid:     c.tried,
 	})
-	if ok {
-		g.placed(p)
-	}
 	return p, service, ok
 }
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/gateway"
+	"slipcrank.example/daemon/memory"
 	"slipcrank.example/daemon/telemetry"
 	"slipcrank.example/daemon/upstream"
 )
@@ -59,6 +61,8 @@
 		view    *backend.View
 		config  *site.Config
 		fresh   bool
+		// reserved counts orders for memory, of which there is none.
+		reserved atomic.Int64
 	}
 )
 
@@ -126,8 +130,8 @@
 		f.servers = append(f.servers, s)
 		book.Put(backend.Server{ID: fmt.Sprintf("i%d", i), Service: "plain", Addr: s.addr, Slots: 4}, int64(i+1))
 	}
-	if len(f.servers) > 0 {
-		book.Put(backend.Server{ID: "e0", Service: "engine", Addr: f.servers[0].addr, Slots: 4}, 100)
+	for i, s := range f.servers {
+		book.Put(backend.Server{ID: fmt.Sprintf("e%d", i), Service: "engine", Addr: s.addr, Slots: 4}, int64(100+i))
 	}
 	f.view = book.View(0)
 	route := func(name string, k site.Kind, attempts int) site.Route {
@@ -152,7 +156,14 @@
 	budget := limit.NewWindow(10*time.Second, 0.2, func() float64 { return 10 })
 	f.gateway = gateway.New(dialect, func() gateway.State { return gateway.State{Config: f.config, Servers: f.view} },
 		upstream.New(), schedule.NewBoard(1), budget, l, telemetry.NewMetrics(),
-		gateway.WithProof(func() bool { return f.fresh }, func() bool { return f.fresh }))
+		gateway.WithProof(func() bool { return f.fresh }, func() bool { return f.fresh }),
+		gateway.WithMemory(memory.New(memory.Orders{
+			Reserve: func(context.Context, string, string, int, time.Duration) error {
+				f.reserved.Add(1)
+				return memory.ErrNoRoom
+			},
+			Release: func(context.Context, string, string) error { return nil },
+		}, l)))
 	f.front = httptest.NewServer(f.gateway)
 	t.Cleanup(f.front.Close)
 	return f
@@ -425,3 +436,14 @@
 		})
 	}
 }
+
+func TestMemoryThatIsNeverThereEndsInARefusal(t *testing.T) {
+	f := start(t, streamFrom(events), streamFrom(events))
+	a := f.ask("POST", "/late/", "b", "Size", "150000,10", "Wait-Ms", "4500")
+	if a.status != 503 || f.runs() != 0 {
+		t.Errorf("status %d after %d runs, want 503 after none", a.status, f.runs())
+	}
+	if n := f.reserved.Load(); n < 1 || n > 10 {
+		t.Errorf("memory was asked for %d times", n)
+	}
+}
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/event"
 )
 
@@ -25,3 +26,12 @@
 		slog.String("why", c.note), slog.Int("attempts", c.attempts), slog.String("last_event", c.lastEvent),
 		slog.Duration("first", out.first), slog.Duration("pause", c.pause), slog.Duration("held", time.Since(c.arrived)))
 }
+
+// logPlaced writes where a call goes, and by what that was decided.
+func (g *Gateway) logPlaced(c *call, s State, p schedule.Placement) {
+	g.log.Write(event.RequestPlaced, slog.String("id", c.id), slog.String("route", c.route.Name),
+		slog.String("server", p.Lead), slog.Int("readers", len(p.Helpers)), slog.Int("shares", len(p.Shares)),
+		slog.Float64("displaces", p.Displaces), slog.Int("lead_runs", p.LeadRuns), slog.Duration("lead_reads", p.LeadReads),
+		slog.Int("prompt", c.work.Prompt), slog.Duration("predicted", p.First),
+		slog.Int64("configuration", s.Config.Version()))
+}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -71,21 +71,17 @@
 	if !ok {
 		return outcome{result: final, why: "no_server", no: refuse(http.StatusServiceUnavailable, "no_server", busyWait)}
 	}
-	defer func() {
-		g.board.Ended(p.ID)
-		g.ended(p.ID)
-	}()
+	defer g.board.Ended(p.ID)
 	server, _ := s.Servers.Get(p.Lead)
-	g.log.Write(event.RequestPlaced, slog.String("id", c.id), slog.String("route", c.route.Name),
-		slog.String("server", p.Lead), slog.Int("readers", len(p.Helpers)), slog.Int("shares", len(p.Shares)), slog.Float64("displaces", p.Displaces), slog.Int("lead_runs", p.LeadRuns), slog.Duration("lead_reads", p.LeadReads),
-		slog.Int("prompt", c.work.Prompt),
-		slog.Duration("predicted", p.First), slog.Int64("configuration", s.Config.Version()))
+	g.logPlaced(c, s, p)
 	if !p.Fits && service.Engine != nil && c.work.Prompt > service.Engine.Memory {
 		return outcome{result: final, why: "no_memory", server: p.Lead, no: refuse(http.StatusServiceUnavailable, "no_memory", memoryWait)}
 	}
 	if no := g.postpone(c, p); no != nil {
 		return outcome{result: final, why: no.why, server: p.Lead, no: no}
 	}
+	g.placed(p)
+	defer g.ended(p.ID)
 	hold, err := g.hold(ctx, s, p)
 	if err != nil {
 		return outcome{result: unsent, why: "memory_not_held", server: p.Lead, service: service.Name}
@@ -99,52 +95,6 @@
 	return out
 }
 
-// postpone refuses a call that can't be served in its time, and asks one to
-// come back that would be late, or displace more than it is worth: taken in
-// now, it would make others late as well. One that has come back is served.
-func (g *Gateway) postpone(c *call, p schedule.Placement) *refusal {
-	if c.attempts > 0 || c.may {
-		return nil
-	}
-	left := time.Until(c.deadline)
-	if p.First > left {
-		return refuse(http.StatusServiceUnavailable, "no_time", busyWait)
-	}
-	if p.Displaces > returnedMost {
-		return refuse(http.StatusServiceUnavailable, "engines_full", memoryWait)
-	}
-	late := c.route.Kind == site.Stream && time.Since(c.arrived)+p.First > c.route.Objective
-	if !late && p.Displaces <= 1 || left < time.Duration(firstPart*float64(c.route.Timeout)) {
-		return nil
-	}
-	after := time.Duration(returnPart * float64(left) / (1 + spread))
-	if p.Displaces <= 1 {
-		after = min(after, max(returnFirsts*p.First, leastReturn))
-	}
-	g.metrics.Count("gateway_postponed", 1, "route", c.route.Name)
-	return refuse(http.StatusServiceUnavailable, "engines_busy", after)
-}
-
-const (
-	// firstPart is the part of a route's time that a caller has left when it
-	// asks for the first time; callers that come back have less.
-	firstPart = 0.93
-	// returnedMost is by how many times what a call displaces may exceed its
-	// value if it has come back: far more than at first, since its caller has
-	// waited, yet short of one late manuscript that costs a hundred callers
-	// at counters their time.
-	returnedMost = 8
-	// returnPart is the part of their time after which callers still come
-	// back: a third, and a little less for the way.
-	returnPart = 0.3
-	// returnFirsts is after how many of its predicted times a call that would
-	// only be late comes back, leastReturn the least: by then about as many
-	// slots were free as were missing, and its caller waits no longer than
-	// need be.
-	returnFirsts = 2
-	leastReturn  = 300 * time.Millisecond
-)
-
 // hold sets memory aside on the helpers of a placement that need it.
 func (g *Gateway) hold(ctx context.Context, s State, p schedule.Placement) (*memory.Hold, error) {
 	if len(p.Shares) == 0 || g.memory == nil {
