--- a/cmd/slipcrankd/entry.go
+++ b/cmd/slipcrankd/entry.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"slipcrank.example/clients/web"
 	"slipcrank.example/daemon/entry"
@@ -13,8 +14,13 @@
 	"slipcrank.example/platform"
 )
 
+// settingsPeriod is how often the settings file is looked at, since it may
+// change without a signal; none of the settings is urgent.
+const settingsPeriod = 2 * time.Second
+
 // runEntry serves as an entry host on the users' platform until SIGTERM, and
-// returns the exit code. SIGHUP reads the settings again.
+// returns the exit code. SIGHUP, or a changed file, has
+// the settings read again.
 func runEntry() int {
 	path := platform.SettingsPath()
 	s, err := settings.LoadEntry(path)
@@ -38,6 +44,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go settings.Follow(ctx, path, settingsPeriod, e.Reload)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for sig := range signals {
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -1,7 +1,9 @@
 package settings_test
 
 import (
+	"context"
 	"os"
+	"path/filepath"
 	"reflect"
 	"strings"
 	"testing"
@@ -146,3 +148,48 @@
 		})
 	}
 }
+
+func TestFollow(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	write := func(text string) {
+		t.Helper()
+		// A new file in one step, as the platform lays it.
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(entryText)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	type told struct {
+		settings settings.Entry
+		err      error
+	}
+	heard := make(chan told, 1)
+	go settings.Follow(ctx, path, time.Millisecond, func(s settings.Entry, err error) {
+		select {
+		case heard <- told{s, err}:
+		case <-ctx.Done():
+		}
+	})
+	// The first look at the file may come after a change; so change it until
+	// one is told.
+	changed := told{}
+	for n := 0; changed.settings.Host == ""; n++ {
+		write(strings.Replace(entryText, "host: h", "host: h"+strings.Repeat("x", n%20), 1))
+		select {
+		case changed = <-heard:
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	if changed.err != nil {
+		t.Errorf("got %v", changed.err)
+	}
+	write("host: [")
+	for changed.err == nil {
+		changed = <-heard
+	}
+}
