Soak: wait until a server's address is free; keep seed 122

Cause: a server closed before its goroutine served leaves its listener open for a moment. Ruled out: a daemon on that address (each has an IP number of its own). The seed is played with the tests from now on.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -120,7 +120,7 @@
 	if s.http == nil {
 		return // it is being replaced
 	}
-	old, id := s.http, s.id
+	old, id, ended := s.http, s.id, s.ended
 	s.http = nil
 	leave := time.Duration(0)
 	if w.rnd.IntN(2) == 0 {
@@ -129,7 +129,8 @@
 	}
 	go func() {
 		_ = pause.For(ctx, leave) // it ends in any case
-		_ = old.Close()
+		_ = old.Close() // its listener is what counts
+		<-ended
 		w.store.RemoveServer(id)
 		_ = pause.For(ctx, d) // the next begins in any case
 		if err := w.begin(s); err != nil {
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -88,7 +88,8 @@
 		id     string
 		server *standin.Server
 		all    []*standin.Server
-		http   *http.Server // nil while there is none
+		http   *http.Server  // nil while there is none
+		ended  chan struct{} // closed once its address is free
 	}
 )
 
@@ -193,7 +194,11 @@
 	s.server = standin.NewServer(s.id, service)
 	s.all = append(s.all, s.server)
 	s.http = &http.Server{Handler: s.server}
-	go func(h *http.Server) { _ = h.Serve(l) }(s.http) // ends with Close
+	s.ended = make(chan struct{})
+	go func(h *http.Server, ended chan struct{}) {
+		_ = h.Serve(l) // ends with Close
+		close(ended)
+	}(s.http, s.ended)
 	w.announce(s, false)
 	return nil
 }
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -19,8 +19,10 @@
 	keep  = flag.String("soak.keep", "", "a folder for settings and logs")
 )
 
-// failed are seeds that broke a promise once, with the cause.
-var failed = []uint64{}
+// failed are seeds that failed once, with the cause.
+var failed = []uint64{
+	122, // the soak's own: a server was closed before it served, and its address was still in use
+}
 
 func TestSoak(t *testing.T) {
 	dir := *keep
