--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -129,7 +129,7 @@
 	}
 	go func() {
 		_ = pause.For(ctx, leave) // it ends in any case
-		_ = old.Close() // its listener is what counts
+		_ = old.Close()           // its listener is what counts
 		<-ended
 		w.store.RemoveServer(id)
 		_ = pause.For(ctx, d) // the next begins in any case
