Read once more: call what is there, and say each thing once

Found on reading the whole change. Hosts that read the platform are ranked by route.Rank, which the project had, in place of a sort of our own made twice each quarter second; which hosts come first differs, how many and that all agree does not. Settings of both kinds share one reader and one decoder. One decayed count serves servers and services; the head of a stream is sent in one place; two cases of giving up were one. Figures of ranks have names again. Comments said what the code did not: the bound on whole answers (there is none), the usage of freshness, what the retry window counts.

--- a/cmd/slipcrankd/entry.go
+++ b/cmd/slipcrankd/entry.go
@@ -19,8 +19,8 @@
 const settingsPeriod = 2 * time.Second
 
 // runEntry serves as an entry host on the users' platform until SIGTERM, and
-// returns the exit code. SIGHUP, or a changed file, has
-// the settings read again.
+// returns the exit code. SIGHUP, or a changed file, has the settings read
+// again.
 func runEntry() int {
 	path := platform.SettingsPath()
 	s, err := settings.LoadEntry(path)
--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -9,8 +9,8 @@
 //
 // # Usage
 //
-//	c := freshness.NewClock(time.Since(start))
-//	c.Observe(sent, arrived, stamp)
+//	c := freshness.NewClock()
+//	c.Observe(sent, stamp)
 //	age := c.Age(stamp, now)    // at least the true age
 package freshness
 
--- a/core/limit/window.go
+++ b/core/limit/window.go
@@ -38,7 +38,7 @@
 	return &Window{span: span, share: share, slack: slack, start: time.Now(), services: map[string]*counts{}}
 }
 
-// Arrived counts a request for each service that it may go to.
+// Arrived counts a request for the service that it most likely goes to.
 func (w *Window) Arrived(targets []site.Target, now time.Time) {
 	if len(targets) == 0 {
 		return
--- a/core/schedule/trouble.go
+++ b/core/schedule/trouble.go
@@ -13,9 +13,10 @@
 	longestRest = 4 * time.Second
 	// most is the largest part of a service's servers that rest at once.
 	most = 0.5
-	// memory is the part of earlier answers that counts on with each further
-	// one: about the last ten count.
-	memory = 0.9
+	// serverDecay and serviceDecay are the part of earlier answers that counts
+	// on with each further one: about the last ten of a server count, and the
+	// last hundred of a service.
+	serverDecay, serviceDecay = 0.9, 0.99
 	// fewAnswers is how many answers have to count before a server may be
 	// taken for worse than the others.
 	fewAnswers = 3
@@ -40,8 +41,9 @@
 	failed, all float64
 }
 
-func (a answers) with(failed bool) answers {
-	a.failed, a.all = a.failed*memory, a.all*memory+1
+// with returns the counts with one more answer, on top of the decayed ones.
+func (a answers) with(failed bool, decay float64) answers {
+	a.failed, a.all = a.failed*decay, a.all*decay+1
 	if failed {
 		a.failed++
 	}
@@ -81,31 +83,20 @@
 func (b *Board) Answered(service, server string, failed bool, now time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	own := b.answers[server].with(failed)
+	own := b.answers[server].with(failed, serverDecay)
 	b.answers[server] = own
 	usual := b.usual[service]
 	if own.all >= fewAnswers && own.part(0) > worseTimes*usual.part(supposed)+worsePart {
 		return b.rest(server, now)
 	}
 	// Servers that are much worse don't change what is usual.
-	b.usual[service] = answers{usual.failed * slowMemory, usual.all * slowMemory}.plus(failed)
+	b.usual[service] = usual.with(failed, serviceDecay)
 	if !failed {
 		delete(b.trouble, server)
 	}
 	return 0
 }
 
-// slowMemory is as memory, for a whole service.
-const slowMemory = 0.99
-
-func (a answers) plus(failed bool) answers {
-	a.all++
-	if failed {
-		a.failed++
-	}
-	return a
-}
-
 // able returns the servers that a request may go to. Servers that rest are
 // left out unless too many do.
 func (b *Board) able(now time.Duration, servers []backend.Server, avoid map[string]bool) []backend.Server {
--- a/daemon/entry/readers.go
+++ b/daemon/entry/readers.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -9,14 +8,15 @@
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"slipcrank.example/core/pause"
+	"slipcrank.example/core/route"
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/watch"
 )
 
 const (
+	// readersKey is what hosts are ranked by.
+	readersKey = "readers"
 	// hallReaders is how many hosts of a hall ask the platform. With two, the
 	// loss of one delays nothing.
 	hallReaders = 2
@@ -70,25 +70,25 @@
 // platform.
 func (e *Entry) chooseReaders(r *readers) {
 	s := e.settings.Load()
-	hosts := e.liveHosts()
-	own := watch.Host{Name: s.Host, Addr: s.Listen.News, Hall: s.Hall}
-	var hall, others []watch.Host
-	for _, h := range hosts {
+	hall, others := []string{s.Host}, []string{}
+	addrs := map[string]string{}
+	for _, h := range e.liveHosts() {
+		addrs[h.Name] = h.Addr
 		if h.Hall == s.Hall {
-			hall = append(hall, h)
+			hall = append(hall, h.Name)
 		} else {
-			others = append(others, h)
+			others = append(others, h.Name)
 		}
 	}
-	byRank(others)
+	ranked := route.Rank(readersKey, hall)
+	place := slices.Index(ranked, s.Host)
+	reads := place < hallReaders
 	var hear []string
-	for _, h := range append(byRank(slices.Clone(hall)), others...) {
+	for _, name := range append(slices.Delete(ranked, place, place+1), route.Rank(readersKey, others)...) {
 		if len(hear) < heardHosts {
-			hear = append(hear, h.Addr)
+			hear = append(hear, addrs[name])
 		}
 	}
-	place := slices.Index(byRank(append(hall, own)), own)
-	reads := place < hallReaders
 	now := time.Now()
 	if age, ok := e.watcher.ToldAge(); !reads && (!ok || age > s.Bounds.Config-askMargin) {
 		r.asking = now.Add(askTime)
@@ -101,7 +101,7 @@
 	e.watcher.SetReading(reads)
 	e.relays.Hear(hear)
 	e.log.Write(event.RelayChosen, slog.Bool("asks", reads), slog.String("hears", strings.Join(hear, ",")),
-		slog.Int("hall", len(hall)+1))
+		slog.Int("hall", len(hall)))
 }
 
 // liveHosts are the others that have told something lately.
@@ -114,12 +114,3 @@
 	}
 	return live
 }
-
-// byRank sorts hosts in an order that is the same on all of them, and returns
-// them.
-func byRank(hosts []watch.Host) []watch.Host {
-	slices.SortFunc(hosts, func(a, b watch.Host) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
-	})
-	return hosts
-}
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -88,12 +88,10 @@
 	switch {
 	case out.no != nil && !c.may:
 		g.answerRefusal(w, c, out.no)
-	case out.answer != nil && !c.may:
+	case !c.may:
 		g.answerRefusal(w, c, refuse(http.StatusServiceUnavailable, c.note, busyWait))
 	case out.answer != nil && !promises(out.answer.status):
 		g.pass(w, c, out)
-	case !c.may:
-		g.answerRefusal(w, c, refuse(http.StatusServiceUnavailable, c.note, busyWait))
 	case late:
 		g.answerRefusal(w, c, refuse(http.StatusGatewayTimeout, c.note, 0))
 	default:
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -51,11 +51,7 @@
 			g.board.Started(p.ID)
 			g.started(p.ID)
 		}
-		if !c.begun {
-			head(w, a.Header)
-			w.WriteHeader(a.Status)
-			c.begun = true
-		}
+		begin(w, c, a)
 		if _, err := w.Write(e); err != nil {
 			out.result, out.why = callerGone, "caller_gone"
 			return out
@@ -71,16 +67,22 @@
 			break
 		}
 	}
-	if !c.begun {
-		head(w, a.Header)
-		w.WriteHeader(a.Status)
-		c.begun = true
-	}
+	begin(w, c, a)
 	a.Finish()
 	out.result, out.answer = answered, &whole{status: a.Status}
 	return out
 }
 
+// begin sends the head of a stream, unless that of an earlier try has gone out.
+func begin(w http.ResponseWriter, c *call, a *upstream.Answer) {
+	if c.begun {
+		return
+	}
+	head(w, a.Header)
+	w.WriteHeader(a.Status)
+	c.begun = true
+}
+
 // nextEvent reads one event with the empty line that ends it. At the end of
 // the stream it returns what is left and io.EOF.
 func nextEvent(r *bufio.Reader) ([]byte, error) {
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -31,9 +31,9 @@
 	callerGone               // nobody waits any more
 )
 
-// maxWhole is the largest answer that is read whole before it is passed on,
-// so that one that breaks can be asked for again.
-const maxWhole = 1 << 20
+// maxRefusal bounds what is read of a server's answer that says that it has
+// not run a request; the connection is kept if that is all of it.
+const maxRefusal = 1 << 20
 
 // errSilent is a server that has said nothing for too long.
 var errSilent = errors.New("the backend server has fallen silent")
@@ -178,11 +178,10 @@
 		return g.failure(c, err, "send")
 	}
 	defer a.Close()
+	c.attempts++
 	if a.Header.Get(g.dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
-		c.attempts++
 		return g.notRun(a)
 	}
-	c.attempts++
 	c.may = true
 	if c.route.Kind == site.Stream && a.Status == http.StatusOK {
 		return g.relay(w, c, p, a, al)
@@ -211,7 +210,7 @@
 
 // notRun takes in an answer that says that the request has not run.
 func (g *Gateway) notRun(a *upstream.Answer) outcome {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole))
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxRefusal))
 	if err == nil {
 		a.Finish()
 	}
@@ -333,8 +332,19 @@
 	if c.workspace.Priority >= 0 {
 		n = c.workspace.Priority
 	}
-	if c.route.Objective > time.Second {
-		n += 3
+	if c.route.Objective > counterObjective {
+		n += patientRanks
 	}
-	return min(n, 9)
+	return min(n, leastUrgent)
 }
+
+const (
+	// counterObjective is the longest objective of requests whose callers
+	// wait at a counter.
+	counterObjective = time.Second
+	// patientRanks is how many ranks the others stand behind them: the
+	// operators' priorities are 0 to 2.
+	patientRanks = 3
+	// leastUrgent is the last rank that engines know.
+	leastUrgent = 9
+)
--- a/daemon/settings/entry.go
+++ b/daemon/settings/entry.go
@@ -1,14 +1,6 @@
 package settings
 
-import (
-	"bytes"
-	"os"
-	"time"
-
-	"github.com/goccy/go-yaml"
-
-	"slipcrank.example/core/fault"
-)
+import "time"
 
 type (
 	// Entry are the settings of a daemon that serves as an entry host before
@@ -58,10 +50,9 @@
 
 // LoadEntry reads the settings of an entry host from a file and checks them.
 func LoadEntry(path string) (Entry, error) {
-	b, err := os.ReadFile(path)
+	b, err := read(path, "give a file that can be read")
 	if err != nil {
-		return Entry{}, fault.Newf(fault.BadRequest, "give a file that can be read",
-			"the settings can't be read: %v", err)
+		return Entry{}, err
 	}
 	return ParseEntry(b)
 }
@@ -69,10 +60,8 @@
 // ParseEntry reads the settings of an entry host from YAML and checks them.
 func ParseEntry(b []byte) (Entry, error) {
 	var s Entry
-	if err := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict()).Decode(&s); err != nil {
-		return Entry{}, fault.Newf(fault.BadRequest,
-			"mend the YAML; docs/OPERATIONS.md lists the keys",
-			"the settings can't be read: %s", yaml.FormatError(err, false, false))
+	if err := decode(b, &s); err != nil {
+		return Entry{}, err
 	}
 	return s, validate(s)
 }
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -132,10 +132,9 @@
 
 // Load reads settings from a file and checks them.
 func Load(path string) (Settings, error) {
-	b, err := os.ReadFile(path)
+	b, err := read(path, "give a file that can be read with --settings")
 	if err != nil {
-		return Settings{}, fault.Newf(fault.BadRequest, "give a file that can be read with --settings",
-			"the settings can't be read: %v", err)
+		return Settings{}, err
 	}
 	return Parse(b)
 }
@@ -143,12 +142,29 @@
 // Parse reads settings from YAML and checks them.
 func Parse(b []byte) (Settings, error) {
 	s := Default()
-	if err := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict()).Decode(&s); err != nil {
-		return Settings{}, fault.Newf(fault.BadRequest,
+	if err := decode(b, &s); err != nil {
+		return Settings{}, err
+	}
+	return s, s.Validate()
+}
+
+// read returns what a file holds, or a fault with the remedy.
+func read(path, remedy string) ([]byte, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Newf(fault.BadRequest, remedy, "the settings can't be read: %v", err)
+	}
+	return b, nil
+}
+
+// decode reads YAML into settings of either kind, refusing unknown keys.
+func decode(b []byte, settings any) error {
+	if err := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict()).Decode(settings); err != nil {
+		return fault.Newf(fault.BadRequest,
 			"mend the YAML; docs/OPERATIONS.md lists the keys",
 			"the settings can't be read: %s", yaml.FormatError(err, false, false))
 	}
-	return s, s.Validate()
+	return nil
 }
 
 // WithHall returns a copy of s for a hall.
