Bound writes to callers that stop reading, and answers that are held whole

Cause: found by reading. A caller that stops reading held its call for good; a plain answer was read without a bound, on hosts of 184 MB. Change: writes end a second after the call's deadline; answers above 16 MiB end as 502. Both tests fail without it (10 s in progress; status 200 of 17 MiB).

Also: a platform that says 410 to each question after a listing was listed without a pause (its test hangs without the change); a release that gets lost is repeated until the reservation has expired, and each try of a group has a name of its own, since a late release took the memory of the next try (both tests fail without). A soak that is killed takes its daemons along.

--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -78,6 +78,8 @@
 	c := exec.Command(h.binary, "entry")
 	c.Env = append(os.Environ(), platform.SettingsVariable+"="+h.settings)
 	c.Stdout, c.Stderr = h.log, h.log
+	// A soak that is killed leaves no daemon behind.
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		return err
 	}
--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -87,16 +87,19 @@
 	// run is the state of one request.
 	run struct {
 		*Dispatcher
-		request   Request
-		prompt    route.Prompt
-		emit      func(engine.Piece) error
-		excluded  map[string]bool
-		offset    int       // of the next token to pass on
-		holding   string    // reservation that pays for the memory, if any
-		heldUntil time.Time // until when it waits for more urgent groups; zero before its first choice
-		resumed   bool      // the resume that costs no budget has been used
-		outcome   Outcome
-		record    Record
+		request  Request
+		prompt   route.Prompt
+		emit     func(engine.Piece) error
+		excluded map[string]bool
+		offset   int    // of the next token to pass on
+		holding  string // reservation that pays for the memory, if any
+		// reservations counts the tries to reserve, each of which has a name of
+		// its own.
+		reservations int
+		heldUntil    time.Time // until when it waits for more urgent groups; zero before its first choice
+		resumed      bool      // the resume that costs no budget has been used
+		outcome      Outcome
+		record       Record
 	}
 )
 
--- a/daemon/dispatch/large.go
+++ b/daemon/dispatch/large.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
+
 	"maps"
 	"slices"
 	"time"
@@ -163,8 +165,11 @@
 // there are none to wait for.
 func looksAround(n int, wanted []string) bool { return n%lookAround == 0 || len(wanted) == 0 }
 
-// reserve takes the memory of all members, or of none.
-func (x *run) reserve(ctx context.Context, v *control.View, id string, ms []group.Member) (*reservation, error) {
+// reserve takes the memory of all members, or of none. Each try needs an ID of
+// its own, since what an earlier one gives back may still be on its way.
+func (x *run) reserve(ctx context.Context, v *control.View, line string, ms []group.Member) (*reservation, error) {
+	x.reservations++
+	id := fmt.Sprintf("%s-%d", line, x.reservations)
 	err := group.Reserve(ctx, ms, func(ctx context.Context, m group.Member) error {
 		return x.engines.Reserve(ctx, m.Addr, x.holdingOf(v, id, m))
 	}, func(m group.Member) { x.release(id, m) })
--- a/daemon/dispatch/reservation.go
+++ b/daemon/dispatch/reservation.go
@@ -21,6 +21,9 @@
 	// before a member counts as lost.
 	renewTime = time.Second
 	lostAfter = 2
+	// releasePause is the longest pause before an engine that did not answer
+	// is told again to give memory back.
+	releasePause = 500 * time.Millisecond
 )
 
 type (
@@ -93,10 +96,27 @@
 	})
 }
 
+// release gives a member's memory back. An engine that does not answer is told
+// again until the reservation has expired by itself: until then nobody else
+// gets the memory.
 func (x *run) release(id string, m group.Member) {
 	x.background(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-		defer cancel()
-		_ = x.engines.Release(ctx, m.Addr, id) // what is missed expires
+		for begun := time.Now(); ; {
+			err := x.releaseOnce(id, m)
+			if err == nil {
+				return
+			}
+			if time.Since(begun) > holdTime {
+				event.ReleaseLost.Warn("reservation", id, "engine", m.Addr, "error", err.Error())
+				return
+			}
+			_ = pause.UpTo(context.Background(), releasePause) // never ends early
+		}
 	})
 }
+
+func (x *run) releaseOnce(id string, m group.Member) error {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	return x.engines.Release(ctx, m.Addr, id)
+}
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -44,6 +44,7 @@
 	RequestResumed  = Event{1502, "stream resumed on another engine"}
 	PieceDropped    = Event{1503, "piece of another attempt dropped"}
 	GroupBroken     = Event{1504, "engine of a group has gone"}
+	ReleaseLost     = Event{1505, "engine was not told to give memory back"}
 	ClaimUndecided  = Event{1601, "claim undecided"}
 	ClaimUnknown    = Event{1602, "outcome of a call unknown"}
 	AnswerNotStored = Event{1603, "answer of a call not stored"}
@@ -76,7 +77,7 @@
 	MemberJoined, MemberSuspected, MemberGone,
 	EngineUp, EngineLeaving, EngineDown, CacheResync, HoldingFreed,
 	TemplatesMoved, TemplateApplied, SnapshotLoaded, LogTrimmed,
-	RequestFailed, RequestResumed, PieceDropped, GroupBroken,
+	RequestFailed, RequestResumed, PieceDropped, GroupBroken, ReleaseLost,
 	ClaimUndecided, ClaimUnknown, AnswerNotStored,
 	LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 	PlatformLost, PlatformBack,
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -123,6 +123,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	now := time.Now()
+	g.boundWrites(w, now.Add(defaultHold))
 	c, no := g.read(r, now)
 	if no == nil {
 		no = g.stopping(c, now)
@@ -131,12 +132,24 @@
 		g.answerRefusal(w, c, no)
 		return
 	}
+	g.boundWrites(w, c.deadline)
 	g.budget.Arrived(c.route.Targets, now)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	g.run(ctx, w, c)
 }
 
+// boundWrites ends writes to a caller that has not taken them in by the time
+// its answer is due: one that stops reading would hold its call for good.
+func (g *Gateway) boundWrites(w http.ResponseWriter, due time.Time) {
+	// It fails only if the caller has gone, which the next write tells.
+	_ = http.NewResponseController(w).SetWriteDeadline(due.Add(writeSlack))
+}
+
+// writeSlack is for an answer that ends a call at its deadline to be written,
+// also on a host that gets a fifth of a core.
+const writeSlack = time.Second
+
 // stopping refuses a call that may not end before a planned stop does.
 func (g *Gateway) stopping(c *call, now time.Time) *refusal {
 	s := g.stop.Load()
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/limit"
+	"slipcrank.example/core/pause"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/decision"
@@ -381,6 +382,39 @@
 	<-ended
 }
 
+// TestCallerThatStopsReadingIsGivenUp has a stream that is longer than what
+// connections hold, and a caller that reads nothing of it.
+func TestCallerThatStopsReadingIsGivenUp(t *testing.T) {
+	f := start(t, func(r *http.Request, w io.Writer) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTry: %s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Try"))
+		for n := 1; ; n++ {
+			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 100<<10)); err != nil {
+				return false
+			}
+		}
+	})
+	c, err := net.Dial("tcp", f.front.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, "POST /stream/ HTTP/1.1\r\nHost: shop.example\r\nTry: t\r\nWait-Ms: 300\r\nAuthorization: Key k1\r\nContent-Length: 1\r\n\r\nb")
+	by := time.Now().Add(10 * time.Second)
+	for f.runs() == 0 || f.gateway.Active() > 0 {
+		if time.Now().After(by) {
+			t.Fatalf("%d calls are in progress long after their time", f.gateway.Active())
+		}
+		_ = pause.For(t.Context(), 10*time.Millisecond)
+	}
+}
+
+func TestAnswerWithoutBoundIsNotHeld(t *testing.T) {
+	f := start(t, plain(200, strings.Repeat("x", 17<<20)))
+	if a := f.ask("POST", "/once/", "b"); a.status != 502 || f.runs() != 1 {
+		t.Errorf("status %d after %d runs, want 502 after 1", a.status, f.runs())
+	}
+}
+
 func TestStopRefusesWhatMayNotEnd(t *testing.T) {
 	f := start(t, plain(200, "fine"))
 	now := time.Now()
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -35,6 +35,10 @@
 // not run a request; the connection is kept if that is all of it.
 const maxRefusal = 1 << 20
 
+// maxAnswer bounds an answer that isn't a stream, since it is held whole: a
+// tenth of the memory of the smallest hosts. Usual answers have some KB.
+const maxAnswer = 16 << 20
+
 // errSilent is a server that has said nothing for too long.
 var errSilent = errors.New("the backend server has fallen silent")
 
@@ -224,10 +228,13 @@
 
 // collect reads an answer whole and passes it on.
 func (g *Gateway) collect(w http.ResponseWriter, c *call, a *upstream.Answer) outcome {
-	body, err := io.ReadAll(a.Body)
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
 	if err != nil {
 		return g.failure(c, err, "answer")
 	}
+	if len(body) > maxAnswer {
+		return outcome{result: final, why: "answer_too_large"}
+	}
 	a.Finish()
 	out := outcome{result: answered, answer: &whole{a.Status, a.Header, body}}
 	if a.Status >= http.StatusInternalServerError || promises(a.Status) {
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -228,6 +228,8 @@
 		b, err := w.ask(ctx, table, listed, revision, patience)
 		if errors.Is(err, feed.ErrHistoryGone) {
 			listed = false
+			_ = pause.UpTo(ctx, rest) // ctx is looked at above
+			rest = min(2*rest, longestPause)
 			continue
 		}
 		r := read{table: table, batch: b, whole: !listed, err: err}
@@ -246,7 +248,10 @@
 			rest = min(2*rest, longestPause)
 			continue
 		}
-		rest, listed, revision = firstPause, true, b.Revision
+		if listed { // a platform that forgets as soon as it is listed is not well
+			rest = firstPause
+		}
+		listed, revision = true, b.Revision
 		if len(b.Rows) > 0 {
 			_ = pause.For(ctx, w.gathering()) // ctx is looked at above
 		}
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -35,6 +35,8 @@
 	changed chan struct{}
 	rev     int64
 	down    bool
+	forgets bool // all history, at once
+	lists   int
 }
 
 var errDown = errors.New("the platform is down")
@@ -87,6 +89,7 @@
 	if f.down {
 		return feed.Batch{}, errDown
 	}
+	f.lists++
 	live := map[string]feed.Row{}
 	for _, r := range f.rows[table] {
 		live[r.Key] = r
@@ -125,6 +128,9 @@
 	if f.down {
 		return feed.Batch{}, nil, errDown
 	}
+	if f.forgets {
+		return feed.Batch{}, nil, feed.ErrHistoryGone
+	}
 	return f.batch(table, after), f.changed, nil
 }
 
@@ -252,3 +258,19 @@
 		}
 	})
 }
+
+func TestPlatformThatForgetsAtOnceIsNotPressed(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		s.put(configTable, "config", "1")
+		s.forgets = true
+		pass(10 * time.Second)
+		if w.State().Config == nil {
+			t.Error("the configuration that was listed is not in force")
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if most := 3 * 100; s.lists > most { // ten a second and table
+			t.Errorf("%d lists in 10 s of three tables, want at most %d", s.lists, most)
+		}
+	})
+}
