Ask the platform less: at a first start, and while it is away

Ruled out: longer waits between proofs (the readers' part is small).

Change: at a first start hosts announce themselves, wait a second and then list who the others are; two a hall ask for the rest. While the platform is away one table is asked for, and the others wait for it. Of a hall twice as many ask with each 0.3 s without news, up to eight; the rest ask with long pauses. A reader without news hears those that may have some, and always one of another hall.

TestNewsReachEachHost has the platform serve one host only.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -87,6 +87,9 @@
 		number   uint32 // of this start of this host
 		start    time.Time
 		stopping atomic.Bool
+		// announced is when, from the start, others could first read of this
+		// host; zero before.
+		announced atomic.Int64
 	}
 )
 
@@ -212,6 +215,9 @@
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.readiness), ReadHeaderTimeout: headerTime}, listeners[1])
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.figures), ReadHeaderTimeout: headerTime}, listeners[2])
 	go e.serve(e.relay, listeners[3])
+	if s.FirstStart {
+		e.watcher.SetAsking(watch.AskNothing, askersPause)
+	}
 	go e.watcher.Run(ctx)
 	go e.news.Run()
 	go e.announce(ctx)
@@ -266,7 +272,7 @@
 func (e *Entry) upkeep(ctx context.Context) {
 	tick := time.NewTicker(upkeepPeriod)
 	defer tick.Stop()
-	r := readers{reads: true}
+	r := readers{}
 	for n := 0; ; {
 		select {
 		case <-ctx.Done():
--- a/daemon/entry/readers.go
+++ b/daemon/entry/readers.go
@@ -1,14 +1,11 @@
 package entry
 
 import (
-	"context"
-	"encoding/json"
 	"log/slog"
 	"slices"
 	"strings"
 	"time"
 
-	"slipcrank.example/core/pause"
 	"slipcrank.example/core/route"
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/watch"
@@ -17,98 +14,185 @@
 const (
 	// readersKey is what hosts are ranked by.
 	readersKey = "readers"
-	// hallReaders is how many hosts of a hall ask the platform. With two, the
-	// loss of one delays nothing.
+	// hallReaders is how many hosts of a hall always ask the platform. With
+	// two, the loss of one delays nothing.
 	hallReaders = 2
-	// heardHosts is how many others each host hears.
-	heardHosts = 2
+	// hallAskers is how many of a hall ask often while nobody tells news: if
+	// the platform turns away half of all hosts, less than one hall in 200
+	// has none among them that it serves.
+	hallAskers = 8
 	// askMargin is how long before the age at which a change has to be in
-	// force a host that is told by others asks the platform itself.
+	// force hosts that are told by others begin to ask the platform.
 	askMargin = 300 * time.Millisecond
-	// askTime is how long it then goes on asking.
+	// askStep lies between doublings of how many of a hall ask.
+	askStep = 300 * time.Millisecond
+	// askTime is how long a host then goes on, so that it doesn't change its
+	// mind with each answer.
 	askTime = 3 * time.Second
-	// announcePeriod is how often a host writes its row anew, which also reads
-	// the platform's clock, so that its bound doesn't grow by drift.
-	announcePeriod = 2 * time.Minute
-	// announceTime bounds one write to the platform, and the pause after one
-	// that failed.
-	announceTime = 2 * time.Second
+	// askersPause and othersPause are the longest pauses between questions
+	// that fail, of the first hallAskers of a hall and of the others. Eight
+	// that ask within 1.5 s see an outage's end after a tenth of a second.
+	askersPause = 1500 * time.Millisecond
+	othersPause = 4 * time.Second
+	// otherHalls is how many hosts of other halls a reader hears, and
+	// otherHallsStale how many while it has no news.
+	otherHalls      = 1
+	otherHallsStale = 4
+	// youngTime is how long after it first knew others a host takes all of
+	// them for alive: a few of the messages by which they tell that they are.
+	youngTime = 2 * time.Second
+	// settleTime is how long a host waits, at the first start of the whole
+	// site, for the others to announce themselves.
+	settleTime = time.Second
+	// lonelyTime is how long a host waits to know others before it asks for
+	// everything itself.
+	lonelyTime = 3 * time.Second
 )
 
-// readers is what a host has chosen: whom it hears, and whether it asks the
-// platform.
-type readers struct {
-	hear   []string
-	reads  bool
-	asking time.Time // until then it asks although others tell
-}
+type (
+	// situation is what decides whom a host hears and what it asks.
+	situation struct {
+		host, hall string
+		others     []watch.Host // that are alive
+		// told is the age of the newest proof that others told, proven that of
+		// the newest of any origin.
+		told, proven time.Duration
+		bound        time.Duration // within which a change has to be in force
+	}
 
-// announce keeps a row at the platform that tells others of this host.
-func (e *Entry) announce(ctx context.Context) {
-	s := e.settings.Load()
-	row, err := json.Marshal(watch.Host{Addr: s.Listen.News, Hall: s.Hall, Number: e.number})
-	if err != nil {
-		e.log.Write(event.NewsLost, slog.String("doing", "announce"), slog.String("error", err.Error()))
-		return
+	// choice is whom a host hears and whether it asks the platform.
+	choice struct {
+		hear  []string
+		asks  bool
+		pause time.Duration // the longest between questions that fail
 	}
-	for ctx.Err() == nil {
-		c, cancel := context.WithTimeout(ctx, announceTime)
-		asked := e.watcher.Now()
-		stamp, err := e.platform.Source.Put(c, e.platform.Tables.Hosts, s.Host, row)
-		cancel()
-		if err == nil {
-			e.watcher.ObserveClock(asked, stamp)
-			_ = pause.For(ctx, announcePeriod) // ctx is looked at above
-			continue
-		}
-		e.log.Write(event.PlatformLost, slog.String("doing", "announce"), slog.String("error", err.Error()))
-		_ = pause.UpTo(ctx, announceTime) // ctx is looked at above
+
+	// readers is what a host has chosen.
+	readers struct {
+		choice
+		known         time.Time // when others were known first
+		asking, wider time.Time // until then it asks, or hears more than usual
 	}
-}
+)
 
-// chooseReaders decides anew whom this host hears and whether it asks the
-// platform.
-func (e *Entry) chooseReaders(r *readers) {
-	s := e.settings.Load()
-	hall, others := []string{s.Host}, []string{}
-	addrs := map[string]string{}
-	for _, h := range e.liveHosts() {
+// choose decides whom a host hears and whether it asks the platform.
+func (s situation) choose() choice {
+	hall, others, addrs := []string{s.host}, []string{}, map[string]string{}
+	for _, h := range s.others {
 		addrs[h.Name] = h.Addr
-		if h.Hall == s.Hall {
+		if h.Hall == s.hall {
 			hall = append(hall, h.Name)
 		} else {
 			others = append(others, h.Name)
 		}
 	}
-	ranked := route.Rank(readersKey, hall)
-	place := slices.Index(ranked, s.Host)
-	reads := place < hallReaders
-	var hear []string
-	for _, name := range append(slices.Delete(ranked, place, place+1), route.Rank(readersKey, others)...) {
-		if len(hear) < heardHosts {
-			hear = append(hear, addrs[name])
+	hall, others = route.Rank(readersKey, hall), route.Rank(readersKey, others)
+	place := slices.Index(hall, s.host)
+	c := choice{asks: place < s.askers(), pause: othersPause}
+	if place < hallAskers {
+		c.pause = askersPause
+	}
+	near, far := hallReaders, 0
+	if place < hallReaders {
+		far = otherHalls
+	}
+	if place < hallReaders && s.proven > s.bound-askMargin {
+		near, far = hallAskers, otherHallsStale
+	}
+	names := append(slices.Clone(hall[:min(near, len(hall))]), others[:min(far, len(others))]...)
+	for _, n := range names {
+		if n != s.host {
+			c.hear = append(c.hear, addrs[n])
 		}
 	}
+	return c
+}
+
+// askers is how many of a hall ask the platform: twice as many with each
+// further step of time in which nobody tells news.
+func (s situation) askers() int {
+	n := hallReaders
+	for age := s.bound - askMargin; s.told > age && n < hallAskers; age += askStep {
+		n *= 2
+	}
+	if s.told > s.bound+2*askStep {
+		return len(s.others) + 1
+	}
+	return n
+}
+
+// chooseReaders decides anew whom this host hears and what it asks the
+// platform.
+func (e *Entry) chooseReaders(r *readers) {
 	now := time.Now()
-	if age, ok := e.watcher.ToldAge(); !reads && (!ok || age > s.Bounds.Config-askMargin) {
+	s := e.settings.Load()
+	if len(e.watcher.State().Hosts) == 0 {
+		e.lookForHosts()
+		return
+	}
+	if r.known.IsZero() {
+		r.known = now
+	}
+	young := now.Sub(r.known)
+	c := situation{
+		host: s.Host, hall: s.Hall, others: e.liveHosts(young < youngTime),
+		told: ageOr(young, e.watcher.ToldAge), proven: ageOr(young, e.watcher.ConfigAge), bound: s.Bounds.Config,
+	}.choose()
+	e.apply(r, c, now)
+}
+
+// ageOr is an age, or the other one if there is none.
+func ageOr(other time.Duration, age func() (time.Duration, bool)) time.Duration {
+	if a, ok := age(); ok {
+		return a
+	}
+	return other
+}
+
+// apply brings a choice into force. What was widened stays so for a while.
+func (e *Entry) apply(r *readers, c choice, now time.Time) {
+	if c.asks {
 		r.asking = now.Add(askTime)
 	}
-	reads = reads || now.Before(r.asking)
-	if reads == r.reads && slices.Equal(hear, r.hear) {
+	c.asks = c.asks || now.Before(r.asking)
+	if len(c.hear) > len(r.hear) {
+		r.wider = now.Add(askTime)
+	}
+	if len(c.hear) < len(r.hear) && now.Before(r.wider) {
+		c.hear = r.hear
+	}
+	if c.asks == r.asks && c.pause == r.pause && slices.Equal(c.hear, r.hear) {
 		return
 	}
-	r.hear, r.reads = hear, reads
-	e.watcher.SetReading(reads)
-	e.relays.Hear(hear)
-	e.log.Write(event.RelayChosen, slog.Bool("asks", reads), slog.String("hears", strings.Join(hear, ",")),
-		slog.Int("hall", len(hall)))
+	r.choice = c
+	asking := watch.AskNothing
+	if c.asks {
+		asking = watch.AskAll
+	}
+	e.watcher.SetAsking(asking, c.pause)
+	e.relays.Hear(c.hear)
+	e.log.Write(event.RelayChosen, slog.Bool("asks", c.asks), slog.String("hears", strings.Join(c.hear, ",")),
+		slog.Int("others", e.news.Hosts()))
+}
+
+// lookForHosts decides what is asked while no other host is known.
+func (e *Entry) lookForHosts() {
+	announced := e.announced.Load()
+	now := time.Since(e.start)
+	switch {
+	case !e.settings.Load().FirstStart || now > lonelyTime:
+		e.watcher.SetAsking(watch.AskAll, askersPause)
+	case announced > 0 && now-time.Duration(announced) > settleTime:
+		e.watcher.SetAsking(watch.AskHosts, askersPause)
+	}
 }
 
-// liveHosts are the others that have told something lately.
-func (e *Entry) liveHosts() []watch.Host {
+// liveHosts are the others that have told something lately, or all that are
+// known.
+func (e *Entry) liveHosts(all bool) []watch.Host {
 	var live []watch.Host
 	for _, h := range e.watcher.State().Hosts {
-		if h.Number != e.number && e.board.HeardFrom(h.Number, time.Since(e.start)) {
+		if h.Number != e.number && h.Name != e.settings.Load().Host && (all || e.board.HeardFrom(h.Number, time.Since(e.start))) {
 			live = append(live, h)
 		}
 	}
--- /dev/null
+++ b/daemon/entry/readers_test.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"slipcrank.example/core/route"
+	"slipcrank.example/daemon/watch"
+)
+
+// site returns hosts of three halls, whose names and addresses are the same.
+func site(perHall int) []watch.Host {
+	var hs []watch.Host
+	for n := range 3 * perHall {
+		name := fmt.Sprintf("host-%d", n)
+		hs = append(hs, watch.Host{Name: name, Addr: name, Hall: fmt.Sprintf("hall-%d", n%3)})
+	}
+	return hs
+}
+
+// seenBy is the situation of the host at a place of its hall.
+func seenBy(hosts []watch.Host, place int, told, proven time.Duration) situation {
+	var hall []string
+	for _, h := range hosts {
+		if h.Hall == "hall-0" {
+			hall = append(hall, h.Name)
+		}
+	}
+	s := situation{host: route.Rank(readersKey, hall)[place], hall: "hall-0", told: told, proven: proven, bound: 3 * time.Second}
+	for _, h := range hosts {
+		if h.Name != s.host {
+			s.others = append(s.others, h)
+		}
+	}
+	return s
+}
+
+func TestChoose(t *testing.T) {
+	const fresh, late, later, latest = time.Second, 2800 * time.Millisecond, 3100 * time.Millisecond, 4 * time.Second
+	for name, tc := range map[string]struct {
+		perHall, place int
+		told, proven   time.Duration
+		asks           bool
+		hears          int
+		pause          time.Duration
+	}{
+		"a reader":                             {25, 0, fresh, fresh, true, 2, askersPause},
+		"a reader that is told late":           {25, 1, late, fresh, true, 2, askersPause},
+		"a reader without news":                {25, 1, late, late, true, 7 + otherHallsStale, askersPause},
+		"another":                              {25, 2, fresh, fresh, false, 2, askersPause},
+		"far down the order":                   {25, 20, fresh, fresh, false, 2, othersPause},
+		"the third, told late":                 {25, 2, late, late, true, 2, askersPause},
+		"the fifth, told late":                 {25, 4, late, late, false, 2, askersPause},
+		"the fifth, told later":                {25, 4, later, later, true, 2, askersPause},
+		"far down the order, told later":       {25, 20, later, later, false, 2, othersPause},
+		"far down the order, told of no proof": {25, 20, latest, latest, true, 2, othersPause},
+		"alone in its hall":                    {1, 0, fresh, fresh, true, 1, askersPause},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := seenBy(site(tc.perHall), tc.place, tc.told, tc.proven).choose()
+			if c.asks != tc.asks || len(c.hear) != tc.hears || c.pause != tc.pause {
+				t.Errorf("asks %v, hears %v, pauses up to %v; want %v, %d hosts, %v", c.asks, c.hear, c.pause, tc.asks, tc.hears, tc.pause)
+			}
+		})
+	}
+}
+
+// TestNewsReachEachHost follows who hears whom, from one host that the
+// platform serves while it turns away all others.
+func TestNewsReachEachHost(t *testing.T) {
+	hosts := site(25)
+	for place := range hallAskers {
+		served := seenBy(hosts, place, 0, 0).host
+		heard := map[string]bool{served: true}
+		for range 4 { // a few steps are enough
+			for _, h := range hosts {
+				s := situation{host: h.Name, hall: h.Hall, told: 4 * time.Second, proven: 4 * time.Second, bound: 3 * time.Second}
+				s.others = slices.DeleteFunc(slices.Clone(hosts), func(o watch.Host) bool { return o.Name == h.Name })
+				if slices.ContainsFunc(s.choose().hear, func(n string) bool { return heard[n] }) {
+					heard[h.Name] = true
+				}
+			}
+		}
+		if len(heard) != len(hosts) {
+			t.Errorf("news of %s, at place %d of its hall, reach %d of %d hosts", served, place, len(heard), len(hosts))
+		}
+	}
+}
--- a/daemon/settings/entry.go
+++ b/daemon/settings/entry.go
@@ -14,6 +14,9 @@
 		// Platform is the IP number and port of the platform's store.
 		Platform string `yaml:"platform" validate:"required,ipport"`
 		Bounds   Bounds `yaml:"bounds"`
+		// FirstStart is set when all hosts of the site start for the first
+		// time: each then waits for the others before it asks the platform.
+		FirstStart bool `yaml:"first_start"`
 	}
 
 	// EntryListen has the addresses of an entry host, each an IP number and a
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -33,6 +33,20 @@
 	"slipcrank.example/daemon/telemetry"
 )
 
+// Which tables the platform is asked for.
+const (
+	// AskNothing leaves it to other hosts to tell.
+	AskNothing Asking = iota
+	// AskHosts asks only who the other hosts are.
+	AskHosts
+	// AskAll asks for all tables.
+	AskAll
+)
+
+// LongestPause is the longest pause between questions that fail, where nothing
+// else is set: what a host alone may be late by after an outage.
+const LongestPause = 600 * time.Millisecond
+
 const (
 	// otherWait is how long a question for changes waits where the age of
 	// what is known decides nothing: a change is told at once in any case.
@@ -49,15 +63,18 @@
 	// it doesn't know the others yet.
 	firstGather = time.Second
 	startTime   = 5 * time.Second
-	// firstPause and longestPause lie between questions that fail.
-	firstPause   = 100 * time.Millisecond
-	longestPause = 600 * time.Millisecond
+	// firstPause lies between questions that fail, and doubles with each up
+	// to the longest that is set.
+	firstPause = 100 * time.Millisecond
 	// outageTime is how long questions have to fail for entries of servers to
 	// lapse by the platform's absence: under two heartbeats.
 	outageTime = time.Second
 )
 
 type (
+	// Asking is what the platform is asked.
+	Asking int32
+
 	// Tables names the platform's tables.
 	Tables struct {
 		Config, ConfigKey, Servers, Hosts string
@@ -103,9 +120,13 @@
 		told    atomic.Int64 // the same of the newest that other hosts told first
 		reads   chan read
 		onHosts func([]Host)
-		reading atomic.Bool // the platform is asked
-		tell    chan chan Update
-		leave   chan chan Update
+		asking  atomic.Int32
+		longest atomic.Int64 // pause between questions that fail
+		// answering is set while the platform answers questions for the
+		// configuration; those for other tables wait for it.
+		answering atomic.Bool
+		tell      chan chan Update
+		leave     chan chan Update
 
 		// Owned by Run's goroutine.
 		book   *backend.Book
@@ -144,7 +165,7 @@
 		rows:  map[string]*table{},
 		heard: map[chan Update]bool{},
 	}
-	w.reading.Store(true)
+	w.SetAsking(AskAll, LongestPause)
 	w.proven.Store(-1)
 	w.told.Store(-1)
 	w.state.Store(&State{Servers: w.book.View(0)})
@@ -195,13 +216,29 @@
 	}
 }
 
-// readingPoll is how often a watcher that is told by other hosts looks whether
-// it has to ask the platform itself.
-const readingPoll = 100 * time.Millisecond
+// askingPoll is how often a table that isn't asked for looks whether it is now.
+const askingPoll = 100 * time.Millisecond
 
-// SetReading sets whether the platform is asked. If not, other hosts have to
-// tell what they read.
-func (w *Watcher) SetReading(on bool) { w.reading.Store(on) }
+// SetAsking sets which tables the platform is asked for, and the longest pause
+// between questions that fail. What isn't asked for has to be told by other
+// hosts.
+func (w *Watcher) SetAsking(a Asking, longest time.Duration) {
+	w.longest.Store(int64(longest))
+	w.asking.Store(int32(a))
+}
+
+// asks reports whether the platform is asked for a table.
+func (w *Watcher) asks(table string) bool {
+	a := Asking(w.asking.Load())
+	return a == AskAll || a == AskHosts && table == w.tables.Hosts
+}
+
+// waits reports whether a question for a table waits for the platform to
+// answer one for the configuration: while it is away, one question of each
+// host is enough to see that it is back.
+func (w *Watcher) waits(table string) bool {
+	return Asking(w.asking.Load()) == AskAll && table != w.tables.Config && !w.answering.Load()
+}
 
 // lapseTick is how often kept servers are looked at whose entries lapsed.
 const lapseTick = 250 * time.Millisecond
@@ -216,11 +253,21 @@
 	var failing time.Time
 	rest := firstPause
 	for ctx.Err() == nil {
-		if !w.reading.Load() {
-			_ = pause.For(ctx, readingPoll) // ctx is looked at above
+		if !w.asks(table) {
+			if table == w.tables.Config {
+				w.answering.Store(false)
+			}
+			_ = pause.For(ctx, askingPoll) // ctx is looked at above
 			listed = false
 			continue
 		}
+		if w.waits(table) {
+			if listed && failing.IsZero() {
+				failing = time.Now() // what lapses meanwhile, lapses by the outage
+			}
+			_ = pause.For(ctx, askingPoll) // ctx is looked at above
+			continue
+		}
 		patience := wait
 		if !failing.IsZero() {
 			patience = 0 // what was missed is wanted now, and that the platform is back
@@ -229,9 +276,12 @@
 		if errors.Is(err, feed.ErrHistoryGone) {
 			listed = false
 			_ = pause.UpTo(ctx, rest) // ctx is looked at above
-			rest = min(2*rest, longestPause)
+			rest = w.longer(rest)
 			continue
 		}
+		if table == w.tables.Config {
+			w.answering.Store(err == nil)
+		}
 		r := read{table: table, batch: b, whole: !listed, err: err}
 		if err == nil && !failing.IsZero() {
 			r.after = time.Since(failing)
@@ -245,7 +295,7 @@
 				failing = time.Now()
 			}
 			_ = pause.UpTo(ctx, rest) // ctx is looked at above
-			rest = min(2*rest, longestPause)
+			rest = w.longer(rest)
 			continue
 		}
 		if listed { // a platform that forgets as soon as it is listed is not well
@@ -258,6 +308,11 @@
 	}
 }
 
+// longer is the pause after another question that has failed.
+func (w *Watcher) longer(rest time.Duration) time.Duration {
+	return min(2*rest, time.Duration(w.longest.Load()))
+}
+
 // gathering is how long to wait for more changes before the next question.
 func (w *Watcher) gathering() time.Duration {
 	if w.Now() < startTime {
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -37,6 +37,7 @@
 	down    bool
 	forgets bool // all history, at once
 	lists   int
+	calls   int
 }
 
 var errDown = errors.New("the platform is down")
@@ -86,6 +87,7 @@
 func (f *fakeStore) list(_ context.Context, table string) (feed.Batch, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls++
 	if f.down {
 		return feed.Batch{}, errDown
 	}
@@ -125,6 +127,7 @@
 func (f *fakeStore) look(table string, after int64) (feed.Batch, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.calls++
 	if f.down {
 		return feed.Batch{}, nil, errDown
 	}
@@ -274,3 +277,59 @@
 		}
 	})
 }
+
+// TestOutageCostsFewCalls has a host ask a platform that is away, and then see
+// that it is back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		const longest = 2 * time.Second
+		w.SetAsking(watch.AskAll, longest)
+		s.put(configTable, "config", "1")
+		settle()
+		s.setDown(true)
+		settle()
+		before := s.count()
+		pass(20 * time.Second)
+		if n := s.count() - before; n < 5 || n > 40 {
+			t.Errorf("%d calls in an outage of 20 s, want one each second or so", n)
+		}
+		s.put(configTable, "config", "2")
+		s.setDown(false)
+		pass(longest)
+		if got := w.State().Config.Version(); got != 2 {
+			t.Errorf("version %d is in force, want 2", got)
+		}
+	})
+}
+
+func TestWhatIsAsked(t *testing.T) {
+	for name, tc := range map[string]struct {
+		asking        watch.Asking
+		config, hosts bool
+	}{
+		"nothing":    {watch.AskNothing, false, false},
+		"hosts only": {watch.AskHosts, false, true},
+		"all":        {watch.AskAll, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(s *fakeStore, w *watch.Watcher) {
+				w.SetAsking(tc.asking, time.Second)
+				s.put(configTable, "config", "1")
+				s.put("hosts", "other", `{"addr":"127.0.0.1:1"}`)
+				pass(3 * time.Second)
+				if got := w.State().Config != nil; got != tc.config {
+					t.Errorf("the configuration is known: %v, want %v", got, tc.config)
+				}
+				if got := len(w.State().Hosts) == 1; got != tc.hosts {
+					t.Errorf("the other host is known: %v, want %v", got, tc.hosts)
+				}
+			})
+		})
+	}
+}
+
+func (f *fakeStore) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
