Leave slots for placements that aren't known yet; spread hosts that choose at once

Ruled out: slow hosts (a request is placed 2 ms after it came, 29 ms at p99); reading at the lead (0 to 20 ms in most).

Change: the wait for a slot counts placements that aren't known yet (Poisson, by the rate of placements and the time of news); a late first token is priced by how likely the wait exceeds what is left; of the three leads that cost nearly the least one is drawn. Both tests fail without it.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -40,6 +40,10 @@
 	leftValue = 1 - lateShare
 	// leftGaps is that pause, in pauses that they mind. The users say eight.
 	leftGaps = 8
+	// nearCost is up to how much more than the least the engine may cost that
+	// leads, and nearMost among how many one is drawn.
+	nearCost = 0.05
+	nearMost = 3
 	// spreadCost is for memory that has to be set aside on other engines.
 	spreadCost = 0.1
 )
@@ -69,6 +73,7 @@
 		streams  []stream
 		waiters  []waiter
 		tightest time.Duration // shortest pause that a stream here minds
+		unknown  []float64     // how likely so many more run that aren't known
 	}
 
 	// waiter is a request whose prompt, or a part of it, is yet to be read
@@ -91,7 +96,8 @@
 		shares  []Share
 		fits    bool
 		cost    float64
-		harm    float64 // the part of the cost that falls on others
+		harm    float64       // the part of the cost that falls on others
+		read    time.Duration // until all parts are read, without waits for slots
 		first   time.Duration
 	}
 )
@@ -99,18 +105,21 @@
 // choose fills in the way to place r that costs least.
 func (b *Board) choose(now time.Duration, e *site.Engine, servers []backend.Server, r Request, p *Placement) {
 	states := make([]state, 0, len(servers))
+	unknown := b.unknown(p.Service, now)
 	for i, s := range servers {
 		st := b.state(now, e, s)
+		st.unknown = unknown
 		st.order = float64(i) / float64(len(servers))
 		states = append(states, st)
 	}
 	value := Value(e, r.Work)
+	draw := b.random()
 	var best plan
 	for k := 1; k <= min(maxHelpers+1, len(states)); k++ {
 		if k > 1 && r.Work.Prompt/k < leastPart {
 			break
 		}
-		c := planOver(e, states, k, r, value)
+		c := planOver(e, states, k, r, value, draw)
 		if k == 1 || c.cost < best.cost {
 			best = c
 		}
@@ -168,25 +177,47 @@
 }
 
 // planOver returns the best way to read a prompt in k parts.
-func planOver(e *site.Engine, states []state, k int, r Request, value float64) plan {
+func planOver(e *site.Engine, states []state, k int, r Request, value, draw float64) plan {
 	part := readTime(e, r.Work.Prompt, k)
-	leads := slices.MinFunc(states, func(a, b state) int {
-		return cmp.Compare(a.leadCost(e, part, r, value), b.leadCost(e, part, r, value))
-	})
-	c := plan{lead: leads, cost: leads.leadCost(e, part, r, value), first: leads.first(part), harm: leads.loss(leads.pause(part))}
-	if k == 1 {
-		return c.fit(e, r, value)
+	c := plan{lead: leadOf(e, states, part, r, value, draw)}
+	c.harm, c.read = c.lead.loss(c.lead.pause(part)), c.lead.firstRead(part)
+	c.cost = c.harm + c.lead.ownCost(e, r, value)
+	if k > 1 {
+		c = c.help(e, states, k, part, r, value)
+	}
+	c.first = c.lead.wait() + c.read
+	c.cost += c.lead.firstCost(c.read, r.Objective, value)
+	return c.fit(e, r, value)
+}
+
+// leadOf chooses, by a draw from 0 to below 1, among the engines that would lead
+// a prompt for nearly the least cost, so that hosts that choose at the same
+// moment don't all take the same.
+func leadOf(e *site.Engine, states []state, part time.Duration, r Request, value, draw float64) state {
+	costs := make([]float64, len(states))
+	order := make([]int, len(states))
+	for i, s := range states {
+		order[i] = i
+		costs[i] = s.loss(s.pause(part)) + s.ownCost(e, r, value) + s.firstCost(s.firstRead(part), r.Objective, value)
 	}
+	slices.SortFunc(order, func(i, j int) int { return cmp.Compare(costs[i], costs[j]) })
+	near := 1
+	for near < min(nearMost, len(order)) && costs[order[near]] <= costs[order[0]]+nearCost*value {
+		near++
+	}
+	return states[order[int(draw*float64(near))]]
+}
+
+// help adds the k-1 engines that read parts at the least cost.
+func (c plan) help(e *site.Engine, states []state, k int, part time.Duration, r Request, value float64) plan {
 	rest := make([]state, 0, len(states))
+	costs := make(map[string]float64, len(states))
 	for _, s := range states {
-		if s.server.ID != leads.server.ID && s.helping < s.server.Slots {
+		if s.server.ID != c.lead.server.ID && s.helping < s.server.Slots {
 			rest = append(rest, s)
+			costs[s.server.ID] = s.helpCost(e, part, r, value)
 		}
 	}
-	costs := make(map[string]float64, len(rest))
-	for _, s := range rest {
-		costs[s.server.ID] = s.helpCost(e, part, r, value)
-	}
 	slices.SortFunc(rest, func(a, b state) int {
 		return cmp.Compare(costs[a.server.ID], costs[b.server.ID])
 	})
@@ -198,12 +229,9 @@
 		harm := h.loss(h.pause(part))
 		c.harm += harm
 		c.cost += harm + helperCost*value
-		if f := h.firstRead(part); f > c.first {
-			c.cost += delay(f, r.Objective, value) - delay(c.first, r.Objective, value)
-			c.first = f
-		}
+		c.read = max(c.read, h.firstRead(part))
 	}
-	return c.fit(e, r, value)
+	return c
 }
 
 // fit sets memory aside on helpers for what the lead has no room for.
@@ -238,16 +266,30 @@
 
 const usedMemory = 0.92
 
-// leadCost is what it costs that the engine leads a request.
-func (s state) leadCost(e *site.Engine, part time.Duration, r Request, value float64) float64 {
-	cost := s.loss(s.pause(part)) + delay(s.first(part), r.Objective, value)
+// ownCost is what it costs a request itself that the engine leads it, beside
+// when its first token comes.
+func (s state) ownCost(e *site.Engine, r Request, value float64) float64 {
+	cost := s.place(e, r) * value
 	if lacking := s.context + r.Work.Prompt + r.Work.Answer - room(e); lacking > 0 {
 		cost += spreadCost * value * (1 + float64(lacking)/float64(e.Memory))
 	}
 	if sensitive(e, r.Gap) && (s.tightest == 0 || s.tightest > r.Gap) {
 		cost += openCost * value
 	}
-	return cost + s.place(e, r)*value
+	return cost
+}
+
+// firstCost is what a first token costs for which the engine needs so long
+// once a slot is free.
+func (s state) firstCost(read, objective time.Duration, value float64) float64 {
+	cost := delay(s.wait()+read, objective, value)
+	if objective <= 0 {
+		return cost
+	}
+	// Beyond what the mean wait makes likely, in time or late.
+	late := risk(float64(s.wait()+read) / float64(objective))
+	unlucky := max(risk(float64(read)/float64(objective)), s.slotRisk(objective-read))
+	return cost + lateShare*value*(unlucky-late)
 }
 
 // helpCost ranks an engine as a helper.
@@ -295,21 +337,6 @@
 // pass under way, and the next one.
 func (s state) firstRead(part time.Duration) time.Duration { return s.pass/2 + s.pause(part) }
 
-// first is how long the first token takes, with the wait for a slot.
-func (s state) first(part time.Duration) time.Duration { return s.wait() + s.firstRead(part) }
-
-// wait is how long it takes until a slot is free for one more request, if all
-// that run write as many tokens as they are expected to.
-func (s state) wait() time.Duration {
-	before := s.running - s.server.Slots + 1
-	if before <= 0 || s.running == 0 {
-		return 0
-	}
-	passes := float64(s.answers) / float64(s.running) / float64(s.stride)
-	hold := passes * float64(s.pass+s.reading/2)
-	return time.Duration(float64(before) / float64(s.server.Slots) * hold)
-}
-
 // loss is the value that others on the engine lose by such a pause: streams
 // that stand still too long, and first tokens that come later.
 func (s state) loss(pause time.Duration) float64 {
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -15,6 +15,7 @@
 package schedule
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -99,7 +100,9 @@
 		answers    map[string]answers // by server
 		usual      map[string]answers // by service
 		paces      map[string]pace
+		rates      map[string]rate          // of placements, by service
 		heard      map[uint32]time.Duration // when other hosts were heard last
+		random     func() float64           // from 0 to below 1
 	}
 
 	// load is what is placed on one server.
@@ -119,6 +122,8 @@
 		answers:    map[string]answers{},
 		usual:      map[string]answers{},
 		paces:      map[string]pace{},
+		rates:      map[string]rate{},
+		random:     rand.Float64,
 		heard:      map[uint32]time.Duration{},
 	}
 }
@@ -209,6 +214,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	st := b.state(now, e, s)
+	st.unknown = b.unknown(s.Service, now)
 	return st.pause(0) + st.wait()
 }
 
@@ -220,6 +226,7 @@
 }
 
 func (b *Board) add(p *Placement) {
+	b.rates[p.Service] = b.rates[p.Service].with(p.Begun)
 	b.placements[p.ID] = p
 	for _, s := range p.servers() {
 		l := b.byServer[s]
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -61,6 +61,58 @@
 	}
 }
 
+// TestSlotsAreLeftForWhatIsNotKnownYet has one engine with two free slots
+// and others that are idle.
+func TestSlotsAreLeftForWhatIsNotKnownYet(t *testing.T) {
+	for name, tc := range map[string]struct {
+		perSecond int // placements by other hosts
+		idle      bool
+	}{
+		"few placements":  {10, false},
+		"many placements": {400, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, ss := schedule.NewBoard(1), servers(6)
+			hear := func(n int, server string) {
+				p := schedule.Placement{
+					ID: schedule.ID{Host: 2, Number: uint32(n)}, Service: service.Name, Lead: server,
+					Work: short.Work, Gap: short.Gap, Objective: short.Objective,
+				}
+				b.Heard(p)
+				b.Started(p.ID)
+			}
+			for n := range engine.Slots - 2 {
+				hear(n, ss[0].ID)
+			}
+			for n := range tc.perSecond {
+				hear(100+n, "elsewhere")
+			}
+			if p := place(t, b, ss, short); (p.Lead != ss[0].ID) != tc.idle {
+				t.Errorf("the stream is on %s", p.Lead)
+			}
+		})
+	}
+}
+
+// TestHostsThatChooseAtOnceDiffer has many hosts see the same two engines that
+// already have streams.
+func TestHostsThatChooseAtOnceDiffer(t *testing.T) {
+	ss, leads := servers(6), map[string]int{}
+	for host := range uint32(60) {
+		b := schedule.NewBoard(host + 10)
+		for n := range 2 {
+			b.Heard(schedule.Placement{
+				ID: schedule.ID{Host: 2, Number: uint32(n)}, Service: service.Name, Lead: ss[n].ID,
+				Work: short.Work, Gap: short.Gap, Objective: short.Objective,
+			})
+		}
+		leads[place(t, b, ss, short).Lead]++
+	}
+	if len(leads) != 2 {
+		t.Errorf("60 hosts took %v, want both engines and no idle one", leads)
+	}
+}
+
 func TestLongPromptSparesShortStreams(t *testing.T) {
 	b := schedule.NewBoard(1)
 	ss := servers(18)
