Let long prompts in while engines are idle; price earliness lower

Change: each engine counts as busy up to half a second, and the price begins where two fifths are. Earliness within the objective is priced at 0.1 of a request's value (0.3 before): for a long prompt's sake it made short ones late.

--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -19,8 +19,10 @@
 	// nearBound is the part of a bound from which on a prediction counts
 	// towards its loss, growing to the whole at the bound: predictions err.
 	nearBound = 0.85
-	// delayCost is for a first token at the objective beside one at once.
-	delayCost = 0.3
+	// delayCost is for a first token at the objective beside one at once: it
+	// decides between engines, and may not harm others for a long prompt's
+	// sake, whose answer is worth the same anywhere within its objective.
+	delayCost = 0.1
 	// laterCost is for each further objective that passes: a late answer is
 	// worth the same whenever it comes, while its caller waits.
 	laterCost = 0.05
@@ -138,12 +140,15 @@
 }
 
 const (
-	// fullBacklog is the mean time that engines have yet to read from which
-	// on all their time is taken: a new prompt then displaces others.
+	// fullBacklog is the time that an engine has yet to read from which on it
+	// counts as busy.
 	fullBacklog = 500 * time.Millisecond
-	// readValue is what a second of an engine's time is worth then: the value
-	// of long prompts of usual length, which are the work that gives way, by
-	// the time that they take.
+	// freeReads is the part of all engines that may be busy before a new
+	// prompt displaces others: it finds enough that are idle.
+	freeReads = 0.4
+	// readValue is what a second of an engine's time is worth once all are
+	// busy: the value of long prompts of usual length, which are the work that
+	// gives way, by the time that they take.
 	readValue = 2.5
 	// freeSlots and fullSlots are the parts of all slots between which short
 	// streams begin to be displaced, and slotValue is what a second of an
@@ -164,14 +169,14 @@
 // with the square of the length, and value grows with the length, so it
 // exceeds that of the longest prompts first.
 func displaced(e *site.Engine, states []state, r Request) float64 {
-	var backlog time.Duration
+	var busy float64
 	running, slots := 0, 0
 	for _, s := range states {
-		backlog += s.reading
+		busy += min(float64(s.reading)/float64(fullBacklog), 1)
 		running += min(s.running, s.server.Slots)
 		slots += s.server.Slots
 	}
-	reads := min(float64(backlog)/float64(len(states))/float64(fullBacklog), 1)
+	reads := max(busy/float64(len(states))-freeReads, 0) / (1 - freeReads)
 	writes := min(max(float64(running)/float64(max(slots, 1))-freeSlots, 0)/(fullSlots-freeSlots), 1)
 	return max(reads*readValue, writes*slotValue) * readTime(e, r.Work.Prompt, 1).Seconds()
 }
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -139,6 +139,35 @@
 	}
 }
 
+// TestLongPromptsDisplaceWhereEnginesAreBusy has other long prompts be read,
+// each by one engine.
+func TestLongPromptsDisplaceWhereEnginesAreBusy(t *testing.T) {
+	for name, tc := range map[string]struct {
+		busy      int // of 18 engines
+		displaces bool
+	}{
+		"no engine busy":      {0, false},
+		"a third of them":     {6, false},
+		"nearly all of them":  {16, true},
+		"each of the engines": {18, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, ss := schedule.NewBoard(1), servers(18)
+			for n := range tc.busy {
+				b.Heard(schedule.Placement{
+					ID: schedule.ID{Host: 2, Number: uint32(n)}, Service: service.Name, Lead: ss[n].ID,
+					Work: long.Work, Gap: long.Gap, Objective: long.Objective,
+				})
+			}
+			r := long
+			r.Work.Prompt = 230_000
+			if p := place(t, b, ss, r); (p.Displaces > 1) != tc.displaces {
+				t.Errorf("it displaces %.2f times its value", p.Displaces)
+			}
+		})
+	}
+}
+
 func TestFullEnginesLeadNothingMore(t *testing.T) {
 	for name, tc := range map[string]struct {
 		request schedule.Request
