Divide large fleets into cells

Change: from 96 servers of a service on, hosts and servers are divided into cells; hosts place on their cell's servers and tell its hosts only. A hall's hosts hear each other in a tree, and who knows a table is told its changes only. Kept connections are bounded by the hosts that use a server.

Tests: divisions of 2 to 300 hosts leave no server unused and no cell empty; news reach each host from any that the platform serves; no host is heard by more than 38; a listener that knows a table is told no rows.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -17,6 +17,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -60,7 +61,7 @@
 	View struct {
 		byService map[string][]Server
 		byID      map[string]Server
-		addrs     map[string]bool
+		byAddr    map[string]Server
 	}
 )
 
@@ -116,7 +117,7 @@
 
 // View returns what is known now. Servers whose grace is over are forgotten.
 func (b *Book) View(now time.Duration) *View {
-	v := &View{byService: map[string][]Server{}, byID: map[string]Server{}, addrs: map[string]bool{}}
+	v := &View{byService: map[string][]Server{}, byID: map[string]Server{}, byAddr: map[string]Server{}}
 	for id, e := range b.entries {
 		if e.gone && (!e.lapsed || now-b.returned >= lapseGrace) {
 			e.lapsed = false
@@ -124,7 +125,7 @@
 			continue
 		}
 		v.byID[id] = e.server
-		v.addrs[e.server.Addr] = true
+		v.byAddr[e.server.Addr] = e.server
 		if !e.server.Draining {
 			v.byService[e.server.Service] = append(v.byService[e.server.Service], e.server)
 		}
@@ -149,12 +150,8 @@
 	if s, ok := v.byID[name]; ok {
 		return s, true
 	}
-	for _, s := range v.byID {
-		if s.Addr == name {
-			return s, true
-		}
-	}
-	return Server{}, false
+	s, ok := v.byAddr[name]
+	return s, ok
 }
 
 // Takes reports whether a server may still get new work.
@@ -164,7 +161,13 @@
 }
 
 // Serves reports whether any known server has the address.
-func (v *View) Serves(addr string) bool { return v.addrs[addr] }
+func (v *View) Serves(addr string) bool {
+	_, ok := v.byAddr[addr]
+	return ok
+}
+
+// Services returns the names of all services that have ready servers.
+func (v *View) Services() []string { return slices.Sorted(maps.Keys(v.byService)) }
 
 // Len returns how many servers are known.
 func (v *View) Len() int { return len(v.byID) }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -14,7 +14,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -87,6 +86,8 @@
 		number   uint32 // of this start of this host
 		start    time.Time
 		stopping atomic.Bool
+		// neighbors are the servers and hosts of this one's cell.
+		neighbors atomic.Pointer[neighbors]
 		// announced is when, from the start, others could first read of this
 		// host; zero before.
 		announced atomic.Int64
@@ -101,6 +102,7 @@
 		metrics:  telemetry.NewMetrics(),
 		start:    time.Now(),
 	}
+	e.neighbors.Store(&neighbors{cells: 1})
 	e.pool = upstream.New(upstream.WithMaxIdle(e.maxIdle))
 	e.settings.Store(&s)
 	e.number = hostNumber(s.Host, e.start)
@@ -132,7 +134,7 @@
 
 func (e *Entry) state() gateway.State {
 	s := e.watcher.State()
-	return gateway.State{Config: s.Config, Servers: s.Servers}
+	return gateway.State{Config: s.Config, Servers: s.Servers, Near: e.neighbors.Load().near}
 }
 
 // keysProven reports whether keys may be trusted now.
@@ -150,50 +152,7 @@
 
 // retrySlack is this host's part of the fixed number of retries.
 func (e *Entry) retrySlack() float64 {
-	return e.settings.Load().Bounds.Retries.Extra * retryPart / float64(e.news.Hosts()+1)
-}
-
-// maxIdle is how many connections to one server this host may keep, so that
-// all hosts together leave half of what the server takes to those in use.
-func (e *Entry) maxIdle() int {
-	c := e.watcher.State().Config
-	if c == nil {
-		return 1
-	}
-	least := 0
-	for _, name := range c.Services() {
-		s, _ := c.Service(name)
-		if s.MaxConns > 0 && (least == 0 || s.MaxConns < least) {
-			least = s.MaxConns
-		}
-	}
-	if least == 0 {
-		return idleUnbounded
-	}
-	return max(least/2/(e.news.Hosts()+1), 1)
-}
-
-// idleUnbounded is how many connections are kept to a server that names no
-// bound: about two for each of an engine's slots.
-const idleUnbounded = 32
-
-func (e *Entry) setHosts(hosts []watch.Host) {
-	own := e.settings.Load().Listen.News
-	var others []netip.AddrPort
-	for _, h := range hosts {
-		a, err := netip.ParseAddrPort(h.Addr)
-		if err != nil {
-			e.log.Write(event.NewsLost, slog.String("of", h.Name), slog.String("error", err.Error()))
-			continue
-		}
-		if h.Addr != own {
-			others = append(others, a)
-		}
-	}
-	if len(others) != e.news.Hosts() {
-		e.log.Write(event.HostsChanged, slog.Int("others", len(others)))
-	}
-	e.news.SetHosts(others)
+	return e.settings.Load().Bounds.Retries.Extra * retryPart / float64(e.neighbors.Load().others+1)
 }
 
 // Start listens and serves until Stop.
--- /dev/null
+++ b/daemon/entry/neighbors.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"log/slog"
+	"net/netip"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/cell"
+	"slipcrank.example/daemon/event"
+	"slipcrank.example/daemon/watch"
+)
+
+const (
+	// fewServers is the least number of a service's servers in a cell; with
+	// fewer, hosts use all of the service.
+	fewServers = 8
+	// idleUnbounded is how many connections are kept to a server that names no
+	// bound: about two for each of an engine's slots.
+	idleUnbounded = 32
+)
+
+// neighbors are the servers and hosts of a host's cell: an immutable value.
+type neighbors struct {
+	cells  int
+	others int                         // hosts of the whole fleet
+	mates  map[string]bool             // hosts of the cell, without this one
+	near   map[string][]backend.Server // by service, where not all are used
+}
+
+// divide returns the neighbors of a host.
+func (n *neighbors) divide(host string, others []watch.Host, servers *backend.View) *neighbors {
+	most := 0
+	for _, name := range servers.Services() {
+		most = max(most, len(servers.Ready(name)))
+	}
+	names := []string{host}
+	for _, o := range others {
+		names = append(names, o.Name)
+	}
+	out := &neighbors{cells: cell.Count(most, n.cells), others: len(others), near: map[string][]backend.Server{}}
+	mine, mates := cell.OfHost(host, names, out.cells)
+	out.mates = mates
+	if out.cells == 1 {
+		return out
+	}
+	for _, name := range servers.Services() {
+		var near []backend.Server
+		for _, s := range servers.Ready(name) {
+			if cell.OfServer(s.ID, out.cells) == mine {
+				near = append(near, s)
+			}
+		}
+		if len(near) >= fewServers {
+			out.near[name] = near
+		}
+	}
+	return out
+}
+
+// setHosts takes in who the other hosts are, and what servers there are now.
+func (e *Entry) setHosts(hosts []watch.Host) {
+	own := e.settings.Load()
+	var others []watch.Host
+	for _, h := range hosts {
+		if h.Name != own.Host && h.Addr != own.Listen.News {
+			others = append(others, h)
+		}
+	}
+	old := e.neighbors.Load()
+	now := old.divide(own.Host, others, e.watcher.State().Servers)
+	e.neighbors.Store(now)
+	var told []netip.AddrPort
+	for _, h := range others {
+		if !now.mates[h.Name] {
+			continue
+		}
+		a, err := netip.ParseAddrPort(h.Addr)
+		if err != nil {
+			e.log.Write(event.NewsLost, slog.String("of", h.Name), slog.String("error", err.Error()))
+			continue
+		}
+		told = append(told, a)
+	}
+	if now.others != old.others || now.cells != old.cells || len(now.mates) != len(old.mates) {
+		e.log.Write(event.HostsChanged, slog.Int("others", now.others), slog.Int("cells", now.cells), slog.Int("told", len(told)))
+	}
+	e.news.SetHosts(told)
+}
+
+// maxIdle is how many connections to a server this host may keep, so that all
+// that use the server leave half of what it takes to those in use.
+func (e *Entry) maxIdle(addr string) int {
+	s := e.watcher.State()
+	server, known := s.Servers.Find(addr)
+	if !known || s.Config == nil {
+		return 1
+	}
+	service, _ := s.Config.Service(server.Service)
+	if service.MaxConns <= 0 {
+		return idleUnbounded
+	}
+	n := e.neighbors.Load()
+	sharing := n.others + 1
+	if _, part := n.near[server.Service]; part {
+		sharing = len(n.mates) + 1
+	}
+	return max(service.MaxConns/2/sharing, 1)
+}
--- a/daemon/entry/readers.go
+++ b/daemon/entry/readers.go
@@ -21,6 +21,11 @@
 	// the platform turns away half of all hosts, less than one hall in 200
 	// has none among them that it serves.
 	hallAskers = 8
+	// heardHosts is how many hosts one that isn't a reader hears: those that
+	// stand above it in a tree in which each has fanout hosts below it, and as
+	// many again that hear it as their second.
+	heardHosts = 2
+	fanout     = 16
 	// askMargin is how long before the age at which a change has to be in
 	// force hosts that are told by others begin to ask the platform.
 	askMargin = 300 * time.Millisecond
@@ -100,6 +105,10 @@
 		near, far = hallAskers, otherHallsStale
 	}
 	names := append(slices.Clone(hall[:min(near, len(hall))]), others[:min(far, len(others))]...)
+	if place >= hallReaders {
+		first := (place - hallReaders) / fanout
+		names = hall[first : first+heardHosts]
+	}
 	for _, n := range names {
 		if n != s.host {
 			c.hear = append(c.hear, addrs[n])
@@ -172,7 +181,7 @@
 	e.watcher.SetAsking(asking, c.pause)
 	e.relays.Hear(c.hear)
 	e.log.Write(event.RelayChosen, slog.Bool("asks", c.asks), slog.String("hears", strings.Join(c.hear, ",")),
-		slog.Int("others", e.news.Hosts()))
+		slog.Int("others", e.neighbors.Load().others))
 }
 
 // lookForHosts decides what is asked while no other host is known.
@@ -187,12 +196,18 @@
 	}
 }
 
-// liveHosts are the others that have told something lately, or all that are
-// known.
+// liveHosts are the others that seem alive, or all that are known. Those of
+// the cell tell that they are; of the rest it is known only if this host has
+// tried to hear them.
 func (e *Entry) liveHosts(all bool) []watch.Host {
 	var live []watch.Host
+	mates := e.neighbors.Load().mates
 	for _, h := range e.watcher.State().Hosts {
-		if h.Number != e.number && h.Name != e.settings.Load().Host && (all || e.board.HeardFrom(h.Number, time.Since(e.start))) {
+		if h.Number == e.number || h.Name == e.settings.Load().Host {
+			continue
+		}
+		heard := mates[h.Name] && e.board.HeardFrom(h.Number, time.Since(e.start))
+		if all || heard || !mates[h.Name] && !e.relays.Lost(h.Addr) {
 			live = append(live, h)
 		}
 	}
--- a/daemon/entry/readers_test.go
+++ b/daemon/entry/readers_test.go
@@ -70,21 +70,47 @@
 // TestNewsReachEachHost follows who hears whom, from one host that the
 // platform serves while it turns away all others.
 func TestNewsReachEachHost(t *testing.T) {
-	hosts := site(25)
-	for place := range hallAskers {
-		served := seenBy(hosts, place, 0, 0).host
-		heard := map[string]bool{served: true}
-		for range 4 { // a few steps are enough
+	for name, perHall := range map[string]int{"small halls": 3, "grown halls": 25, "large halls": 100} {
+		t.Run(name, func(t *testing.T) {
+			hosts := site(perHall)
+			hears := map[string][]string{}
 			for _, h := range hosts {
 				s := situation{host: h.Name, hall: h.Hall, told: 4 * time.Second, proven: 4 * time.Second, bound: 3 * time.Second}
 				s.others = slices.DeleteFunc(slices.Clone(hosts), func(o watch.Host) bool { return o.Name == h.Name })
-				if slices.ContainsFunc(s.choose().hear, func(n string) bool { return heard[n] }) {
-					heard[h.Name] = true
+				hears[h.Name] = s.choose().hear
+			}
+			for place := range min(hallAskers, perHall) {
+				served := seenBy(hosts, place, 0, 0).host
+				heard := map[string]bool{served: true}
+				for range 8 { // steps from host to host
+					for h, from := range hears {
+						if slices.ContainsFunc(from, func(n string) bool { return heard[n] }) {
+							heard[h] = true
+						}
+					}
+				}
+				if len(heard) != len(hosts) {
+					t.Errorf("news of %s, at place %d of its hall, reach %d of %d hosts", served, place, len(heard), len(hosts))
 				}
 			}
+		})
+	}
+}
+
+// TestNoHostIsHeardByMany counts the listeners of each host of a large fleet.
+func TestNoHostIsHeardByMany(t *testing.T) {
+	hosts := site(100)
+	listeners := map[string]int{}
+	for _, h := range hosts {
+		s := situation{host: h.Name, hall: h.Hall, bound: 3 * time.Second}
+		s.others = slices.DeleteFunc(slices.Clone(hosts), func(o watch.Host) bool { return o.Name == h.Name })
+		for _, from := range s.choose().hear {
+			listeners[from]++
 		}
-		if len(heard) != len(hosts) {
-			t.Errorf("news of %s, at place %d of its hall, reach %d of %d hosts", served, place, len(heard), len(hosts))
+	}
+	for h, n := range listeners {
+		if most := heardHosts*fanout + 2*hallReaders + 2; n > most {
+			t.Errorf("%s is heard by %d hosts, want at most %d", h, n, most)
 		}
 	}
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -39,6 +39,9 @@
 	State struct {
 		Config  *site.Config
 		Servers *backend.View
+		// Near are the ready servers that this host uses, by service; of a
+		// service that isn't named it uses all.
+		Near map[string][]backend.Server
 	}
 
 	// Gateway is an HTTP handler. It is safe for use by many goroutines.
@@ -216,13 +219,21 @@
 // reached or has no memory; each time may take the dial timeout.
 const maxUnsent = 4
 
+// ready returns the servers of a service that this host uses.
+func (s State) ready(service string) []backend.Server {
+	if near, ok := s.Near[service]; ok {
+		return near
+	}
+	return s.Servers.Ready(service)
+}
+
 // place chooses servers for a call.
 func (g *Gateway) place(c *call, s State) (schedule.Placement, site.Service, bool) {
 	service, ok := s.Config.Service(c.route.Pick(rand.Float64()))
 	if !ok {
 		return schedule.Placement{}, service, false
 	}
-	p, ok := g.board.Place(time.Since(g.start), service, s.Servers.Ready(service.Name), schedule.Request{
+	p, ok := g.board.Place(time.Since(g.start), service, s.ready(service.Name), schedule.Request{
 		Work:      c.work,
 		Objective: c.route.Objective - time.Since(c.arrived),
 		Gap:       c.route.Gap,
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -45,6 +45,9 @@
 	silence = 2500 * time.Millisecond
 	// retryPause lies between tries to reach a server.
 	retryPause = 500 * time.Millisecond
+	// lostTime is for how long a server that could not be heard counts as lost
+	// once it is no longer tried.
+	lostTime = 10 * time.Second
 	// maxMessage bounds a message: a table's rows in one answer of the
 	// platform.
 	maxMessage = 8 << 20
@@ -64,11 +67,16 @@
 
 		mu      sync.Mutex
 		streams map[string]context.CancelFunc
+		lost    map[string]time.Time // when a server could not be heard last
 	}
 
 	codec struct{}
 
-	hearRequest struct{}
+	// hearRequest asks for updates.
+	hearRequest struct {
+		// Knows are the revisions at which the listener knows tables.
+		Knows map[string]int64 `cbor:"1,keyasint,omitempty"`
+	}
 )
 
 var description = grpc.ServiceDesc{
@@ -110,7 +118,7 @@
 	if err := stream.RecvMsg(&r); err != nil {
 		return err
 	}
-	updates, cancel := s.watcher.Subscribe()
+	updates, cancel := s.watcher.Subscribe(r.Knows)
 	defer cancel()
 	for {
 		select {
@@ -129,7 +137,7 @@
 
 // NewClient returns a client that hears nobody yet.
 func NewClient(w *watch.Watcher, l *decision.Log) *Client {
-	return &Client{watcher: w, log: l, streams: map[string]context.CancelFunc{}}
+	return &Client{watcher: w, log: l, streams: map[string]context.CancelFunc{}, lost: map[string]time.Time{}}
 }
 
 // Hear hears the servers at these addresses from now on, and no others.
@@ -153,6 +161,24 @@
 	}
 }
 
+// Lost reports whether a server was tried lately and could not be heard.
+func (c *Client) Lost(addr string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.lost[addr]
+	return ok && time.Since(at) < lostTime
+}
+
+func (c *Client) setLost(addr string, lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if lost {
+		c.lost[addr] = time.Now()
+		return
+	}
+	delete(c.lost, addr)
+}
+
 // keep hears a server until ctx ends, over as many streams as it takes.
 func (c *Client) keep(ctx context.Context, addr string) {
 	lost := false
@@ -165,6 +191,7 @@
 			c.log.Write(event.RelayLost, slog.String("from", addr), slog.String("error", err.Error()))
 		}
 		lost = true
+		c.setLost(addr, true)
 		_ = pause.For(ctx, retryPause) // ctx is looked at above
 	}
 }
@@ -187,7 +214,7 @@
 	if err != nil {
 		return false, errors.Wrap(err, "open stream")
 	}
-	if err := stream.SendMsg(&hearRequest{}); err != nil {
+	if err := stream.SendMsg(&hearRequest{Knows: c.watcher.Revisions()}); err != nil {
 		return false, errors.Wrap(err, "ask")
 	}
 	if err := stream.CloseSend(); err != nil {
@@ -202,6 +229,9 @@
 			return n > 0, errors.Wrap(err, "hear")
 		}
 		alarm.Reset(silence)
+		if n == 0 {
+			c.setLost(addr, false)
+		}
 		c.watcher.Hear(ctx, u, asked)
 	}
 }
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -125,7 +125,7 @@
 	reader, other := watcher(t, func() int { return 3 }), watcher(t, nil)
 	hear(t, other, serve(t, reader))
 	eventually(t, "the other host is told", func() bool { _, ok := other.ToldAge(); return ok })
-	updates, cancel := other.Subscribe()
+	updates, cancel := other.Subscribe(nil)
 	defer cancel()
 	for range 20 {
 		u, ok := <-updates
@@ -178,3 +178,50 @@
 		return ok && age > 100*time.Millisecond
 	})
 }
+
+// TestOnlyWhatIsNewIsTold subscribes at the revision that is known elsewhere,
+// and without knowing anything.
+func TestOnlyWhatIsNewIsTold(t *testing.T) {
+	reader := watcher(t, func() int { return 3 })
+	eventually(t, "the configuration is in force", inForce(reader, 3))
+	for name, tc := range map[string]struct {
+		knows map[string]int64
+		rows  bool
+	}{
+		"knows nothing":    {nil, true},
+		"knows an old one": {map[string]int64{"configs": 0}, true},
+		"knows it":         {reader.Revisions(), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			updates, cancel := reader.Subscribe(tc.knows)
+			defer cancel()
+			for u := range updates {
+				if u.Table != "configs" {
+					continue
+				}
+				if got := len(u.Rows) > 0; got != tc.rows || got != u.Whole {
+					t.Errorf("told %d rows, whole: %v, want rows: %v", len(u.Rows), u.Whole, tc.rows)
+				}
+				return
+			}
+			t.Error("nothing was told")
+		})
+	}
+}
+
+func TestServerThatCantBeHeardIsLost(t *testing.T) {
+	reader, other := watcher(t, func() int { return 3 }), watcher(t, nil)
+	here := serve(t, reader)
+	const nowhere = "127.0.0.1:1"
+	c := relay.NewClient(other, decision.New(io.Discard))
+	t.Cleanup(func() { c.Hear(nil) })
+	c.Hear([]string{here, nowhere})
+	eventually(t, "one is lost and the other is not", func() bool {
+		_, told := other.ToldAge()
+		return told && c.Lost(nowhere) && !c.Lost(here)
+	})
+	c.Hear([]string{here})
+	if !c.Lost(nowhere) {
+		t.Error("a server counts as alive once it is no longer tried")
+	}
+}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -97,7 +97,7 @@
 	Pool struct {
 		dial func(ctx context.Context, addr string) (net.Conn, error)
 		now  func() time.Time
-		most func() int // kept connections to one server
+		most func(addr string) int // kept connections to one server
 
 		mu     sync.Mutex
 		idle   map[string][]*conn
@@ -114,7 +114,7 @@
 }
 
 // WithMaxIdle sets what tells how many connections to one server are kept.
-func WithMaxIdle(f func() int) Option { return func(p *Pool) { p.most = f } }
+func WithMaxIdle(f func(addr string) int) Option { return func(p *Pool) { p.most = f } }
 
 // New returns a pool without connections.
 func New(os ...Option) *Pool {
@@ -130,7 +130,7 @@
 	}
 	p := &Pool{
 		now:  time.Now,
-		most: func() int { return maxIdle },
+		most: func(string) int { return maxIdle },
 		idle: map[string][]*conn{},
 		dial: func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
 	}
@@ -274,7 +274,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cs := p.idle[addr]
-	for len(cs) > 0 && len(cs) >= p.most() {
+	for len(cs) > 0 && len(cs) >= p.most(addr) {
 		_ = cs[0].Close()
 		cs = cs[1:]
 	}
--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"slipcrank.example/core/feed"
@@ -32,17 +34,32 @@
 		rows     map[string]feed.Row
 		revision int64
 		stamp    time.Duration
+		// changed is the revision at which rows were read last: none has
+		// changed between it and revision.
+		changed int64
+	}
+
+	// listener is another host that hears updates.
+	listener struct {
+		updates chan Update
+		// knows are the revisions at which it knew tables as it came.
+		knows map[string]int64
 	}
 )
 
-// Subscribe returns updates, first all that is known. The channel is closed
-// if its reader is too slow. The returned function ends the subscription.
-func (w *Watcher) Subscribe() (<-chan Update, func()) {
+// Subscribe returns updates, first of each table: all its rows, or that none
+// has changed since the revision at which the listener knows it. The channel
+// is closed if its reader is too slow. The returned function ends the
+// subscription.
+func (w *Watcher) Subscribe(knows map[string]int64) (<-chan Update, func()) {
 	c := make(chan Update, maxWaiting)
-	w.tell <- c
+	w.tell <- listener{c, knows}
 	return c, func() { w.leave <- c }
 }
 
+// Revisions returns the revisions of the platform's at which tables are known.
+func (w *Watcher) Revisions() map[string]int64 { return *w.revisions.Load() }
+
 // Hear takes in an update of another host, which was asked for updates at the
 // time asked.
 func (w *Watcher) Hear(ctx context.Context, u Update, asked time.Duration) {
@@ -83,8 +100,14 @@
 		}
 		t.rows[row.Key] = row
 	}
+	if r.whole || len(r.batch.Rows) > 0 {
+		t.changed = max(t.changed, r.batch.Revision)
+	}
 	t.revision = max(t.revision, r.batch.Revision)
 	t.stamp = max(t.stamp, r.batch.Stamp)
+	revisions := maps.Clone(*w.revisions.Load())
+	revisions[r.table] = t.revision
+	w.revisions.Store(&revisions)
 	u := Update{
 		Table: r.table, Rows: r.batch.Rows, Whole: r.whole,
 		Revision: r.batch.Revision, Stamp: r.batch.Stamp, Outage: r.after,
@@ -105,7 +128,8 @@
 
 // welcome tells a new listener all that is known. Without a reading of the
 // platform's clock nothing can be proven to it, so it has to come again.
-func (w *Watcher) welcome(c chan Update) {
+func (w *Watcher) welcome(l listener) {
+	c := l.updates
 	clock, known := w.clock.Age(0, w.Now()) // the age of the reading zero is what the clock shows
 	if !known {
 		close(c)
@@ -113,9 +137,9 @@
 	}
 	w.heard[c] = true
 	for name, t := range w.rows {
-		u := Update{Table: name, Whole: true, Revision: t.revision, Stamp: t.stamp, Clock: clock}
-		for _, r := range t.rows {
-			u.Rows = append(u.Rows, r)
+		u := Update{Table: name, Revision: t.revision, Stamp: t.stamp, Clock: clock}
+		if knows, ok := l.knows[name]; !ok || knows < t.changed {
+			u.Whole, u.Rows = true, slices.Collect(maps.Values(t.rows))
 		}
 		w.offer(c, u)
 	}
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -119,13 +119,15 @@
 		proven  atomic.Int64 // stamp of the newest proof of the configuration, -1 for none
 		told    atomic.Int64 // the same of the newest that other hosts told first
 		reads   chan read
-		onHosts func([]Host)
-		asking  atomic.Int32
-		longest atomic.Int64 // pause between questions that fail
+		// revisions are those at which tables are known.
+		revisions atomic.Pointer[map[string]int64]
+		onHosts   func([]Host)
+		asking    atomic.Int32
+		longest   atomic.Int64 // pause between questions that fail
 		// answering is set while the platform answers questions for the
 		// configuration; those for other tables wait for it.
 		answering atomic.Bool
-		tell      chan chan Update
+		tell      chan listener
 		leave     chan chan Update
 
 		// Owned by Run's goroutine.
@@ -160,12 +162,13 @@
 		book:  backend.NewBook(),
 		hosts: map[string]Host{},
 		lost:  map[string]bool{},
-		tell:  make(chan chan Update),
+		tell:  make(chan listener),
 		leave: make(chan chan Update),
 		rows:  map[string]*table{},
 		heard: map[chan Update]bool{},
 	}
 	w.SetAsking(AskAll, LongestPause)
+	w.revisions.Store(&map[string]int64{})
 	w.proven.Store(-1)
 	w.told.Store(-1)
 	w.state.Store(&State{Servers: w.book.View(0)})
