Pool evidence against servers

Change: a host tells its cell which server failed it. Two others that say so make it rest, unless they report more than half of all servers.

TestServerThatOthersReportRests fails without it (nothing heard such news).

--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -97,6 +97,7 @@
 		placements map[ID]*Placement
 		byServer   map[string]*load
 		trouble    map[string]trouble
+		reports    map[string]reports // of other hosts, by server
 		answers    map[string]answers // by server
 		usual      map[string]answers // by service
 		paces      map[string]pace
@@ -119,6 +120,7 @@
 		placements: map[ID]*Placement{},
 		byServer:   map[string]*load{},
 		trouble:    map[string]trouble{},
+		reports:    map[string]reports{},
 		answers:    map[string]answers{},
 		usual:      map[string]answers{},
 		paces:      map[string]pace{},
@@ -200,6 +202,7 @@
 			delete(b.heard, h)
 		}
 	}
+	b.forgetReports(now)
 	for id, p := range b.placements {
 		_, alive := b.heard[id.Host]
 		if now-p.Begun > maxAge || id.Host != b.host && !alive {
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -311,3 +311,45 @@
 		t.Errorf("%d helpers for a prompt that one engine reads in time", len(p.Helpers))
 	}
 }
+
+// TestServerThatOthersReportRests has other hosts report servers. Each board
+// has had an answer of all of them.
+func TestServerThatOthersReportRests(t *testing.T) {
+	for name, tc := range map[string]struct {
+		hosts   []uint32
+		servers int // that each of them reports
+		after   time.Duration
+		rests   bool
+	}{
+		"one host":                          {[]uint32{2}, 1, 0, false},
+		"one host twice":                    {[]uint32{2, 2}, 1, 0, false},
+		"two hosts":                         {[]uint32{2, 3}, 1, 0, true},
+		"two hosts, for a third of all":     {[]uint32{2, 3}, 6, 0, true},
+		"two hosts, a while ago":            {[]uint32{2, 3}, 1, 3 * time.Second, false},
+		"two hosts that reach no server":    {[]uint32{2, 3}, 18, 0, false},
+		"three, of which one reaches none":  {[]uint32{2, 3, 4}, 1, 0, true},
+		"each of the hosts reaches nothing": {[]uint32{2, 3, 4, 5, 6}, 18, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ss, chosen := servers(18), false
+			for range 40 { // one of the three best engines is drawn
+				b := schedule.NewBoard(1)
+				for _, s := range ss {
+					b.Answered(service.Name, s.ID, false, 0)
+				}
+				for n := range tc.servers {
+					for _, h := range tc.hosts {
+						// The first server is reported last, when it is known
+						// how many others are.
+						b.HeardFailed(h, ss[tc.servers-1-n].ID, 0)
+					}
+				}
+				p, ok := b.Place(tc.after, service, ss, short)
+				chosen = chosen || ok && p.Lead == ss[0].ID
+			}
+			if chosen == tc.rests {
+				t.Errorf("the server rests: %v, want %v", !chosen, tc.rests)
+			}
+		})
+	}
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -121,6 +121,7 @@
 		gateway.WithMemory(memory.New(p.Orders, e.log)),
 		gateway.WithProof(e.keysProven, e.configCurrent),
 		gateway.WithNews(n.Placed, n.Started, n.Ended),
+		gateway.WithEvidence(func(server string) { n.Failed(e.number, server) }),
 	)
 	return e, nil
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -63,6 +63,7 @@
 		memory         *memory.Keeper // nil if none can be set aside
 		placed         func(schedule.Placement)
 		started, ended func(schedule.ID)
+		failed         func(server string)
 	}
 
 	// stop is a planned stop.
@@ -88,6 +89,11 @@
 	return func(g *Gateway) { g.placed, g.started, g.ended = placed, started, ended }
 }
 
+// WithEvidence sets who is told of servers that fail this host.
+func WithEvidence(failed func(server string)) Option {
+	return func(g *Gateway) { g.failed = failed }
+}
+
 // WithMemory sets what sets memory of backend servers aside.
 func WithMemory(k *memory.Keeper) Option { return func(g *Gateway) { g.memory = k } }
 
@@ -102,6 +108,7 @@
 		placed:  func(schedule.Placement) {},
 		started: func(schedule.ID) {},
 		ended:   func(schedule.ID) {},
+		failed:  func(string) {},
 		start:   time.Now(),
 	}
 	for _, o := range os {
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -141,6 +141,7 @@
 		rest = g.board.Failed(blamed, now)
 	}
 	if rest > 0 {
+		g.failed(blamed)
 		g.log.Write(event.ServerAvoided, slog.String("id", c.id), slog.String("server", blamed),
 			slog.String("why", out.why), slog.Duration("rest", rest))
 	}
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -1,8 +1,9 @@
 // Package news tells other hosts what is placed on backend servers, and hears
 // it from them.
 //
-// Each placement, first token and end is a datagram to every other host. One
-// that is lost costs a slightly worse choice until the placement is forgotten,
+// Each placement, first token and end is a datagram to every other host of the
+// cell, and so is a failure of a server. One that is lost costs a slightly
+// worse choice until the placement is forgotten,
 // and never a promise, so nothing is sent twice and nobody waits: that is why
 // this isn't a call over gRPC.
 //
@@ -38,6 +39,7 @@
 	started kind = 2
 	ended   kind = 3
 	alive   kind = 4
+	failed  kind = 5
 )
 
 type (
@@ -127,6 +129,11 @@
 // Ended tells that a placement is over.
 func (n *News) Ended(id schedule.ID) { n.send(message{Kind: ended, Host: id.Host, Number: id.Number}) }
 
+// Failed tells that a server has failed this host.
+func (n *News) Failed(host uint32, server string) {
+	n.send(message{Kind: failed, Host: host, Lead: server})
+}
+
 func (n *News) send(m message) {
 	n.told.Store(int64(n.now()))
 	hosts := *n.hosts.Load()
@@ -197,5 +204,7 @@
 		n.board.Started(id)
 	case ended:
 		n.board.Ended(id)
+	case failed:
+		n.board.HeardFailed(m.Host, m.Lead, n.now())
 	}
 }
--- a/daemon/news/news_test.go
+++ b/daemon/news/news_test.go
@@ -8,8 +8,10 @@
 	"testing"
 	"time"
 
+	"slipcrank.example/core/backend"
 	"slipcrank.example/core/pause"
 	"slipcrank.example/core/schedule"
+	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/news"
 )
@@ -46,6 +48,11 @@
 		return board.Running("a") == 1 && board.Running("b") == 1
 	})
 	until(t, "its end is heard", func() { there.Ended(p.ID) }, func() bool { return board.Running("a") == 0 })
+	until(t, "a server that fails is reported", func() { there.Failed(1, "c"); there.Failed(2, "c") }, func() bool {
+		p, ok := board.Place(0, site.Service{Name: "plain"}, []backend.Server{{ID: "c"}, {ID: "d"}, {ID: "e"}}, schedule.Request{})
+		board.Ended(p.ID)
+		return ok && p.Lead != "c"
+	})
 	until(t, "the host counts as alive", func() { there.Alive(1) }, func() bool { return board.HeardFrom(1, 0) })
 }
 
