--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -14,6 +14,7 @@
 //	go test ./cmd/soak                                          # one short seed
 //	go test ./cmd/soak -args -soak.seeds=50 -soak.for=20s       # many, by hand
 //	go test ./cmd/soak -args -soak.seed=17 -soak.keep=DIR       # one again, with its logs
+//	go test ./cmd/soak -args -soak.hosts=30                      # 90 processes
 package soak
 
 import (
@@ -33,12 +34,11 @@
 )
 
 const (
-	halls        = 3
-	hostsPerHall = 2
-	serverCount  = 5
-	callers      = 12
-	service      = "plain"
-	serverPort   = 7200
+	halls       = 3
+	serverCount = 5
+	callers     = 12
+	service     = "plain"
+	serverPort  = 7200
 	// startTime is for all hosts to serve, recoverTime for all to do so again
 	// when every fault has ended.
 	startTime   = 15 * time.Second
@@ -57,6 +57,7 @@
 type Options struct {
 	Seed   uint64
 	For    time.Duration
+	Hosts  int    // in each of three halls, up to 60
 	Binary string // slipcrankd
 	Dir    string // for settings and logs
 }
@@ -151,7 +152,7 @@
 			return err
 		}
 	}
-	for n := range halls * hostsPerHall {
+	for n := range halls * o.Hosts {
 		h, err := newHost(o.Dir, o.Binary, fmt.Sprintf("host-%d", n), fmt.Sprintf("hall-%d", n%halls), fmt.Sprintf("%s%d", w.base, n+1))
 		if err != nil {
 			return err
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -15,6 +15,7 @@
 var (
 	seeds = flag.Uint64("soak.seeds", 1, "how many seeds are played")
 	first = flag.Uint64("soak.seed", 1, "the first seed")
+	hosts = flag.Int("soak.hosts", 2, "how many hosts each of three halls has")
 	span  = flag.Duration("soak.for", 8*time.Second, "how long each is played")
 	keep  = flag.String("soak.keep", "", "a folder for settings and logs")
 )
@@ -43,7 +44,7 @@
 			if err := os.MkdirAll(own, 0o700); err != nil {
 				t.Fatal(err)
 			}
-			broken, err := soak.Run(soak.Options{Seed: s, For: *span, Binary: binary, Dir: own})
+			broken, err := soak.Run(soak.Options{Seed: s, For: *span, Hosts: *hosts, Binary: binary, Dir: own})
 			if err != nil {
 				t.Fatal(err)
 			}
