Take streams that would be late at once

Cause: a stream predicted after its objective was refused and asked to come back once. Its caller got the first token later than by waiting: the wait of a full engine is some 100 ms a place, coming back took 300 ms and more. Since waits for slots are predicted, few are late where another engine is free.

--- a/daemon/gateway/postpone.go
+++ b/daemon/gateway/postpone.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"slipcrank.example/core/schedule"
-	"slipcrank.example/core/site"
 )
 
 // postpone refuses a call that can't be served in its time, and asks one to
-// come back that would be late, or displace more than it is worth: taken in
-// now, it would make others late as well. One that has come back is served.
+// come back that displaces more than it is worth: taken in now, it would make
+// others late. One that has come back is served. One that is merely late is
+// taken in at once: its caller gets the answer sooner than by coming back.
 func (g *Gateway) postpone(c *call, p schedule.Placement) *refusal {
 	if c.attempts > 0 || c.may {
 		return nil
@@ -22,16 +22,11 @@
 	if p.Displaces > returnedMost {
 		return refuse(http.StatusServiceUnavailable, "engines_full", memoryWait)
 	}
-	late := c.route.Kind == site.Stream && time.Since(c.arrived)+p.First > c.route.Objective
-	if !late && p.Displaces <= 1 || left < time.Duration(firstPart*float64(c.route.Timeout)) {
+	if p.Displaces <= 1 || left < time.Duration(firstPart*float64(c.route.Timeout)) {
 		return nil
 	}
-	after := time.Duration(returnPart * float64(left) / (1 + spread))
-	if p.Displaces <= 1 {
-		after = min(after, max(returnFirsts*p.First, leastReturn))
-	}
 	g.metrics.Count("gateway_postponed", 1, "route", c.route.Name)
-	return refuse(http.StatusServiceUnavailable, "engines_busy", after)
+	return refuse(http.StatusServiceUnavailable, "engines_busy", time.Duration(returnPart*float64(left)/(1+spread)))
 }
 
 const (
@@ -46,10 +41,4 @@
 	// returnPart is the part of their time after which callers still come
 	// back: a third, and a little less for the way.
 	returnPart = 0.3
-	// returnFirsts is after how many of its predicted times a call that would
-	// only be late comes back, leastReturn the least: by then about as many
-	// slots were free as were missing, and its caller waits no longer than
-	// need be.
-	returnFirsts = 2
-	leastReturn  = 300 * time.Millisecond
 )
