Bound lists by page, not as a whole

A list of 3,000 servers is seven pages over a link of 20 Mbit/s that relays use too; all of it had 1.5 s, and began anew each time it took longer.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -40,7 +40,8 @@
 
 	// Source reads tables.
 	Source struct {
-		// List returns all rows of a table at one moment.
+		// List returns all rows of a table at one moment. It may take many calls,
+		// and bounds the time of each.
 		List func(ctx context.Context, table string) (Batch, error)
 		// Follow waits, up to wait, for rows that changed after a revision.
 		Follow func(ctx context.Context, table string, after int64, wait time.Duration) (Batch, error)
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -324,17 +324,16 @@
 	return gather
 }
 
+// ask lists a table, or asks for its changes. A list may take several calls, of
+// which the source bounds each: how long all take depends on the fleet.
 func (w *Watcher) ask(ctx context.Context, table string, listed bool, revision int64, wait time.Duration) (feed.Batch, error) {
-	if !listed {
-		wait = 0
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+answerTime)
-	defer cancel()
 	sent := w.Now()
 	var b feed.Batch
 	var err error
 	if listed {
-		b, err = w.source.Follow(ctx, table, revision, wait)
+		c, cancel := context.WithTimeout(ctx, wait+answerTime)
+		defer cancel()
+		b, err = w.source.Follow(c, table, revision, wait)
 	} else {
 		b, err = w.source.List(ctx, table)
 	}
