Believe reports of servers until they are seen to be wrong

Cause: found by reading: a hall that is cut off loses two thirds of all servers, and hosts that reported more than half weren't believed, so that the pooled evidence worked everywhere but there. Change: a host is doubted for 3 s once a server that it has just reported serves anybody.

--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -97,9 +97,10 @@
 		placements map[ID]*Placement
 		byServer   map[string]*load
 		trouble    map[string]trouble
-		reports    map[string]reports // of other hosts, by server
-		answers    map[string]answers // by server
-		usual      map[string]answers // by service
+		reports    map[string]reports       // of other hosts, by server
+		wrong      map[uint32]time.Duration // when other hosts' reports were wrong last
+		answers    map[string]answers       // by server
+		usual      map[string]answers       // by service
 		paces      map[string]pace
 		rates      map[string]rate          // of placements, by service
 		heard      map[uint32]time.Duration // when other hosts were heard last
@@ -121,6 +122,7 @@
 		byServer:   map[string]*load{},
 		trouble:    map[string]trouble{},
 		reports:    map[string]reports{},
+		wrong:      map[uint32]time.Duration{},
 		answers:    map[string]answers{},
 		usual:      map[string]answers{},
 		paces:      map[string]pace{},
@@ -162,11 +164,12 @@
 }
 
 // Started notes that a placement's prompt has been read.
-func (b *Board) Started(id ID) {
+func (b *Board) Started(id ID, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p := b.placements[id]; p != nil {
 		p.writing = true
+		b.serves(p.Lead, now)
 	}
 }
 
--- a/core/schedule/trouble.go
+++ b/core/schedule/trouble.go
@@ -93,6 +93,7 @@
 	b.usual[service] = usual.with(failed, serviceDecay)
 	if !failed {
 		delete(b.trouble, server)
+		b.serves(server, now)
 	}
 	return 0
 }
--- a/core/schedule/witness.go
+++ b/core/schedule/witness.go
@@ -13,10 +13,9 @@
 	// longestShared bounds rests for what others report: this host may reach
 	// a server that they can't.
 	longestShared = 2 * time.Second
-	// mostReported is the part of all servers above which a host's reports
-	// count for nothing: then the fault is likely its own. A hall that is cut
-	// off takes a third of the servers with it.
-	mostReported = 0.5
+	// doubtTime is for how long a host isn't believed that reported a server
+	// which then served others: the fault is likely its own.
+	doubtTime = 3 * time.Second
 )
 
 // reports are who reported a server, and when last.
@@ -47,20 +46,29 @@
 	}
 }
 
-// doubted reports whether a host reports so many servers that the fault is
-// likely its own.
+// doubted reports whether a host was found wrong lately.
 func (b *Board) doubted(host uint32, now time.Duration) bool {
-	n := 0
-	for _, r := range b.reports {
-		if at, ok := r[host]; ok && now-at <= reportLife {
-			n++
+	at, ok := b.wrong[host]
+	return ok && now-at <= doubtTime
+}
+
+// serves notes that a server works for this host or another: whoever has just
+// reported it is not believed for a while.
+func (b *Board) serves(server string, now time.Duration) {
+	for h, at := range b.reports[server] {
+		if now-at <= reportLife {
+			b.wrong[h] = now
 		}
 	}
-	return n > 1 && float64(n) > mostReported*float64(len(b.answers))
 }
 
 // forgetReports drops reports that no longer count.
 func (b *Board) forgetReports(now time.Duration) {
+	for h, at := range b.wrong {
+		if now-at > doubtTime {
+			delete(b.wrong, h)
+		}
+	}
 	for server, r := range b.reports {
 		for h, at := range r {
 			if now-at > reportLife {
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -48,7 +48,7 @@
 		}
 		if n == 0 {
 			out.first = time.Since(c.arrived)
-			g.board.Started(p.ID)
+			g.board.Started(p.ID, time.Since(g.start))
 			g.started(p.ID)
 		}
 		begin(w, c, a)
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -201,7 +201,7 @@
 			Begun:     n.now(),
 		})
 	case started:
-		n.board.Started(id)
+		n.board.Started(id, n.now())
 	case ended:
 		n.board.Ended(id)
 	case failed:
