--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -44,7 +44,7 @@
 	leftGaps = 8
 	// nearCost is up to how much more than the least the engine may cost that
 	// leads, and nearMost among how many one is drawn.
-	nearCost = 0.02
+	nearCost = 0.05
 	nearMost = 3
 	// spreadCost is for memory that has to be set aside on other engines.
 	spreadCost = 0.1
@@ -207,7 +207,9 @@
 	}
 	slices.SortFunc(order, func(i, j int) int { return cmp.Compare(costs[i], costs[j]) })
 	near := 1
-	for near < min(nearMost, len(order)) && costs[order[near]] <= costs[order[0]]+nearCost*value {
+	best := states[order[0]]
+	for near < min(nearMost, len(order)) && costs[order[near]] <= costs[order[0]]+nearCost*value &&
+		states[order[near]].slow <= best.slow {
 		near++
 	}
 	return states[order[int(draw*float64(near))]]
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -167,6 +167,7 @@
 		heard: map[chan Update]bool{},
 	}
 	w.SetAsking(AskAll, LongestPause)
+	w.answering.Store(true)
 	w.digests.Store(&map[string]uint64{})
 	w.proven.Store(-1)
 	w.told.Store(-1)
