Take the platform for away only if nobody had proofs from it

Cause: the store had turned the three hosts of one hall away. As one of them was served again, a second after the others, it told all hosts that the platform had been away for 10 s, so that an entry that had gone meanwhile was kept by all as one that lapsed. Ruled out: news of the entry (at each host 0.1 s later), a second row, a list that overtakes.

Change: the platform counts as away if no proof of the configuration, from anybody, lies in the last second beyond the time between two. Relays no longer tell outages. TestServerThatGoesWhileOthersAreServed fails on the old code.

--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -25,8 +25,6 @@
 		Revision int64 `cbor:"4,keyasint"`
 		// Stamp is the platform's steady clock when this was true.
 		Stamp time.Duration `cbor:"5,keyasint"`
-		// Outage is how long the platform had been away before.
-		Outage time.Duration `cbor:"6,keyasint,omitempty"`
 		// Clock is at least what the platform's steady clock shows as this is
 		// sent; only in the first updates of a listener.
 		Clock time.Duration `cbor:"7,keyasint,omitempty"`
@@ -77,7 +75,6 @@
 		table: u.Table,
 		batch: feed.Batch{Rows: u.Rows, Revision: u.Revision, Stamp: u.Stamp},
 		whole: u.Whole,
-		after: u.Outage,
 		told:  true,
 	})
 }
@@ -117,7 +114,7 @@
 	w.digests.Store(&digests)
 	u := Update{
 		Table: r.table, Rows: r.batch.Rows, Whole: r.whole,
-		Revision: r.batch.Revision, Stamp: r.batch.Stamp, Outage: r.after,
+		Revision: r.batch.Revision, Stamp: r.batch.Stamp,
 	}
 	for c := range w.heard {
 		w.offer(c, u)
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -66,8 +66,10 @@
 	// firstPause lies between questions that fail, and doubles with each up
 	// to the longest that is set.
 	firstPause = 100 * time.Millisecond
-	// outageTime is how long questions have to fail for entries of servers to
-	// lapse by the platform's absence: under two heartbeats.
+	// outageTime is how long nobody may have had a proof of the configuration,
+	// beyond the time that lies between two proofs, before the platform counts
+	// as having been away: under two heartbeats of the servers, whose entries
+	// lapse after three.
 	outageTime = time.Second
 )
 
@@ -136,6 +138,7 @@
 		configRevision int64
 		hosts          map[string]Host
 		lost           map[string]bool
+		answered       time.Duration // newest stamp of an answer about the configuration
 		rows           map[string]*table
 		heard          map[chan Update]bool
 	}
@@ -369,9 +372,13 @@
 		w.lost[r.table] = false
 		w.log.Write(event.PlatformBack, slog.String("table", r.table), slog.Duration("after", r.after))
 	}
+	if w.wasAway(r.batch.Stamp) {
+		w.book.Returned(w.Now())
+	}
 	changed := false
 	switch r.table {
 	case w.tables.Config:
+		w.answered = max(w.answered, r.batch.Stamp)
 		changed = w.takeConfig(r)
 	case w.tables.Servers:
 		changed = w.takeServers(r)
@@ -390,6 +397,13 @@
 	w.pass(r)
 }
 
+// wasAway reports whether the platform was away before it made an answer with
+// this stamp. That this host's own questions failed doesn't say so: others may
+// have been served, and told of it.
+func (w *Watcher) wasAway(stamp time.Duration) bool {
+	return w.answered > 0 && stamp-w.answered > w.tables.ConfigWait+outageTime
+}
+
 // takeConfig brings the newest of the configurations that were read into
 // force: an answer may hold one for each change that was missed.
 func (w *Watcher) takeConfig(r read) bool {
@@ -415,9 +429,6 @@
 
 func (w *Watcher) takeServers(r read) bool {
 	now := w.Now()
-	if r.after > outageTime {
-		w.book.Returned(now)
-	}
 	changed := false
 	present := map[string]bool{}
 	for _, row := range r.batch.Rows {
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -236,6 +236,37 @@
 	}
 }
 
+// TestServerThatGoesWhileOthersAreServed has the platform turn this host away,
+// while another host tells it proofs, and a server go right after.
+func TestServerThatGoesWhileOthersAreServed(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		s.put(serversTable, "a", `{"Service":"s"}`)
+		s.put(configTable, "config", "1")
+		settle()
+		s.setDown(true)
+		for range 8 {
+			pass(500 * time.Millisecond)
+			asked := w.Now()
+			w.Hear(context.Background(), watch.Update{
+				Table: configTable, Revision: s.revision(), Stamp: time.Since(s.start) + time.Hour, Clock: time.Since(s.start) + time.Hour,
+			}, asked)
+		}
+		s.setDown(false)
+		settle()
+		s.remove(serversTable, "a")
+		settle()
+		if n := len(w.State().Servers.Ready("s")); n > 0 {
+			t.Error("a server whose entry has gone is kept as if the platform had been away")
+		}
+	})
+}
+
+func (f *fakeStore) revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rev
+}
+
 // outage has the platform down for four seconds, in which entries go.
 func outage(ids ...string) func(s *fakeStore) {
 	return func(s *fakeStore) {
