Tell listeners of a relay changes only, also when a table was listed anew

Change: what a list changes is told, rows that it lacks as gone. TestListenersAreToldChangesOnly fails on the old code.

--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -90,14 +90,51 @@
 	return t != nil && r.batch.Stamp <= t.stamp
 }
 
-// pass keeps what was read and tells all listeners.
+// pass keeps what was read and tells all listeners what is new in it.
 func (w *Watcher) pass(r read) {
+	u := Update{Table: r.table, Rows: r.batch.Rows, Whole: r.whole, Revision: r.batch.Revision, Stamp: r.batch.Stamp}
 	t := w.rows[r.table]
-	if t == nil || r.whole {
+	switch {
+	case t == nil:
 		t = &table{rows: map[string]feed.Row{}}
 		w.rows[r.table] = t
+	case r.whole:
+		u.Rows, u.Whole = t.changes(r.batch), false
 	}
-	for _, row := range r.batch.Rows {
+	t.apply(u.Rows)
+	t.revision = max(t.revision, u.Revision)
+	t.stamp = max(t.stamp, u.Stamp)
+	digests := maps.Clone(*w.digests.Load())
+	digests[r.table] = t.digest
+	w.digests.Store(&digests)
+	for c := range w.heard {
+		w.offer(c, u)
+	}
+}
+
+// changes returns the rows of a whole list that differ from those that are
+// known, and those that it lacks as gone. A list of a large fleet's servers
+// would keep the links to all listeners busy for seconds.
+func (t *table) changes(whole feed.Batch) []feed.Row {
+	var rows []feed.Row
+	present := map[string]bool{}
+	for _, r := range whole.Rows {
+		present[r.Key] = true
+		if old, ok := t.rows[r.Key]; !ok || old.Revision < r.Revision {
+			rows = append(rows, r)
+		}
+	}
+	for key, old := range t.rows {
+		if !present[key] && old.Revision <= whole.Revision {
+			rows = append(rows, feed.Row{Key: key, Revision: whole.Revision, Gone: true})
+		}
+	}
+	return rows
+}
+
+// apply brings changed rows into the table.
+func (t *table) apply(rows []feed.Row) {
+	for _, row := range rows {
 		if old, ok := t.rows[row.Key]; ok {
 			t.digest ^= digest(old)
 			delete(t.rows, row.Key)
@@ -107,18 +144,6 @@
 			t.digest ^= digest(row)
 		}
 	}
-	t.revision = max(t.revision, r.batch.Revision)
-	t.stamp = max(t.stamp, r.batch.Stamp)
-	digests := maps.Clone(*w.digests.Load())
-	digests[r.table] = t.digest
-	w.digests.Store(&digests)
-	u := Update{
-		Table: r.table, Rows: r.batch.Rows, Whole: r.whole,
-		Revision: r.batch.Revision, Stamp: r.batch.Stamp,
-	}
-	for c := range w.heard {
-		w.offer(c, u)
-	}
 }
 
 // offer tells a listener, or ends its subscription if it is too slow.
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -380,3 +380,58 @@
 	defer f.mu.Unlock()
 	return f.calls
 }
+
+// TestListenersAreToldChangesOnly has the platform forget its history, so that
+// a table is listed anew.
+func TestListenersAreToldChangesOnly(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		for _, key := range []string{"a", "b", "c"} {
+			s.put(serversTable, key, `{"Service":"s"}`)
+		}
+		settle()
+		updates, leave := w.Subscribe(nil)
+		defer leave()
+		pass(time.Second)
+		told(updates, serversTable) // all that is known
+		s.mu.Lock()
+		s.forgets = true
+		s.mu.Unlock()
+		s.remove(serversTable, "a")
+		s.put(serversTable, "b", `{"Service":"s","Draining":true}`)
+		pass(3 * time.Second)
+		s.mu.Lock()
+		s.forgets = false
+		s.mu.Unlock()
+		gone, changed := 0, 0
+		for _, u := range told(updates, serversTable) {
+			if u.Whole {
+				t.Error("the whole table is told again")
+			}
+			for _, r := range u.Rows {
+				if r.Gone {
+					gone++
+				} else {
+					changed++
+				}
+			}
+		}
+		if gone != 1 || changed != 1 {
+			t.Errorf("%d rows are told as gone and %d as changed, want 1 and 1", gone, changed)
+		}
+	})
+}
+
+// told takes the updates of a table that wait.
+func told(updates <-chan watch.Update, table string) []watch.Update {
+	var us []watch.Update
+	for {
+		select {
+		case u := <-updates:
+			if u.Table == table {
+				us = append(us, u)
+			}
+		default:
+			return us
+		}
+	}
+}
