Refuse streams whose callers would have left; count what is read once

Callers leave after 2 s, four objectives or eight pauses. Change: a stream predicted to begin later than that is refused at once, and comes back after about that time. TestStreamThatCallersWouldLeaveIsRefused fails without it.

--- a/core/schedule/slots.go
+++ b/core/schedule/slots.go
@@ -56,13 +56,13 @@
 
 // turnover is the mean time between two ends of requests on the engine once
 // all its slots are taken, if all that run write as many tokens as they are
-// expected to.
+// expected to and what is yet to be read now is all that is read meanwhile.
 func (s state) turnover() time.Duration {
 	if s.running == 0 || s.server.Slots == 0 {
 		return 0
 	}
 	passes := float64(s.answers) / float64(s.running) / float64(s.stride)
-	return time.Duration(passes * float64(s.pass+s.reading/2) / float64(s.server.Slots))
+	return time.Duration((passes*float64(s.pass) + float64(s.reading)) / float64(s.server.Slots))
 }
 
 // wait is the mean time until a slot is free for one more request.
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -146,7 +146,7 @@
 	public := route("public", site.Repeatable, 1)
 	public.Public = true
 	late := route("late", site.Stream, 2)
-	late.Objective, late.Targets[0].Service = time.Nanosecond, "engine"
+	late.Objective, late.Gap, late.Targets[0].Service = time.Nanosecond, 100*time.Millisecond, "engine"
 	f.config = site.New(1, []site.Route{
 		route("safe", site.Repeatable, 2), route("once", site.Once, 1), route("once-two", site.Once, 2),
 		route("resume", site.Stream, 2), route("stream", site.Stream, 2), public,
@@ -497,6 +497,27 @@
 	}
 }
 
+// TestStreamThatCallersWouldLeaveIsRefused has engines that read for others
+// for longer than callers wait for a first event.
+func TestStreamThatCallersWouldLeaveIsRefused(t *testing.T) {
+	f := start(t, streamFrom(events))
+	for n := range 2 {
+		f.board.Heard(schedule.Placement{
+			ID: schedule.ID{Host: 2, Number: uint32(n)}, Service: "engine", Lead: "e0",
+			Work: schedule.Work{Prompt: 130_000, Answer: 10}, First: time.Minute,
+			Shares: []schedule.Share{{Server: "elsewhere", Tokens: 130_000}},
+		})
+	}
+	a := f.ask("POST", "/late/", "b", "Size", "1000,10", "Wait-Ms", "30000")
+	if a.status != 503 || f.runs() != 0 {
+		t.Fatalf("status %d after %d runs, want 503 after none", a.status, f.runs())
+	}
+	after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	if err != nil || after <= 0 || after > 1.5 {
+		t.Errorf("come back after %q s, want up to a third of the route's 5 s", a.header.Get("Retry-After"))
+	}
+}
+
 func TestMemoryThatIsNeverThereEndsInARefusal(t *testing.T) {
 	f := start(t, streamFrom(events), streamFrom(events))
 	a := f.ask("POST", "/late/", "b", "Size", "150000,10", "Wait-Ms", "4500")
--- a/daemon/gateway/postpone.go
+++ b/daemon/gateway/postpone.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"slipcrank.example/core/schedule"
+	"slipcrank.example/core/site"
 )
 
 // postpone refuses a call that can't be served in its time, and asks one to
@@ -19,6 +20,10 @@
 	if p.First > left {
 		return refuse(http.StatusServiceUnavailable, "no_time", busyWait)
 	}
+	if c.route.Kind == site.Stream && time.Since(c.arrived)+p.First > patience(c.route) {
+		after := min(float64(p.First), returnPart*float64(left)) / (1 + spread)
+		return refuse(http.StatusServiceUnavailable, "no_patience", time.Duration(after))
+	}
 	if p.Displaces > returnedMost {
 		return refuse(http.StatusServiceUnavailable, "engines_full", memoryWait)
 	}
@@ -29,7 +34,19 @@
 	return refuse(http.StatusServiceUnavailable, "engines_busy", time.Duration(returnPart*float64(left)/(1+spread)))
 }
 
+// patience is how long callers wait for the first event of a stream before
+// they leave.
+func patience(r site.Route) time.Duration {
+	return max(leastPatience, patienceObjectives*r.Objective, patienceGaps*r.Gap)
+}
+
 const (
+	// leastPatience, patienceObjectives and patienceGaps are the users' words
+	// on how long their callers wait for an event: two seconds, four times the
+	// objective or eight times the pause that they mind, whichever is longest.
+	leastPatience      = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
 	// firstPart is the part of a route's time that a caller has left when it
 	// asks for the first time; callers that come back have less.
 	firstPart = 0.93
