--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -41,8 +41,10 @@
 	serviceName = "slipcrank.Relay"
 	methodName  = "Hear"
 	// silence is how long a server may say nothing before its stream is given
-	// up; servers that read the platform send a proof more often than that.
-	silence = 2500 * time.Millisecond
+	// up, and aliveEvery how often it sends an update of no table if it has no
+	// news, as while the platform is away.
+	silence    = 2500 * time.Millisecond
+	aliveEvery = time.Second
 	// firstTime is for the first message, which may hold 3,000 servers in
 	// half a megabyte and come with those of 30 other listeners over a link of
 	// 20 Mbit/s.
@@ -124,18 +126,24 @@
 	}
 	updates, cancel := s.watcher.Subscribe(r.Knows)
 	defer cancel()
+	quiet := time.NewTicker(aliveEvery)
+	defer quiet.Stop()
 	for {
+		var u watch.Update
+		ok := true
 		select {
 		case <-stream.Context().Done():
 			return stream.Context().Err()
-		case u, ok := <-updates:
-			if !ok {
-				return errors.New("the stream was too slow; ask anew")
-			}
-			if err := stream.SendMsg(&u); err != nil {
-				return err
-			}
+		case u, ok = <-updates:
+		case <-quiet.C:
 		}
+		if !ok {
+			return errors.New("the stream was too slow; ask anew")
+		}
+		if err := stream.SendMsg(&u); err != nil {
+			return err
+		}
+		quiet.Reset(aliveEvery)
 	}
 }
 
@@ -236,6 +244,8 @@
 		if n == 0 {
 			c.setLost(addr, false)
 		}
-		c.watcher.Hear(ctx, u, asked)
+		if u.Table != "" {
+			c.watcher.Hear(ctx, u, asked)
+		}
 	}
 }
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -34,6 +34,9 @@
 			return feed.Batch{}, io.ErrUnexpectedEOF
 		}
 		v := version()
+		if v < 0 {
+			return feed.Batch{}, io.ErrUnexpectedEOF
+		}
 		b := feed.Batch{Revision: int64(v), Stamp: time.Since(start) + time.Hour}
 		if table == "configs" {
 			b.Rows = []feed.Row{{Key: "config", Value: []byte(strconv.Itoa(v)), Revision: int64(v)}}
@@ -225,3 +228,25 @@
 		t.Error("a server counts as alive once it is no longer tried")
 	}
 }
+
+// TestStreamOutlivesAnOutage has a host whose platform stops answering, and
+// later has a change.
+func TestStreamOutlivesAnOutage(t *testing.T) {
+	var current atomic.Int64
+	current.Store(3)
+	reader, other := watcher(t, func() int { return int(current.Load()) }), watcher(t, nil)
+	c := relay.NewClient(other, decision.New(io.Discard))
+	t.Cleanup(func() { c.Hear(nil) })
+	here := serve(t, reader)
+	c.Hear([]string{here})
+	eventually(t, "the configuration is known", inForce(other, 3))
+	current.Store(-1)
+	for end := time.Now().Add(3500 * time.Millisecond); time.Now().Before(end); {
+		if c.Lost(here) {
+			t.Fatal("the stream was given up although its server lives")
+		}
+		_ = pause.For(context.Background(), poll) // never ends early
+	}
+	current.Store(5)
+	eventually(t, "the change is known", inForce(other, 5))
+}
