--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -236,6 +236,37 @@
 	}
 }
 
+// TestServerThatGoesWhileOthersAreServed has the platform turn this host away,
+// while another host tells it proofs, and a server go right after.
+func TestServerThatGoesWhileOthersAreServed(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		s.put(serversTable, "a", `{"Service":"s"}`)
+		s.put(configTable, "config", "1")
+		settle()
+		s.setDown(true)
+		for range 8 {
+			pass(500 * time.Millisecond)
+			asked := w.Now()
+			w.Hear(context.Background(), watch.Update{
+				Table: configTable, Revision: s.revision(), Stamp: time.Since(s.start) + time.Hour, Clock: time.Since(s.start) + time.Hour,
+			}, asked)
+		}
+		s.setDown(false)
+		settle()
+		s.remove(serversTable, "a")
+		settle()
+		if n := len(w.State().Servers.Ready("s")); n > 0 {
+			t.Error("a server whose entry has gone is kept as if the platform had been away")
+		}
+	})
+}
+
+func (f *fakeStore) revision() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rev
+}
+
 // outage has the platform down for four seconds, in which entries go.
 func outage(ids ...string) func(s *fakeStore) {
 	return func(s *fakeStore) {
@@ -349,3 +380,58 @@
 	defer f.mu.Unlock()
 	return f.calls
 }
+
+// TestListenersAreToldChangesOnly has the platform forget its history, so that
+// a table is listed anew.
+func TestListenersAreToldChangesOnly(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		for _, key := range []string{"a", "b", "c"} {
+			s.put(serversTable, key, `{"Service":"s"}`)
+		}
+		settle()
+		updates, leave := w.Subscribe(nil)
+		defer leave()
+		pass(time.Second)
+		told(updates, serversTable) // all that is known
+		s.mu.Lock()
+		s.forgets = true
+		s.mu.Unlock()
+		s.remove(serversTable, "a")
+		s.put(serversTable, "b", `{"Service":"s","Draining":true}`)
+		pass(3 * time.Second)
+		s.mu.Lock()
+		s.forgets = false
+		s.mu.Unlock()
+		gone, changed := 0, 0
+		for _, u := range told(updates, serversTable) {
+			if u.Whole {
+				t.Error("the whole table is told again")
+			}
+			for _, r := range u.Rows {
+				if r.Gone {
+					gone++
+				} else {
+					changed++
+				}
+			}
+		}
+		if gone != 1 || changed != 1 {
+			t.Errorf("%d rows are told as gone and %d as changed, want 1 and 1", gone, changed)
+		}
+	})
+}
+
+// told takes the updates of a table that wait.
+func told(updates <-chan watch.Update, table string) []watch.Update {
+	var us []watch.Update
+	for {
+		select {
+		case u := <-updates:
+			if u.Table == table {
+				us = append(us, u)
+			}
+		default:
+			return us
+		}
+	}
+}
