Don't take servers of a relay for lost that ask to come again

Change: only a server that can't be reached or says nothing is lost. TestServerThatKnowsNothingYetIsNotLost fails on the old code.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -27,8 +27,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
+	"google.golang.org/grpc/status"
 
 	"slipcrank.example/core/pause"
 	"slipcrank.example/daemon/decision"
@@ -95,6 +97,10 @@
 	}},
 }
 
+// errTurnedAway is a server that lives and asks to come again: it has just
+// started and knows nothing yet, or its listener was too slow.
+var errTurnedAway = errors.New("the server asks to come again")
+
 func init() { encoding.RegisterCodec(codec{}) }
 
 // Marshal implements encoding.Codec.
@@ -138,7 +144,7 @@
 		case <-quiet.C:
 		}
 		if !ok {
-			return errors.New("the stream was too slow; ask anew")
+			return errors.New("nothing is known yet, or the stream was too slow; ask anew")
 		}
 		if err := stream.SendMsg(&u); err != nil {
 			return err
@@ -203,7 +209,9 @@
 			c.log.Write(event.RelayLost, slog.String("from", addr), slog.String("error", err.Error()))
 		}
 		lost = true
-		c.setLost(addr, true)
+		if !errors.Is(err, errTurnedAway) {
+			c.setLost(addr, true)
+		}
 		_ = pause.For(ctx, retryPause) // ctx is looked at above
 	}
 }
@@ -236,7 +244,10 @@
 		var u watch.Update
 		if err := stream.RecvMsg(&u); err != nil {
 			if cause := context.Cause(ctx); cause != nil {
-				err = cause
+				return n > 0, errors.Wrap(cause, "hear")
+			}
+			if status.Code(err) == codes.Unknown { // the server's own words
+				err = errors.Mark(err, errTurnedAway)
 			}
 			return n > 0, errors.Wrap(err, "hear")
 		}
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -250,3 +250,23 @@
 	current.Store(5)
 	eventually(t, "the change is known", inForce(other, 5))
 }
+
+// TestServerThatKnowsNothingYetIsNotLost hears a host that has not reached the
+// platform so far, and then does.
+func TestServerThatKnowsNothingYetIsNotLost(t *testing.T) {
+	var current atomic.Int64
+	current.Store(-1)
+	reader, other := watcher(t, func() int { return int(current.Load()) }), watcher(t, nil)
+	c := relay.NewClient(other, decision.New(io.Discard))
+	t.Cleanup(func() { c.Hear(nil) })
+	here := serve(t, reader)
+	c.Hear([]string{here})
+	for end := time.Now().Add(700 * time.Millisecond); time.Now().Before(end); {
+		if c.Lost(here) {
+			t.Fatal("a server that lives counts as lost")
+		}
+		_ = pause.For(context.Background(), poll) // never ends early
+	}
+	current.Store(3)
+	eventually(t, "the configuration is known", inForce(other, 3))
+}
