--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -442,89 +441,3 @@
 		})
 	}
 }
-
-// TestLateStreamIsTakenAtOnce has a route whose objective nothing can meet.
-func TestLateStreamIsTakenAtOnce(t *testing.T) {
-	f := start(t, streamFrom(events))
-	a := f.ask("POST", "/late/", "b", "Size", "10000,10", "Wait-Ms", "5000")
-	if a.status != 200 || a.body != allEvents() || f.runs() != 1 {
-		t.Errorf("status %d, body %q after %d runs, want the whole stream after 1", a.status, a.body, f.runs())
-	}
-}
-
-// TestStreamThatDisplacesMoreComesBackOnce has each engine read long prompts of
-// another host.
-func TestStreamThatDisplacesMoreComesBackOnce(t *testing.T) {
-	for name, tc := range map[string]struct {
-		busy        bool
-		wait        string // that the caller has left, of 5 s
-		status      int
-		least, most float64 // seconds until it may come back
-	}{
-		"idle engines":           {false, "5000", 200, 0, 0},
-		"busy ones, first time":  {true, "5000", 503, 0.9, 1.5},
-		"busy ones, caller back": {true, "4000", 200, 0, 0},
-	} {
-		t.Run(name, func(t *testing.T) {
-			f := start(t, streamFrom(events), streamFrom(events))
-			for n, id := range []string{"e0", "e1"} {
-				if tc.busy {
-					f.board.Heard(schedule.Placement{
-						ID: schedule.ID{Host: 2, Number: uint32(n)}, Service: "engine", Lead: id,
-						Work: schedule.Work{Prompt: 20_000, Answer: 10}, Gap: time.Minute, First: time.Minute,
-					})
-					f.board.Heard(schedule.Placement{
-						ID: schedule.ID{Host: 3, Number: uint32(n)}, Service: "engine", Lead: id,
-						Work: schedule.Work{Prompt: 32_000, Answer: 10}, Gap: time.Minute, First: time.Minute,
-					})
-				}
-			}
-			a := f.ask("POST", "/late/", "b", "Size", "35000,10", "Wait-Ms", tc.wait)
-			if a.status != tc.status {
-				t.Fatalf("status %d, want %d", a.status, tc.status)
-			}
-			if tc.status == 200 {
-				return
-			}
-			after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
-			if err != nil || after < tc.least || after > tc.most {
-				t.Errorf("come back after %q s, want %v to %v", a.header.Get("Retry-After"), tc.least, tc.most)
-			}
-			if f.runs() != 0 {
-				t.Error("a refused stream has run")
-			}
-		})
-	}
-}
-
-// TestStreamThatCallersWouldLeaveIsRefused has engines that read for others
-// for longer than callers wait for a first event.
-func TestStreamThatCallersWouldLeaveIsRefused(t *testing.T) {
-	f := start(t, streamFrom(events))
-	for n := range 2 {
-		f.board.Heard(schedule.Placement{
-			ID: schedule.ID{Host: 2, Number: uint32(n)}, Service: "engine", Lead: "e0",
-			Work: schedule.Work{Prompt: 130_000, Answer: 10}, First: time.Minute,
-			Shares: []schedule.Share{{Server: "elsewhere", Tokens: 130_000}},
-		})
-	}
-	a := f.ask("POST", "/late/", "b", "Size", "1000,10", "Wait-Ms", "30000")
-	if a.status != 503 || f.runs() != 0 {
-		t.Fatalf("status %d after %d runs, want 503 after none", a.status, f.runs())
-	}
-	after, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
-	if err != nil || after <= 0 || after > 1.5 {
-		t.Errorf("come back after %q s, want up to a third of the route's 5 s", a.header.Get("Retry-After"))
-	}
-}
-
-func TestMemoryThatIsNeverThereEndsInARefusal(t *testing.T) {
-	f := start(t, streamFrom(events), streamFrom(events))
-	a := f.ask("POST", "/late/", "b", "Size", "150000,10", "Wait-Ms", "4500")
-	if a.status != 503 || f.runs() != 0 {
-		t.Errorf("status %d after %d runs, want 503 after none", a.status, f.runs())
-	}
-	if n := f.reserved.Load(); n < 1 || n > 10 {
-		t.Errorf("memory was asked for %d times", n)
-	}
-}
--- /dev/null
+++ b/daemon/watch/follow.go
@@ -0,0 +1,130 @@
+package watch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/feed"
+	"slipcrank.example/core/pause"
+)
+
+// askingPoll is how often a table that isn't asked for looks whether it is now.
+const askingPoll = 100 * time.Millisecond
+
+// SetAsking sets which tables the platform is asked for, and the longest pause
+// between questions that fail. What isn't asked for has to be told by other
+// hosts.
+func (w *Watcher) SetAsking(a Asking, longest time.Duration) {
+	w.longest.Store(int64(longest))
+	w.asking.Store(int32(a))
+}
+
+// asks reports whether the platform is asked for a table.
+func (w *Watcher) asks(table string) bool {
+	a := Asking(w.asking.Load())
+	return a == AskAll || a == AskHosts && table == w.tables.Hosts
+}
+
+// waits reports whether a question for a table waits for the platform to
+// answer one for the configuration: while it is away, one question of each
+// host is enough to see that it is back.
+func (w *Watcher) waits(table string) bool {
+	return Asking(w.asking.Load()) == AskAll && table != w.tables.Config && !w.answering.Load()
+}
+
+// follow reads a table whole, then its changes.
+func (w *Watcher) follow(ctx context.Context, table string, wait time.Duration) {
+	var revision int64
+	listed := false
+	var failing time.Time
+	rest := firstPause
+	for ctx.Err() == nil {
+		if !w.asks(table) {
+			if table == w.tables.Config {
+				w.answering.Store(false)
+			}
+			_ = pause.For(ctx, askingPoll) // ctx is looked at above
+			listed = false
+			continue
+		}
+		if w.waits(table) {
+			if listed && failing.IsZero() {
+				failing = time.Now() // what lapses meanwhile, lapses by the outage
+			}
+			_ = pause.For(ctx, askingPoll) // ctx is looked at above
+			continue
+		}
+		patience := wait
+		if !failing.IsZero() {
+			patience = 0 // what was missed is wanted now, and that the platform is back
+		}
+		b, err := w.ask(ctx, table, listed, revision, patience)
+		if errors.Is(err, feed.ErrHistoryGone) {
+			listed = false
+			_ = pause.UpTo(ctx, rest) // ctx is looked at above
+			rest = w.longer(rest)
+			continue
+		}
+		if table == w.tables.Config {
+			w.answering.Store(err == nil)
+		}
+		r := read{table: table, batch: b, whole: !listed, err: err}
+		if err == nil && !failing.IsZero() {
+			r.after = time.Since(failing)
+			failing = time.Time{}
+		}
+		if !w.hand(ctx, r) {
+			return
+		}
+		if err != nil {
+			if failing.IsZero() {
+				failing = time.Now()
+			}
+			_ = pause.UpTo(ctx, rest) // ctx is looked at above
+			rest = w.longer(rest)
+			continue
+		}
+		if listed { // a platform that forgets as soon as it is listed is not well
+			rest = firstPause
+		}
+		listed, revision = true, b.Revision
+		if len(b.Rows) > 0 {
+			_ = pause.For(ctx, w.gathering()) // ctx is looked at above
+		}
+	}
+}
+
+// longer is the pause after another question that has failed.
+func (w *Watcher) longer(rest time.Duration) time.Duration {
+	return min(2*rest, time.Duration(w.longest.Load()))
+}
+
+// gathering is how long to wait for more changes before the next question.
+func (w *Watcher) gathering() time.Duration {
+	if w.Now() < startTime {
+		return firstGather
+	}
+	return gather
+}
+
+// ask lists a table, or asks for its changes. A list may take several calls, of
+// which the source bounds each: how long all take depends on the fleet.
+func (w *Watcher) ask(ctx context.Context, table string, listed bool, revision int64, wait time.Duration) (feed.Batch, error) {
+	sent := w.Now()
+	var b feed.Batch
+	var err error
+	if listed {
+		c, cancel := context.WithTimeout(ctx, wait+answerTime)
+		defer cancel()
+		b, err = w.source.Follow(c, table, revision, wait)
+	} else {
+		b, err = w.source.List(ctx, table)
+	}
+	w.metrics.Count("platform_calls", 1, "table", table)
+	if err == nil {
+		w.clock.Observe(sent, b.Stamp)
+	}
+	return b, err
+}
