Hear of the platform's absence from those that ask it; relay the newest only

Change: a host concludes that the platform was away only from its own questions that failed, and tells others, who take its word. What waits for a slow listener is joined, so that it gets the newest configuration only. Hosts with links four times as wide come first in reading for their hall (two of 25 have 200 Mbit/s).

TestEntriesThatGoByWordOfOthers fails if the gap in proofs decides, as before; TestJoin and TestWideLinksComeFirst are of the two others.

--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -23,7 +23,7 @@
 // announce keeps a row at the platform that tells others of this host.
 func (e *Entry) announce(ctx context.Context) {
 	s := e.settings.Load()
-	row, err := json.Marshal(watch.Host{Addr: s.Listen.News, Hall: s.Hall, Number: e.number})
+	row, err := json.Marshal(watch.Host{Addr: s.Listen.News, Hall: s.Hall, Link: s.Link, Number: e.number})
 	if err != nil {
 		e.log.Write(event.NewsLost, slog.String("doing", "announce"), slog.String("error", err.Error()))
 		return
--- a/daemon/entry/readers.go
+++ b/daemon/entry/readers.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"log/slog"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +28,8 @@
 	// many again that hear it as their second.
 	heardHosts = 2
 	fanout     = 16
+	// linkClass is by how many doublings a link is much wider than another.
+	linkClass = 2
 	// askMargin is how long before the age at which a change has to be in
 	// force hosts that are told by others begin to ask the platform.
 	askMargin = 300 * time.Millisecond
@@ -58,6 +62,7 @@
 	// situation is what decides whom a host hears and what it asks.
 	situation struct {
 		host, hall string
+		link       float64      // of this host, in Mbit/s
 		others     []watch.Host // that are alive
 		// told is the age of the newest proof that others told, proven that of
 		// the newest of any origin.
@@ -83,15 +88,16 @@
 // choose decides whom a host hears and whether it asks the platform.
 func (s situation) choose() choice {
 	hall, others, addrs := []string{s.host}, []string{}, map[string]string{}
+	links := map[string]float64{s.host: s.link}
 	for _, h := range s.others {
-		addrs[h.Name] = h.Addr
+		addrs[h.Name], links[h.Name] = h.Addr, h.Link
 		if h.Hall == s.hall {
 			hall = append(hall, h.Name)
 		} else {
 			others = append(others, h.Name)
 		}
 	}
-	hall, others = route.Rank(readersKey, hall), route.Rank(readersKey, others)
+	hall, others = ranked(hall, links), ranked(others, links)
 	place := slices.Index(hall, s.host)
 	c := choice{asks: place < s.askers(), pause: othersPause}
 	if place < hallAskers {
@@ -117,6 +123,15 @@
 	return c
 }
 
+// ranked orders hosts for reading and for telling others: those with much wider
+// links first, and else by chance, which is the same at each host.
+func ranked(names []string, links map[string]float64) []string {
+	order := route.Rank(readersKey, names)
+	class := func(name string) float64 { return math.Floor(math.Log2(max(links[name], 1)) / linkClass) }
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(class(b), class(a)) })
+	return order
+}
+
 // askers is how many of a hall ask the platform: twice as many with each
 // further step of time in which nobody tells news.
 func (s situation) askers() int {
@@ -144,7 +159,7 @@
 	}
 	young := now.Sub(r.known)
 	c := situation{
-		host: s.Host, hall: s.Hall, others: e.liveHosts(young < youngTime),
+		host: s.Host, hall: s.Hall, link: s.Link, others: e.liveHosts(young < youngTime),
 		told: ageOr(young, e.watcher.ToldAge), proven: ageOr(young, e.watcher.ConfigAge), bound: s.Bounds.Config,
 	}.choose()
 	e.apply(r, c, now)
--- a/daemon/entry/readers_test.go
+++ b/daemon/entry/readers_test.go
@@ -114,3 +114,21 @@
 		}
 	}
 }
+
+func TestWideLinksComeFirst(t *testing.T) {
+	hosts := site(25)
+	for i := range hosts {
+		hosts[i].Link = 20
+	}
+	hosts[3].Link, hosts[30].Link = 200, 200 // of hall-0
+	for _, h := range hosts {
+		if h.Hall != "hall-0" {
+			continue
+		}
+		s := situation{host: h.Name, hall: h.Hall, link: h.Link, bound: 3 * time.Second}
+		s.others = slices.DeleteFunc(slices.Clone(hosts), func(o watch.Host) bool { return o.Name == h.Name })
+		if c := s.choose(); c.asks != (h.Link == 200) {
+			t.Errorf("%s with a link of %v Mbit/s asks the platform: %v", h.Name, h.Link, c.asks)
+		}
+	}
+}
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -21,6 +21,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -146,13 +147,37 @@
 		if !ok {
 			return errors.New("nothing is known yet, or the stream was too slow; ask anew")
 		}
-		if err := stream.SendMsg(&u); err != nil {
-			return err
+		for _, v := range waiting(u, updates) {
+			if err := stream.SendMsg(&v); err != nil {
+				return err
+			}
 		}
 		quiet.Reset(aliveEvery)
 	}
 }
 
+// waiting returns an update and all that wait behind it, one for each table: a
+// listener behind a slow link needs the newest configuration only.
+func waiting(first watch.Update, updates <-chan watch.Update) []watch.Update {
+	joined := []watch.Update{first}
+	for {
+		select {
+		case u, ok := <-updates:
+			if !ok {
+				return joined // the next receive tells that the stream has ended
+			}
+			i := slices.IndexFunc(joined, func(j watch.Update) bool { return j.Table == u.Table })
+			if i < 0 {
+				joined = append(joined, u)
+				continue
+			}
+			joined[i] = joined[i].Join(u)
+		default:
+			return joined
+		}
+	}
+}
+
 // NewClient returns a client that hears nobody yet.
 func NewClient(w *watch.Watcher, l *decision.Log) *Client {
 	return &Client{watcher: w, log: l, streams: map[string]context.CancelFunc{}, lost: map[string]time.Time{}}
--- a/daemon/settings/entry.go
+++ b/daemon/settings/entry.go
@@ -14,6 +14,9 @@
 		// Platform is the IP number and port of the platform's store.
 		Platform string `yaml:"platform" validate:"required,ipport"`
 		Bounds   Bounds `yaml:"bounds"`
+		// Link is the bandwidth of the host's link in Mbit/s, 0 if it isn't
+		// known. Hosts with wider links tell others what they read.
+		Link float64 `yaml:"link" validate:"gte=0"`
 		// FirstStart is set when all hosts of the site start for the first
 		// time: each then waits for the others before it asks the platform.
 		FirstStart bool `yaml:"first_start"`
--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -25,6 +25,9 @@
 		Revision int64 `cbor:"4,keyasint"`
 		// Stamp is the platform's steady clock when this was true.
 		Stamp time.Duration `cbor:"5,keyasint"`
+		// Returned is the stamp at which the platform was back from its last
+		// absence, 0 if it has not been away.
+		Returned time.Duration `cbor:"8,keyasint,omitempty"`
 		// Clock is at least what the platform's steady clock shows as this is
 		// sent; only in the first updates of a listener.
 		Clock time.Duration `cbor:"7,keyasint,omitempty"`
@@ -75,7 +78,7 @@
 		table: u.Table,
 		batch: feed.Batch{Rows: u.Rows, Revision: u.Revision, Stamp: u.Stamp},
 		whole: u.Whole,
-		told:  true,
+		told:  true, returned: u.Returned,
 	})
 }
 
@@ -92,7 +95,10 @@
 
 // pass keeps what was read and tells all listeners what is new in it.
 func (w *Watcher) pass(r read) {
-	u := Update{Table: r.table, Rows: r.batch.Rows, Whole: r.whole, Revision: r.batch.Revision, Stamp: r.batch.Stamp}
+	u := Update{
+		Table: r.table, Rows: r.batch.Rows, Whole: r.whole,
+		Revision: r.batch.Revision, Stamp: r.batch.Stamp, Returned: w.returned,
+	}
 	t := w.rows[r.table]
 	switch {
 	case t == nil:
@@ -112,6 +118,28 @@
 	}
 }
 
+// Join returns one update in place of two of the same table, of which the
+// second is newer: of each row its newest state.
+func (u Update) Join(next Update) Update {
+	if next.Whole {
+		return next
+	}
+	last := map[string]int{}
+	rows := slices.Clone(u.Rows)
+	for i, r := range rows {
+		last[r.Key] = i
+	}
+	for _, r := range next.Rows {
+		if i, ok := last[r.Key]; ok {
+			rows[i] = r
+			continue
+		}
+		rows = append(rows, r)
+	}
+	next.Rows, next.Whole, next.Clock = rows, u.Whole, u.Clock
+	return next
+}
+
 // changes returns the rows of a whole list that differ from those that are
 // known, and those that it lacks as gone. A list of a large fleet's servers
 // would keep the links to all listeners busy for seconds.
@@ -166,7 +194,7 @@
 	}
 	w.heard[c] = true
 	for name, t := range w.rows {
-		u := Update{Table: name, Revision: t.revision, Stamp: t.stamp, Clock: clock}
+		u := Update{Table: name, Revision: t.revision, Stamp: t.stamp, Clock: clock, Returned: w.returned}
 		if knows, ok := l.knows[name]; !ok || knows != t.digest {
 			u.Whole, u.Rows = true, slices.Collect(maps.Values(t.rows))
 		}
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -94,6 +94,8 @@
 		// Addr is an IP number and a port, for news and what is relayed.
 		Addr string `json:"addr"`
 		Hall string `json:"hall"`
+		// Link is the bandwidth of its link in Mbit/s, 0 if it isn't known.
+		Link float64 `json:"link,omitempty"`
 		// Number tells its starts apart.
 		Number uint32 `json:"number"`
 	}
@@ -136,6 +138,7 @@
 		hosts          map[string]Host
 		lost           map[string]bool
 		answered       time.Duration // newest stamp of an answer about the configuration
+		returned       time.Duration // stamp at which the platform was back last
 		rows           map[string]*table
 		heard          map[chan Update]bool
 	}
@@ -148,6 +151,8 @@
 		err   error
 		after time.Duration // how long questions had failed before
 		told  bool          // by another host
+		// returned is the stamp at which that host knows the platform was back.
+		returned time.Duration
 	}
 )
 
@@ -250,9 +255,7 @@
 		w.lost[r.table] = false
 		w.log.Write(event.PlatformBack, slog.String("table", r.table), slog.Duration("after", r.after))
 	}
-	if w.wasAway(r.batch.Stamp) {
-		w.book.Returned(w.Now())
-	}
+	w.noteReturn(r)
 	changed := false
 	switch r.table {
 	case w.tables.Config:
@@ -275,11 +278,23 @@
 	w.pass(r)
 }
 
-// wasAway reports whether the platform was away before it made an answer with
-// this stamp. That this host's own questions failed doesn't say so: others may
-// have been served, and told of it.
-func (w *Watcher) wasAway(stamp time.Duration) bool {
-	return w.answered > 0 && stamp-w.answered > w.tables.ConfigWait+outageTime
+// noteReturn notes that the platform has been away, if this host's questions
+// failed for long and nobody had a proof meanwhile, or if another host says so.
+// Either alone isn't enough: the platform may turn one host away and serve
+// others, and a host that hears proofs late has missed nothing.
+func (w *Watcher) noteReturn(r read) {
+	if r.told {
+		if age, ok := w.clock.Age(r.returned, w.Now()); ok && r.returned > w.returned {
+			w.returned = r.returned
+			w.book.Returned(w.Now() - age)
+		}
+		return
+	}
+	gap := r.batch.Stamp - w.answered
+	if r.after > outageTime && w.answered > 0 && gap > w.tables.ConfigWait+outageTime {
+		w.returned = r.batch.Stamp
+		w.book.Returned(w.Now())
+	}
 }
 
 // takeConfig brings the newest of the configurations that were read into
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"reflect"
 	"strconv"
 	"sync"
 	"testing"
@@ -435,3 +436,66 @@
 		}
 	}
 }
+
+// TestEntriesThatGoByWordOfOthers has a host that is told by others alone hear
+// nothing for a while, and then that a server's entry has gone.
+func TestEntriesThatGoByWordOfOthers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		away bool // the platform was, by the word of the other host
+		want int
+	}{
+		"the way to the other host was slow": {false, 0},
+		"the platform was away":              {true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(s *fakeStore, w *watch.Watcher) {
+				w.SetAsking(watch.AskNothing, time.Second)
+				pass(time.Second)
+				clock := func() time.Duration { return time.Since(s.start) + time.Hour }
+				var returned time.Duration
+				tell := func(table string, rows ...feed.Row) {
+					asked := w.Now()
+					w.Hear(context.Background(), watch.Update{
+						Table: table, Rows: rows, Revision: 9, Stamp: clock(), Clock: clock(), Returned: returned,
+					}, asked)
+				}
+				tell(configTable, feed.Row{Key: "config", Value: []byte("1"), Revision: 1})
+				tell(serversTable, feed.Row{Key: "a", Value: []byte(`{"Service":"s"}`), Revision: 2})
+				pass(5 * time.Second)
+				if tc.away {
+					returned = clock()
+				}
+				tell(configTable)
+				tell(serversTable, feed.Row{Key: "a", Revision: 3, Gone: true})
+				pass(time.Second)
+				if got := len(w.State().Servers.Ready("s")); got != tc.want {
+					t.Errorf("%d servers are ready, want %d", got, tc.want)
+				}
+			})
+		})
+	}
+}
+
+func TestJoin(t *testing.T) {
+	row := func(key string, revision int64, gone bool) feed.Row {
+		return feed.Row{Key: key, Revision: revision, Gone: gone}
+	}
+	first := watch.Update{Table: "t", Rows: []feed.Row{row("a", 1, false), row("b", 2, false)}, Whole: true, Revision: 2, Stamp: 2, Clock: 5}
+	for name, tc := range map[string]struct {
+		next watch.Update
+		want []feed.Row
+	}{
+		"a proof":       {watch.Update{Table: "t", Revision: 3, Stamp: 3}, first.Rows},
+		"a newer row":   {watch.Update{Table: "t", Rows: []feed.Row{row("a", 3, false)}, Stamp: 3}, []feed.Row{row("a", 3, false), row("b", 2, false)}},
+		"another row":   {watch.Update{Table: "t", Rows: []feed.Row{row("c", 3, false)}, Stamp: 3}, []feed.Row{row("a", 1, false), row("b", 2, false), row("c", 3, false)}},
+		"one that went": {watch.Update{Table: "t", Rows: []feed.Row{row("b", 3, true)}, Stamp: 3}, []feed.Row{row("a", 1, false), row("b", 3, true)}},
+		"all rows":      {watch.Update{Table: "t", Rows: []feed.Row{row("c", 3, false)}, Whole: true, Stamp: 3}, []feed.Row{row("c", 3, false)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := first.Join(tc.next)
+			if !reflect.DeepEqual(got.Rows, tc.want) || !got.Whole || got.Stamp != 3 || len(first.Rows) != 2 || first.Rows[0].Revision != 1 {
+				t.Errorf("got %+v of %+v", got, first)
+			}
+		})
+	}
+}
