--- a/daemon/watch/relay_test.go
+++ b/daemon/watch/relay_test.go
@@ -22,15 +22,11 @@
 		defer leave()
 		pass(time.Second)
 		told(updates, serversTable) // all that is known
-		s.mu.Lock()
-		s.forgets = true
-		s.mu.Unlock()
+		s.set(func() { s.forgets = true })
 		s.remove(serversTable, "a")
 		s.put(serversTable, "b", `{"Service":"s","Draining":true}`)
 		pass(3 * time.Second)
-		s.mu.Lock()
-		s.forgets = false
-		s.mu.Unlock()
+		s.set(func() { s.forgets = false })
 		gone, changed := 0, 0
 		for _, u := range told(updates, serversTable) {
 			if u.Whole {
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -86,7 +86,10 @@
 }
 
 func (f *fakeStore) list(ctx context.Context, table string) (feed.Batch, error) {
-	if err := pause.For(ctx, f.slow); err != nil {
+	f.mu.Lock()
+	slow := f.slow
+	f.mu.Unlock()
+	if err := pause.For(ctx, slow); err != nil {
 		return feed.Batch{}, err
 	}
 	f.mu.Lock()
@@ -300,7 +303,7 @@
 func TestPlatformThatForgetsAtOnceIsNotPressed(t *testing.T) {
 	run(t, func(s *fakeStore, w *watch.Watcher) {
 		s.put(configTable, "config", "1")
-		s.forgets = true
+		s.set(func() { s.forgets = true })
 		pass(10 * time.Second)
 		if w.State().Config == nil {
 			t.Error("the configuration that was listed is not in force")
@@ -340,7 +343,7 @@
 // TestLongListIsWaitedFor lists a table of many pages over a slow link.
 func TestLongListIsWaitedFor(t *testing.T) {
 	run(t, func(s *fakeStore, w *watch.Watcher) {
-		s.slow = 6 * time.Second
+		s.set(func() { s.slow = 6 * time.Second })
 		s.put(configTable, "config", "1")
 		pass(8 * time.Second)
 		if w.State().Config == nil {
@@ -375,6 +378,13 @@
 	}
 }
 
+// set changes how the store behaves.
+func (f *fakeStore) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
 func (f *fakeStore) count() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
