Hash each host once when cells are divided; bound a rest where it is made

Read once more: each change of a server sorted all hosts by hashes that were made anew for each comparison, also where there is one cell and no order is needed. A rest for what others report was made at its full length and then cut by writing it again. Behaviour is as before; the tests are unchanged.

--- a/core/cell/cell.go
+++ b/core/cell/cell.go
@@ -52,10 +52,10 @@
 // numbers of hosts, and one that comes or goes moves at most one host into each
 // other cell.
 func OfHost(host string, hosts []string, count int) (int, map[string]bool) {
-	order := slices.Clone(hosts)
-	slices.SortFunc(order, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
+	order := hosts
+	if count > 1 { // the order of a single cell's hosts decides nothing
+		order = byHash(hosts)
+	}
 	mine := cellAt(slices.Index(order, host), len(order), count)
 	mates := map[string]bool{}
 	for i, h := range order {
@@ -66,6 +66,19 @@
 	return mine, mates
 }
 
+// byHash returns names in the order of their hashes.
+func byHash(names []string) []string {
+	hashes := make(map[string]uint64, len(names))
+	for _, n := range names {
+		hashes[n] = xxhash.Sum64String(n)
+	}
+	order := slices.Clone(names)
+	slices.SortFunc(order, func(a, b string) int {
+		return cmp.Or(cmp.Compare(hashes[a], hashes[b]), cmp.Compare(a, b))
+	})
+	return order
+}
+
 // cellAt is the cell of the host at a place of the order.
 func cellAt(place, hosts, count int) int {
 	if hosts == 0 || place < 0 {
--- a/core/schedule/trouble.go
+++ b/core/schedule/trouble.go
@@ -65,13 +65,15 @@
 func (b *Board) Failed(server string, now time.Duration) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.rest(server, now)
+	return b.rest(server, now, longestRest)
 }
 
-func (b *Board) rest(server string, now time.Duration) time.Duration {
+// rest keeps requests from a server, for at most longest, and returns for how
+// long.
+func (b *Board) rest(server string, now, longest time.Duration) time.Duration {
 	t := b.trouble[server]
 	t.failures++
-	rest := min(firstRest<<min(t.failures-1, 8), longestRest)
+	rest := min(firstRest<<min(t.failures-1, 8), longest)
 	t.until = now + rest
 	b.trouble[server] = t
 	return rest
@@ -87,7 +89,7 @@
 	b.answers[server] = own
 	usual := b.usual[service]
 	if own.all >= fewAnswers && own.part(0) > worseTimes*usual.part(supposed)+worsePart {
-		return b.rest(server, now)
+		return b.rest(server, now, longestRest)
 	}
 	// Servers that are much worse don't change what is usual.
 	b.usual[service] = usual.with(failed, serviceDecay)
--- a/core/schedule/witness.go
+++ b/core/schedule/witness.go
@@ -39,10 +39,7 @@
 		}
 	}
 	if seen >= witnesses {
-		rest := min(b.rest(server, now), longestShared)
-		t := b.trouble[server]
-		t.until = now + rest
-		b.trouble[server] = t
+		b.rest(server, now, longestShared)
 	}
 }
 
--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -50,9 +50,8 @@
 )
 
 // Subscribe returns updates, first of each table: all its rows, or none if the
-// listener knows the same ones by their digest. The channel
-// is closed if its reader is too slow. The returned function ends the
-// subscription.
+// listener knows the same ones by their digest. The channel is closed if its
+// reader is too slow. The returned function ends the subscription.
 func (w *Watcher) Subscribe(knows map[string]uint64) (<-chan Update, func()) {
 	c := make(chan Update, maxWaiting)
 	w.tell <- listener{c, knows}
