Build the view of servers once a change; take out what nobody calls

Read once more: the log line of changed servers built a view of all of them, which publishing built again; News.Hosts had no caller left; the longest pause needs no export; comments of news and relay said what is no longer so. Behaviour is as before.

--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -3,9 +3,9 @@
 //
 // Each placement, first token and end is a datagram to every other host of the
 // cell, and so is a failure of a server. One that is lost costs a slightly
-// worse choice until the placement is forgotten,
-// and never a promise, so nothing is sent twice and nobody waits: that is why
-// this isn't a call over gRPC.
+// worse choice until the placement is forgotten, and never a promise, so
+// nothing is sent twice and nobody waits: that is why this isn't a call over
+// gRPC.
 //
 // # Usage
 //
@@ -101,9 +101,6 @@
 // SetHosts sets who is told.
 func (n *News) SetHosts(hosts []netip.AddrPort) { n.hosts.Store(&hosts) }
 
-// Hosts returns how many others are told.
-func (n *News) Hosts() int { return len(*n.hosts.Load()) }
-
 // Close ends Run.
 func (n *News) Close() error { return n.conn.Close() }
 
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -2,10 +2,11 @@
 // others of their data hall, so that the platform isn't asked by each, and a
 // host that the platform turns away still hears what is in force.
 //
-// A stream begins with all rows that its server knows and goes on with each
-// change and each proof that nothing has changed. Both carry the platform's
-// steady clock at which they were true, so whoever hears them knows their age
-// as if it had asked itself, however many hosts they came through.
+// A stream begins with all rows of the tables that its listener doesn't know as
+// its server does, and goes on with each change and each proof that nothing has
+// changed. Both carry the platform's steady clock at which they were true, so
+// whoever hears them knows their age as if it had asked itself, however many
+// hosts they came through.
 //
 // It runs over gRPC with messages in CBOR, which needs no generated code.
 //
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -40,9 +40,9 @@
 	AskAll
 )
 
-// LongestPause is the longest pause between questions that fail, where nothing
+// longestPause is the longest pause between questions that fail, where nothing
 // else is set: what a host alone may be late by after an outage.
-const LongestPause = 600 * time.Millisecond
+const longestPause = 600 * time.Millisecond
 
 const (
 	// otherWait is how long a question for changes waits where the age of
@@ -171,7 +171,7 @@
 		rows:  map[string]*table{},
 		heard: map[chan Update]bool{},
 	}
-	w.SetAsking(AskAll, LongestPause)
+	w.SetAsking(AskAll, longestPause)
 	w.answering.Store(true)
 	w.digests.Store(&map[string]uint64{})
 	w.proven.Store(-1)
@@ -269,6 +269,9 @@
 	if changed {
 		w.publish()
 	}
+	if changed && r.table == w.tables.Servers {
+		w.log.Write(event.ServersChanged, slog.Int("servers", w.State().Servers.Len()), slog.Int64("revision", r.batch.Revision))
+	}
 	if r.table == w.tables.Config && w.config != nil {
 		w.proven.Store(max(w.proven.Load(), int64(r.batch.Stamp)))
 		if r.told {
@@ -340,10 +343,6 @@
 	if r.whole {
 		changed = w.book.Reset(present, r.batch.Revision, now) || changed
 	}
-	if changed {
-		v := w.book.View(now)
-		w.log.Write(event.ServersChanged, slog.Int("servers", v.Len()), slog.Int64("revision", r.batch.Revision))
-	}
 	return changed
 }
 
