Serve callers by the last known keys where the operators allow it

Cause: the operators' bound strict-revoke was among the settings and nothing read it. Ruled out: engines (served before and after), relays (the store was silent to all hosts). Change: bounds.unproven_keys, refuse or serve, filled from strict-revoke; the age of the proof in each placement's line; SC1413 and SC1414. A host without a proof still says that it is not ready, so that callers go to others first. Sites that set refuse behave as before.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -47,9 +47,6 @@
 	// this one is there; connections are swept each sweepEvery times.
 	upkeepPeriod = 250 * time.Millisecond
 	sweepEvery   = 4
-	// sendMargin is kept from the time for which a key is proven: what a
-	// request may need from the check to the backend server.
-	sendMargin = 400 * time.Millisecond
 	// proofsWithinBound is how many proofs of the configuration are asked for
 	// within the time in which a change has to be in force.
 	proofsWithinBound = 2
@@ -86,6 +83,7 @@
 		number   uint32 // of this start of this host
 		start    time.Time
 		stopping atomic.Bool
+		unproven bool // as noteProof saw it last
 		// neighbors are the servers and hosts of this one's cell.
 		neighbors atomic.Pointer[neighbors]
 		// announced is when, from the start, others could first read of this
@@ -119,7 +117,7 @@
 	e.gateway = gateway.New(p.Dialect, e.state, e.pool, e.board, budget, e.log, e.metrics,
 		gateway.WithHall(s.Hall),
 		gateway.WithMemory(memory.New(p.Orders, e.log)),
-		gateway.WithProof(e.keysProven, e.configCurrent),
+		gateway.WithProof(gateway.Proof{Keys: e.keysTrusted, Config: e.configCurrent, Age: e.proofAge}),
 		gateway.WithNews(n.Placed, n.Started, n.Ended),
 		gateway.WithEvidence(func(server string) { n.Failed(e.number, server) }),
 	)
@@ -138,19 +136,6 @@
 	return gateway.State{Config: s.Config, Servers: s.Servers, Near: e.neighbors.Load().near}
 }
 
-// keysProven reports whether keys may be trusted now.
-func (e *Entry) keysProven() bool {
-	age, ok := e.watcher.ConfigAge()
-	return ok && age < e.settings.Load().Bounds.KeyProof-sendMargin
-}
-
-// configCurrent reports whether no newer configuration can have been in force
-// for longer than the operators allow.
-func (e *Entry) configCurrent() bool {
-	age, ok := e.watcher.ConfigAge()
-	return ok && age < e.settings.Load().Bounds.Config
-}
-
 // retrySlack is this host's part of the fixed number of retries.
 func (e *Entry) retrySlack() float64 {
 	return e.settings.Load().Bounds.Retries.Extra * retryPart / float64(e.neighbors.Load().others+1)
@@ -209,7 +194,9 @@
 	}
 }
 
-// readiness answers the balancer: 200 while this host can serve.
+// readiness answers the balancer: 200 while this host can serve by what is
+// proven. A host without a proof is cut off, or the platform is away: callers do
+// better at hosts that know more, and come here if there are none.
 func (e *Entry) readiness(w http.ResponseWriter, _ *http.Request) {
 	s := e.watcher.State()
 	if e.stopping.Load() || s.Config == nil || s.Servers.Len() == 0 || !e.keysProven() {
@@ -239,6 +226,7 @@
 			return
 		case <-tick.C:
 			e.board.Forget(time.Since(e.start))
+			e.noteProof()
 			e.chooseReaders(&r)
 			e.news.Alive(e.number)
 			if n++; n%sweepEvery == 0 {
--- a/daemon/entry/neighbors.go
+++ b/daemon/entry/neighbors.go
@@ -84,6 +84,7 @@
 	if now.others != old.others || now.cells != old.cells || len(now.mates) != len(old.mates) {
 		e.log.Write(event.HostsChanged, slog.Int("others", now.others), slog.Int("cells", now.cells), slog.Int("told", len(told)))
 	}
+	e.metrics.Set("other_hosts", int64(now.others))
 	e.news.SetHosts(told)
 }
 
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -63,6 +63,8 @@
 	ServersChanged = Event{1312, "backend servers changed"}
 	ConfigInForce  = Event{1411, "configuration in force"}
 	ConfigBad      = Event{1412, "configuration can't be read"}
+	KeysUnproven   = Event{1413, "keys are no longer proven to be in force"}
+	KeysProven     = Event{1414, "keys are proven to be in force again"}
 	SettingsRead   = Event{1107, "settings read again"}
 	SettingsBad    = Event{1108, "settings can't be used"}
 	NewsLost       = Event{1211, "news of another host can't be read"}
@@ -82,7 +84,7 @@
 	LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 	PlatformLost, PlatformBack,
 	RequestPlaced, RequestRetried, RequestRefused, RequestEnded,
-	ServerAvoided, ServersChanged, ConfigInForce, ConfigBad,
+	ServerAvoided, ServersChanged, ConfigInForce, ConfigBad, KeysUnproven, KeysProven,
 	SettingsRead, SettingsBad, NewsLost, HostsChanged, RelayLost, RelayChosen,
 }
 
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -109,7 +109,7 @@
 	if !ok {
 		return g.deny(http.StatusUnauthorized, "unknown_key")
 	}
-	if c.workspace = w; !g.fresh() {
+	if c.workspace = w; !g.proof.Keys() {
 		return refuse(http.StatusServiceUnavailable, "keys_unproven", staleWait)
 	}
 	return nil
@@ -117,7 +117,7 @@
 
 // deny refuses for good, unless a newer configuration may allow it.
 func (g *Gateway) deny(status int, why string) *refusal {
-	if !g.current() {
+	if !g.proof.Config() {
 		return refuse(http.StatusServiceUnavailable, why+"_in_old_configuration", staleWait)
 	}
 	return refuse(status, why, 0)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -44,13 +44,22 @@
 		Near map[string][]backend.Server
 	}
 
+	// Proof tells how far the configuration can be relied on now.
+	Proof struct {
+		// Keys reports whether callers may be served by the keys in it.
+		Keys func() bool
+		// Config reports whether no newer one is due to be in force.
+		Config func() bool
+		// Age is how long ago, at most, it was proven to be the newest; zero
+		// if it never was.
+		Age func() time.Duration
+	}
+
 	// Gateway is an HTTP handler. It is safe for use by many goroutines.
 	Gateway struct {
-		dialect Dialect
-		state   func() State
-		// fresh reports whether keys are proven to be in force, current
-		// whether the configuration is.
-		fresh, current func() bool
+		dialect        Dialect
+		state          func() State
+		proof          Proof
 		pool           *upstream.Pool
 		board          *schedule.Board
 		budget         *limit.Window
@@ -75,11 +84,8 @@
 	Option func(*Gateway)
 )
 
-// WithProof sets what tells whether keys, and the configuration, are proven
-// to be in force now.
-func WithProof(fresh, current func() bool) Option {
-	return func(g *Gateway) { g.fresh, g.current = fresh, current }
-}
+// WithProof sets what tells how far the configuration can be relied on.
+func WithProof(p Proof) Option { return func(g *Gateway) { g.proof = p } }
 
 // WithHall sets the data hall of this host.
 func WithHall(h string) Option { return func(g *Gateway) { g.hall = h } }
@@ -104,7 +110,7 @@
 	always := func() bool { return true }
 	g := &Gateway{
 		dialect: d, state: state, pool: pool, board: board, budget: budget, log: log, metrics: metrics,
-		fresh: always, current: always,
+		proof:   Proof{Keys: always, Config: always, Age: func() time.Duration { return 0 }},
 		placed:  func(schedule.Placement) {},
 		started: func(schedule.ID) {},
 		ended:   func(schedule.ID) {},
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -33,5 +33,5 @@
 		slog.String("server", p.Lead), slog.Int("readers", len(p.Helpers)), slog.Int("shares", len(p.Shares)),
 		slog.Float64("displaces", p.Displaces), slog.Int("lead_runs", p.LeadRuns), slog.Duration("lead_reads", p.LeadReads),
 		slog.Int("prompt", c.work.Prompt), slog.Duration("predicted", p.First),
-		slog.Int64("configuration", s.Config.Version()))
+		slog.Int64("configuration", s.Config.Version()), slog.Duration("proof_age", g.proof.Age()))
 }
--- a/daemon/settings/entry.go
+++ b/daemon/settings/entry.go
@@ -2,7 +2,21 @@
 
 import "time"
 
+// What a host does with keys once nobody has proven for KeyProof that they are
+// still in force.
+const (
+	// RefuseUnproven refuses all requests with keys: no key outlives its bound.
+	RefuseUnproven UnprovenKeys = "refuse"
+	// ServeUnproven goes on by the last configuration known: a key that was
+	// taken away meanwhile stays in use until the host hears of it.
+	ServeUnproven UnprovenKeys = "serve"
+)
+
 type (
+	// UnprovenKeys is RefuseUnproven, which also holds where nothing is set,
+	// or ServeUnproven.
+	UnprovenKeys string
+
 	// Entry are the settings of a daemon that serves as an entry host before
 	// backend servers that speak for themselves: an immutable value.
 	Entry struct {
@@ -36,6 +50,9 @@
 		// KeyProof is how long after a key is taken away it may still be
 		// used.
 		KeyProof time.Duration `yaml:"key_proof" validate:"gte=500ms,lte=10m"`
+		// UnprovenKeys is what becomes of requests with keys when KeyProof has
+		// passed without a proof that the keys are in force.
+		UnprovenKeys UnprovenKeys `yaml:"unproven_keys" validate:"omitempty,oneof=refuse serve"`
 		// Config is how long after a change an older configuration may be
 		// used.
 		Config time.Duration `yaml:"config" validate:"gte=100ms,lte=10m"`
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -133,6 +133,9 @@
 		"no YAML":         {"host: h", "{", "read"},
 		"a list":          {entryText, "- 1", "read"},
 		"no unit of time": {"key_proof: 5000ms", "key_proof: soon", "read"},
+		"keys served":     {"  grace:", "  unproven_keys: serve\n  grace:", ""},
+		"keys refused":    {"  grace:", "  unproven_keys: refuse\n  grace:", ""},
+		"keys guessed":    {"  grace:", "  unproven_keys: maybe\n  grace:", "bounds.unproven_keys"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s, err := settings.ParseEntry([]byte(strings.Replace(entryText, tc.old, tc.now, 1)))
