Retry on a new connection once a server has fallen silent

Cause: connections may go silent all at once, without a reset, while new ones work. A try on a kept connection that nothing came back on was followed by one on the next kept connection, which is as silent: 502 although both servers served. Then each request wore out one kept connection after the other, for up to 4 s until keep-alive ended them. Change: a server's kept connections are dropped once it has been silent on one, and the next try of that request opens a new one.

--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -144,12 +144,14 @@
 	}
 	public := route("public", site.Repeatable, 1)
 	public.Public = true
+	quick := route("quick", site.Repeatable, 2)
+	quick.Objective = 100 * time.Millisecond
 	late := route("late", site.Stream, 2)
 	late.Objective, late.Gap, late.Targets[0].Service = time.Nanosecond, 100*time.Millisecond, "engine"
 	f.config = site.New(1, []site.Route{
 		route("safe", site.Repeatable, 2), route("once", site.Once, 1), route("once-two", site.Once, 2),
 		route("resume", site.Stream, 2), route("stream", site.Stream, 2), public,
-		late,
+		late, quick,
 	}, []site.Service{{Name: "plain"}, {Name: "engine", Engine: engine}}, map[string]site.Workspace{"k1": {Name: "w1"}},
 		site.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 10})
 	l := decision.New(io.Discard)
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -170,6 +170,8 @@
 	out := g.answer(ctx, w, c, s, p, server, a)
 	if out.result == failed && errors.Is(context.Cause(ctx), errSilent) {
 		out.why = "server_silent"
+		c.silent = true
+		g.pool.Drop(server.Addr)
 	}
 	return out
 }
@@ -301,7 +303,9 @@
 		Body:     c.body,
 		IDHeader: g.dialect.Attempt,
 		ID:       c.id,
-		Allowed:  func() error { return g.allowed(c, p) },
+
+		NewConnection: c.silent,
+		Allowed:       func() error { return g.allowed(c, p) },
 	}
 }
 
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -72,6 +72,8 @@
 		Body   []byte
 		// IDHeader and ID, if set, have to be in the answer.
 		IDHeader, ID string
+		// NewConnection asks for one that was not kept.
+		NewConnection bool
 		// Allowed is asked last before the first byte leaves; nil allows.
 		Allowed func() error
 	}
@@ -153,7 +155,7 @@
 // Send writes a request and waits for the head of its answer. When ctx ends
 // the connection is closed, which also ends the reading of the body.
 func (p *Pool) Send(ctx context.Context, addr string, r Request) (*Answer, error) {
-	c, err := p.connection(ctx, addr)
+	c, err := p.connection(ctx, addr, r.NewConnection)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
@@ -224,8 +226,8 @@
 }
 
 // connection returns a kept connection that is quiet, or a new one.
-func (p *Pool) connection(ctx context.Context, addr string) (*conn, error) {
-	for {
+func (p *Pool) connection(ctx context.Context, addr string, fresh bool) (*conn, error) {
+	for !fresh {
 		c := p.take(addr)
 		if c == nil {
 			break
@@ -286,6 +288,18 @@
 	_ = c.Close()
 }
 
+// Drop closes the kept connections to a server. Connections may fall silent all
+// at once and without a reset, while new ones work; each that is tried costs a
+// request its time.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[addr] {
+		_ = c.Close()
+	}
+	delete(p.idle, addr)
+}
+
 // Sweep closes connections that have rested too long, and all of addresses
 // that serve nothing any more.
 func (p *Pool) Sweep(serves func(addr string) bool) {
