--- a/core/schedule/slots.go
+++ b/core/schedule/slots.go
@@ -8,8 +8,8 @@
 const (
 	// newsTime is how long it takes until other hosts know of a placement: the
 	// way between halls, and the time in which hosts with a fifth of a core
-	// get to read it. On the users' bench decisions on such hosts are 2 to 10
-	// ms old when they leave.
+	// get to read it. Decisions on such hosts are 2 to 10 ms old when they
+	// leave.
 	newsTime = 10 * time.Millisecond
 	// rateTime is over how long the rate of placements is taken.
 	rateTime = time.Second
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -16,8 +16,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -26,7 +24,6 @@
 	"slipcrank.example/core/freshness"
 	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/decision"
-	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/telemetry"
 )
 
@@ -239,132 +236,6 @@
 	}
 }
 
-// take brings what was read into the state.
-func (w *Watcher) take(r read) {
-	if r.err != nil {
-		if !w.lost[r.table] {
-			w.lost[r.table] = true
-			w.log.Write(event.PlatformLost, slog.String("table", r.table), slog.String("error", r.err.Error()))
-		}
-		return
-	}
-	if r.told && w.known(r) {
-		return
-	}
-	if w.lost[r.table] && !r.told {
-		w.lost[r.table] = false
-		w.log.Write(event.PlatformBack, slog.String("table", r.table), slog.Duration("after", r.after))
-	}
-	w.noteReturn(r)
-	changed := false
-	switch r.table {
-	case w.tables.Config:
-		w.answered = max(w.answered, r.batch.Stamp)
-		changed = w.takeConfig(r)
-	case w.tables.Servers:
-		changed = w.takeServers(r)
-	case w.tables.Hosts:
-		changed = w.takeHosts(r)
-	}
-	if changed {
-		w.publish()
-	}
-	if changed && r.table == w.tables.Servers {
-		w.log.Write(event.ServersChanged, slog.Int("servers", w.State().Servers.Len()), slog.Int64("revision", r.batch.Revision))
-	}
-	if r.table == w.tables.Config && w.config != nil {
-		w.proven.Store(max(w.proven.Load(), int64(r.batch.Stamp)))
-		if r.told {
-			w.told.Store(int64(r.batch.Stamp))
-		}
-	}
-	w.pass(r)
-}
-
-// noteReturn notes that the platform has been away, if this host's questions
-// failed for long and nobody had a proof meanwhile, or if another host says so.
-// Either alone isn't enough: the platform may turn one host away and serve
-// others, and a host that hears proofs late has missed nothing.
-func (w *Watcher) noteReturn(r read) {
-	if r.told {
-		if age, ok := w.clock.Age(r.returned, w.Now()); ok && r.returned > w.returned {
-			w.returned = r.returned
-			w.book.Returned(w.Now() - age)
-		}
-		return
-	}
-	gap := r.batch.Stamp - w.answered
-	if r.after > outageTime && w.answered > 0 && gap > w.tables.ConfigWait+outageTime {
-		w.returned = r.batch.Stamp
-		w.book.Returned(w.Now())
-	}
-}
-
-// takeConfig brings the newest of the configurations that were read into
-// force: an answer may hold one for each change that was missed.
-func (w *Watcher) takeConfig(r read) bool {
-	changed := false
-	for _, row := range r.batch.Rows {
-		if row.Key != w.tables.ConfigKey || row.Gone || row.Revision <= w.configRevision {
-			continue
-		}
-		c, err := w.decode.Config(row.Value)
-		if err != nil {
-			w.log.Write(event.ConfigBad, slog.Int64("revision", row.Revision), slog.String("error", err.Error()))
-			continue
-		}
-		if w.config != nil && c.Version() <= w.config.Version() {
-			continue
-		}
-		w.config, w.configRevision = c, row.Revision
-		w.log.Write(event.ConfigInForce, slog.Int64("version", c.Version()), slog.Int64("revision", row.Revision))
-		changed = true
-	}
-	return changed
-}
-
-func (w *Watcher) takeServers(r read) bool {
-	now := w.Now()
-	changed := false
-	present := map[string]bool{}
-	for _, row := range r.batch.Rows {
-		if row.Gone {
-			changed = w.book.Remove(row.Key, row.Revision, now) || changed
-			continue
-		}
-		present[row.Key] = true
-		s, err := w.decode.Server(row.Key, row.Value)
-		if err != nil {
-			w.log.Write(event.ConfigBad, slog.String("server", row.Key), slog.String("error", err.Error()))
-			continue
-		}
-		changed = w.book.Put(s, row.Revision) || changed
-	}
-	if r.whole {
-		changed = w.book.Reset(present, r.batch.Revision, now) || changed
-	}
-	return changed
-}
-
-func (w *Watcher) takeHosts(r read) bool {
-	if r.whole {
-		clear(w.hosts)
-	}
-	for _, row := range r.batch.Rows {
-		if row.Gone {
-			delete(w.hosts, row.Key)
-			continue
-		}
-		h := Host{Name: row.Key}
-		if err := json.Unmarshal(row.Value, &h); err != nil {
-			w.log.Write(event.ConfigBad, slog.String("host", row.Key), slog.String("error", err.Error()))
-			continue
-		}
-		w.hosts[row.Key] = h
-	}
-	return r.whole || len(r.batch.Rows) > 0
-}
-
 func (w *Watcher) publish() {
 	s := &State{Config: w.config, Servers: w.book.View(w.Now())}
 	for _, h := range w.hosts {
