Play loads on a model of engines in virtual time: slipcrank experiment

The model that a test had becomes a library, core/emulate: it runs the real code that chooses servers and admits requests, on engines that run passes by their published model. slipcrank experiment compares rules on the same seeds.

--- a/cmd/command/command.go
+++ b/cmd/command/command.go
@@ -85,7 +85,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	add(operatorGroup, templateCommand(), workspaceCommand(), hostsCommand(), enginesCommand(), explainCommand())
-	add(tryGroup, devCommand(), standinCommand(), loadCommand(), capacityCommand(), versionCommand())
+	add(tryGroup, devCommand(), standinCommand(), loadCommand(), experimentCommand(), capacityCommand(), versionCommand())
 }
 
 // Name implements subcommands.Command.
--- a/cmd/command/command_test.go
+++ b/cmd/command/command_test.go
@@ -100,3 +100,40 @@
 		t.Errorf("--json printed %v %s", err, out)
 	}
 }
+
+func TestExperiment(t *testing.T) {
+	write := func(text string) string {
+		path := filepath.Join(t.TempDir(), "scenario.yaml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	const good = `engines: 4
+engine: {slots: 4, memory: 100000, stride: 10, step: 1ms, read_rate: 100000, chunk: 2048, usual_prompt: 2000, usual_answer: 100}
+wait: 5s
+loads:
+- {name: short, from: 0s, until: 2s, rate: 20, prompt: 2000, answer: 100, objective: 200ms, gap: 200ms}
+`
+	for name, tc := range map[string]struct {
+		args []string
+		exit subcommands.ExitStatus
+		want string // in what is printed, or complained of
+	}{
+		"a scenario":      {[]string{"--scenario", write(good), "--seeds", "2"}, command.ExitSuccess, "let-back  short"},
+		"no such policy":  {[]string{"--policy", "default,best"}, command.ExitUsage, "there is no policy best"},
+		"one seed":        {[]string{"--seeds", "1"}, command.ExitUsage, "--seeds 2 to 1000"},
+		"no file":         {[]string{"--scenario", "nowhere.yaml"}, command.ExitUsage, "can't be read"},
+		"unknown key":     {[]string{"--scenario", write(strings.Replace(good, "wait:", "weight:", 1))}, command.ExitUsage, "weight"},
+		"no engines":      {[]string{"--scenario", write(strings.Replace(good, "engines: 4", "engines: 0", 1))}, command.ExitUsage, "engines"},
+		"ends before":     {[]string{"--scenario", write(strings.Replace(good, "until: 2s", "until: 0s", 1))}, command.ExitUsage, "until"},
+		"nothing is read": {[]string{"--scenario", write(strings.Replace(good, "read_rate: 100000", "read_rate: 0", 1))}, command.ExitUsage, "read_rate"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			exit, out, complaints := run(t, append([]string{"experiment"}, tc.args...)...)
+			if exit != tc.exit || !strings.Contains(out+complaints, tc.want) {
+				t.Errorf("exit %d, printed %q, complained %q; want %d and %q", exit, out, complaints, tc.exit, tc.want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/emulate/emulate_test.go
@@ -0,0 +1,50 @@
+package emulate_test
+
+import (
+	"reflect"
+	"testing"
+
+	"slipcrank.example/core/admission"
+	"slipcrank.example/core/emulate"
+)
+
+// average plays the surge of several days by a rule, and returns the parts that
+// were served in time.
+func average(r emulate.Rule) map[string]float64 {
+	const days = 8
+	out := map[string]float64{}
+	for seed := range uint64(days) {
+		for name, c := range emulate.Play(emulate.Surge(), r, seed) {
+			out[name] += c.Part() / days
+		}
+	}
+	return out
+}
+
+// TestBurstOfLongPromptsLeavesRoom plays long prompts that ask for most of the
+// engines, and then many short streams. It serves more of both in time to judge
+// callers that come back as those that come first than to let them in.
+func TestBurstOfLongPromptsLeavesRoom(t *testing.T) {
+	ours := average(emulate.Judge(admission.Default()))
+	other := average(emulate.LetBack(admission.Default().WithLate(false), 8))
+	t.Logf("in time: %v; with callers let in that come back %v", ours, other)
+	if ours["short"] < other["short"]+0.1 || ours["long"] < other["long"]+0.05 {
+		t.Error("the gain is below 0.1 of the short requests, or 0.05 of the long ones")
+	}
+}
+
+func TestSameSeedSameDay(t *testing.T) {
+	rule := emulate.Judge(admission.Default())
+	if a, b := emulate.Play(emulate.Surge(), rule, 3), emulate.Play(emulate.Surge(), rule, 3); !reflect.DeepEqual(a, b) {
+		t.Errorf("one seed gave %v and %v", a, b)
+	}
+}
+
+// TestEveryRequestIsCounted has each request end in one way.
+func TestEveryRequestIsCounted(t *testing.T) {
+	for name, c := range emulate.Play(emulate.Surge(), emulate.Judge(admission.Default()), 1) {
+		if c.Asked == 0 || c.Asked != c.InTime+c.Late+c.Refused {
+			t.Errorf("%s: %v", name, c)
+		}
+	}
+}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -16,6 +16,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -112,9 +113,10 @@
 	// Option changes a board under construction.
 	Option func(*Board)
 
-	// load is what is placed on one server.
+	// load is what is placed on one server, in the order in which it became
+	// known: sums over it don't depend on chance.
 	load struct {
-		placements map[ID]*Placement
+		placements []*Placement
 	}
 )
 
@@ -249,10 +251,10 @@
 	for _, s := range p.servers() {
 		l := b.byServer[s]
 		if l == nil {
-			l = &load{placements: map[ID]*Placement{}}
+			l = &load{}
 			b.byServer[s] = l
 		}
-		l.placements[p.ID] = p
+		l.placements = append(l.placements, p)
 	}
 }
 
@@ -267,7 +269,7 @@
 		if l == nil {
 			continue
 		}
-		delete(l.placements, id)
+		l.placements = slices.DeleteFunc(l.placements, func(o *Placement) bool { return o == p })
 		if len(l.placements) == 0 {
 			delete(b.byServer, s)
 		}
--- a/daemon/settings/entry.go
+++ b/daemon/settings/entry.go
@@ -83,8 +83,8 @@
 // ParseEntry reads the settings of an entry host from YAML and checks them.
 func ParseEntry(b []byte) (Entry, error) {
 	var s Entry
-	if err := decode(b, &s); err != nil {
+	if err := ParseInto(b, &s); err != nil {
 		return Entry{}, err
 	}
-	return s, validate(s)
+	return s, nil
 }
--- a/daemon/settings/validate.go
+++ b/daemon/settings/validate.go
@@ -24,6 +24,9 @@
 		"len":           "use the 64 hex digits that sha256sum prints",
 		"oneof":         "use one of: %s",
 		"gte":           "use at least %s",
+		"gt":            "use more than %s",
+		"gtfield":       "use a time after %s",
+		"min":           "give at least %s",
 		"lte":           "use at most %s",
 		"max":           "use at most %s characters",
 	}
@@ -44,6 +47,15 @@
 	return v
 }
 
+// ParseInto reads YAML into v, which may have validate tags, as settings are
+// read: unknown keys and bad values are faults that name the remedy.
+func ParseInto(b []byte, v any) error {
+	if err := decode(b, v); err != nil {
+		return err
+	}
+	return validate(v)
+}
+
 // Validate returns a fault that names the first key with a bad value, the
 // value and the remedy, or nil.
 func (s Settings) Validate() error { return validate(s) }
