Remove the rule on callers' patience

Hypothesis: since streams that the queue makes late are refused, refusing those whose callers would leave before the first event adds nothing. Change: the rule, its three constants and two fields of the request are gone, 25 lines. TestStreamThatCallersWouldLeaveIsRefused holds as it was: the queue refuses that stream. In TestJudge the same request is refused for the queue. Conclusion: removed.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -23,8 +23,6 @@
 const (
 	// NoTime is a request that can't be answered in the time its caller has.
 	NoTime Reason = "no_time"
-	// NoPatience is a stream whose caller leaves before its first event.
-	NoPatience Reason = "no_patience"
 	// QueueTooLong is a stream that would be late for those that wait before it.
 	QueueTooLong Reason = "queue_too_long"
 	// EnginesBusy is a prompt that displaces more than it is worth.
@@ -51,12 +49,6 @@
 	// returnPart is the part of their time after which callers still come back:
 	// a third, less the way and what refusals are spread by.
 	returnPart = 0.2
-	// leastPatience, patienceObjectives and patienceGaps are the users' words
-	// on how long their callers wait for an event: two seconds, four times the
-	// objective or eight times the pause that they mind, whichever is longest.
-	leastPatience      = 2 * time.Second
-	patienceObjectives = 4
-	patienceGaps       = 8
 )
 
 type (
@@ -67,11 +59,10 @@
 	Request struct {
 		// Stream says that its answer is a series of events.
 		Stream bool
-		// Elapsed is how long it is here, Left how long its caller still waits.
-		Elapsed, Left time.Duration
-		// Objective is the time to the first event, Gap the longest pause
-		// between events, that are in time; zero for none.
-		Objective, Gap time.Duration
+		// Left is how long its caller still waits.
+		Left time.Duration
+		// Objective is the time to the first event that is in time.
+		Objective time.Duration
 		// First is the predicted time to the first token from now, Idle the
 		// same if all engines were idle; zero for plain services.
 		First, Idle time.Duration
@@ -89,12 +80,12 @@
 
 	// Policy is which rules hold: an immutable value.
 	Policy struct {
-		late, displaced, patience bool
+		late, displaced bool
 	}
 )
 
 // Default returns the policy in which all rules hold.
-func Default() Policy { return Policy{late: true, displaced: true, patience: true} }
+func Default() Policy { return Policy{late: true, displaced: true} }
 
 // WithLate returns a copy in which streams that the queue makes late are
 // refused, or not.
@@ -104,17 +95,11 @@
 // are worth are refused, or not.
 func (p Policy) WithDisplaced(on bool) Policy { p.displaced = on; return p }
 
-// WithPatience returns a copy in which streams are refused whose callers would
-// leave, or not.
-func (p Policy) WithPatience(on bool) Policy { p.patience = on; return p }
-
 // Judge reports whether a request is refused, and how.
 func (p Policy) Judge(r Request) (Refusal, bool) {
 	switch {
 	case r.First > r.Left:
 		return Refusal{NoTime, noTimeWait}, true
-	case p.patience && r.Stream && r.Elapsed+r.First > patience(r):
-		return r.later(NoPatience, r.First), true
 	case p.late && r.queued():
 		return r.later(QueueTooLong, r.First), true
 	case p.displaced && r.Displaces > mostDisplaced:
@@ -139,8 +124,3 @@
 func (r Request) later(why Reason, after time.Duration) Refusal {
 	return Refusal{why, min(after, time.Duration(returnPart*float64(r.Left)))}
 }
-
-// patience is how long the caller of a stream waits for its first event.
-func patience(r Request) time.Duration {
-	return max(leastPatience, patienceObjectives*r.Objective, patienceGaps*r.Gap)
-}
--- a/core/emulate/emulate.go
+++ b/core/emulate/emulate.go
@@ -137,8 +137,8 @@
 		Work: r.work, Objective: r.load.Objective - (r.comes - r.arrived), Gap: r.load.Gap,
 	})
 	no, refused := judge(admission.Request{
-		Stream: true, Elapsed: r.comes - r.arrived, Left: wait - (r.comes - r.arrived),
-		Objective: r.load.Objective, Gap: r.load.Gap, First: p.First, Idle: p.Idle, Displaces: p.Displaces,
+		Stream: true, Left: wait - (r.comes - r.arrived), Objective: r.load.Objective,
+		First: p.First, Idle: p.Idle, Displaces: p.Displaces,
 	}, r.back)
 	if refused {
 		f.board.Ended(p.ID)
--- a/daemon/gateway/admit.go
+++ b/daemon/gateway/admit.go
@@ -17,10 +17,8 @@
 	}
 	no, refused := g.admission.Judge(admission.Request{
 		Stream:    c.route.Kind == site.Stream,
-		Elapsed:   time.Since(c.arrived),
 		Left:      time.Until(c.deadline),
 		Objective: c.route.Objective,
-		Gap:       c.route.Gap,
 		First:     p.First,
 		Idle:      p.Idle,
 		Displaces: p.Displaces,
