--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -113,8 +113,8 @@
 // are late already, while short streams wait for slots on the others. With the
 // rule the part of the value asked for that callers get rises by 0.0052
 // (standard error 0.0024, 53 pairs of days with equal seeds on four deployments,
-// on each of them up), and less refusals again by 0.004 (0.004). At 0.85 and 1.5
-// times the objective it is the same within 0.004.
+// on each of them up); after what refusals cost 0.004 (0.004) are left. At 0.85
+// and 1.5 times the objective it is the same within 0.004.
 func (r Request) queued() bool {
 	return r.Stream && r.First > r.Objective && r.First > queueTimes*r.Idle
 }
