Soak: take an address again beside starts of processes

Traced: at the end of a run all pauses end at once, so a server is replaced while killed hosts are started; between fork and exec the new process holds copies of our sockets, also of the listener that was just closed. Shown without the soak: beside six loops of starts a closed address was in use at 265,395 of 441,124 tries; with starts held off by syscall.ForkLock at 11 of 107,318. Ruled out: the server's listener left open (Serve has returned before), another process (the address is the run's own), the program under test (it has no part). Change: the soak tries again for up to 5 s while the address is in use. Test: TestAddressIsFreeBesideStarts failed without the retry, passes with it (three runs with -race).

--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -185,7 +185,7 @@
 
 // begin starts the next backend server of a slot.
 func (w *world) begin(s *slot) error {
-	l, err := net.Listen("tcp", s.backend)
+	l, err := listenAgain(context.Background(), s.backend)
 	if err != nil {
 		return err
 	}
