Close kept connections in one place; a claim and two names mended

Pool.Drop and Pool.take closed a server's kept connections by the same lines; both call drop now. busyWait stood for 150 ms in the gateway and 1.5 s in admission, which is enginesWait now. The comment on listenAgain said that addresses are free when starts are over, which was not run; it has the figure that was. policyNames uses the library.

--- a/cmd/command/experiment.go
+++ b/cmd/command/experiment.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"os"
 	"slices"
@@ -79,14 +80,7 @@
 	return c
 }
 
-func policyNames() []string {
-	var out []string
-	for n := range policies {
-		out = append(out, n)
-	}
-	slices.Sort(out)
-	return out
-}
+func policyNames() []string { return slices.Sorted(maps.Keys(policies)) }
 
 // scenario reads a scenario from a file, or returns the usual one.
 func scenario(path string) (emulate.Scenario, error) {
--- a/cmd/soak/listen.go
+++ b/cmd/soak/listen.go
@@ -21,7 +21,7 @@
 // listenAgain listens on an address that this process has closed. A process
 // that is being started holds copies of our sockets until its program is loaded:
 // beside six loops of starts an address that was closed is in use at 265,395 of
-// 441,124 tries, and at none when starts are over.
+// 441,124 tries, and at 11 of 107,318 that hold starts off.
 func listenAgain(ctx context.Context, addr string) (net.Listener, error) {
 	ctx, cancel := context.WithTimeout(ctx, freeTime)
 	defer cancel()
--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -44,8 +44,8 @@
 	// noTimeWait sends a caller with little time left to another host at once:
 	// about two passes of an engine.
 	noTimeWait = 150 * time.Millisecond
-	// busyWait is about how long a long prompt keeps its engines.
-	busyWait = 1500 * time.Millisecond
+	// enginesWait is about how long a long prompt keeps its engines.
+	enginesWait = 1500 * time.Millisecond
 	// returnPart is the part of their time after which callers still come back:
 	// a third, less the way and what refusals are spread by.
 	returnPart = 0.2
@@ -103,7 +103,7 @@
 	case p.late && r.queued():
 		return r.later(QueueTooLong, r.First), true
 	case p.displaced && r.Displaces > mostDisplaced:
-		return r.later(EnginesBusy, max(r.First, busyWait)), true
+		return r.later(EnginesBusy, max(r.First, enginesWait)), true
 	}
 	return Refusal{}, false
 }
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -259,10 +259,7 @@
 	p.idle[addr] = cs[:len(cs)-1]
 	now := p.now()
 	if now.After(c.until) {
-		for _, o := range p.idle[addr] {
-			_ = o.Close()
-		}
-		delete(p.idle, addr)
+		p.drop(addr)
 		_ = c.Close()
 		return nil
 	}
@@ -294,6 +291,11 @@
 func (p *Pool) Drop(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.drop(addr)
+}
+
+// drop closes the kept connections to a server. The pool is locked.
+func (p *Pool) drop(addr string) {
 	for _, c := range p.idle[addr] {
 		_ = c.Close()
 	}
