Ask the platform less: one asker a hall, and few in an outage

Change: one host a hall asks, the second hears another hall's (where there is none, both ask); beyond the first eight of a hall hosts ask in an outage for the configuration only, seldom, and for all only if the platform serves them while nobody tells them anything.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -87,8 +87,6 @@
 		unproven bool // as noteProof saw it last
 		// neighbors are the servers and hosts of this one's cell.
 		neighbors atomic.Pointer[neighbors]
-		// met is sent to when the first other hosts become known.
-		met chan struct{}
 		// announced is when, from the start, others could first read of this
 		// host; zero before.
 		announced atomic.Int64
@@ -102,7 +100,6 @@
 		log:      decision.New(os.Stdout, slog.String("host", s.Host)),
 		metrics:  telemetry.NewMetrics(),
 		start:    time.Now(),
-		met:      make(chan struct{}, 1),
 	}
 	e.neighbors.Store(&neighbors{cells: 1})
 	e.pool = upstream.New(upstream.WithMaxIdle(e.maxIdle))
@@ -164,9 +161,8 @@
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.readiness), ReadHeaderTimeout: headerTime}, listeners[1])
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.figures), ReadHeaderTimeout: headerTime}, listeners[2])
 	go e.serve(e.relay, listeners[3])
-	e.watcher.SetAsking(watch.AskNothing, askersPause)
-	if !s.FirstStart {
-		e.lookForHosts()
+	if s.FirstStart {
+		e.watcher.SetAsking(watch.AskNothing, askersPause)
 	}
 	go e.watcher.Run(ctx)
 	go e.news.Run()
@@ -230,8 +226,6 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-e.met:
-			e.chooseReaders(&r)
 		case <-tick.C:
 			e.board.Forget(time.Since(e.start))
 			e.noteProof()
--- a/daemon/entry/readers.go
+++ b/daemon/entry/readers.go
@@ -14,9 +14,12 @@
 const (
 	// readersKey is what hosts are ranked by.
 	readersKey = "readers"
-	// hallReaders is how many hosts of a hall always ask the platform. With
-	// two, the loss of one delays nothing.
+	// hallReaders is how many hosts of a hall tell the others of it. With two,
+	// the loss of one delays nothing.
 	hallReaders = 2
+	// hallAsking is how many of them always ask the platform, where there are
+	// other halls: the second hears what another hall's tells.
+	hallAsking = 1
 	// hallAskers is how many of a hall ask often while nobody tells news: if
 	// the platform turns away half of all hosts, less than one hall in 200
 	// has none among them that it serves.
@@ -35,10 +38,16 @@
 	// mind with each answer.
 	askTime = 3 * time.Second
 	// askersPause and othersPause are the longest pauses between questions
-	// that fail, of the first hallAskers of a hall and of the others. Eight
-	// that ask within 1.5 s see an outage's end after a tenth of a second.
+	// that fail, of the first hallAskers of a hall and, for each host of the
+	// hall, of the others. Eight that ask within 1.5 s see an outage's end after
+	// a tenth of a second; the others ask ten times a second together.
 	askersPause = 1500 * time.Millisecond
-	othersPause = 4 * time.Second
+	othersPause = 200 * time.Millisecond
+	// othersLeast is the least of the latter.
+	othersLeast = 4 * time.Second
+	// aloneTime is how long a host that the platform serves may be told nothing
+	// beyond the time at which it begins to ask, before it asks for all.
+	aloneTime = 2 * time.Second
 	// otherHalls is how many hosts of other halls a reader hears, and
 	// otherHallsStale how many while it has no news.
 	otherHalls      = 1
@@ -52,10 +61,6 @@
 	// lonelyTime is how long a host waits to know others before it asks for
 	// everything itself.
 	lonelyTime = 3 * time.Second
-	// untoldTime is how long one that knows others waits to be told of a
-	// configuration before it does: a few times what a tree of 59 hosts needs
-	// from the first answer of the platform to its last host.
-	untoldTime = 600 * time.Millisecond
 )
 
 type (
@@ -72,16 +77,16 @@
 
 	// choice is whom a host hears and whether it asks the platform.
 	choice struct {
-		hear  []string
-		asks  bool
-		pause time.Duration // the longest between questions that fail
+		hear   []string
+		asking watch.Asking
+		pause  time.Duration // the longest between questions that fail
 	}
 
 	// readers is what a host has chosen.
 	readers struct {
 		choice
-		known         time.Time // when others were known first
-		asking, wider time.Time // until then it asks, or hears more than usual
+		known       time.Time // when others were known first
+		asks, wider time.Time // until then it asks for all, or hears more than usual
 	}
 )
 
@@ -100,7 +105,7 @@
 	// Wide links first, for reading and for telling others.
 	hall, others = route.RankByLink(readersKey, hall, links), route.RankByLink(readersKey, others, links)
 	place := slices.Index(hall, s.host)
-	c := choice{asks: place < s.askers(), pause: othersPause}
+	c := choice{asking: s.asking(place), pause: max(othersLeast, time.Duration(len(hall))*othersPause)}
 	if place < hallAskers {
 		c.pause = askersPause
 	}
@@ -124,19 +129,43 @@
 	return c
 }
 
-// askers is how many of a hall ask the platform: twice as many with each
-// further step of time in which nobody tells news.
+// asking is what the host at a place of its hall asks the platform. Beyond the
+// first hallAskers hosts ask for the configuration only, which proves their
+// keys, and seldom: when an outage of 8 s ended, 295 hosts that all asked for
+// everything made up most of a day's 7,800 calls.
+func (s situation) asking(place int) watch.Asking {
+	untold := s.told - s.bound - 2*askStep
+	switch {
+	case place < s.askers(), untold > aloneTime && s.proven < s.bound:
+		return watch.AskAll
+	case untold > 0:
+		return watch.AskConfig
+	}
+	return watch.AskNothing
+}
+
+// askers is how many of a hall ask the platform for all: twice as many with
+// each further step of time in which nobody tells news.
 func (s situation) askers() int {
 	n := hallReaders
+	if s.halls() > 1 {
+		n = hallAsking
+	}
 	for age := s.bound - askMargin; s.told > age && n < hallAskers; age += askStep {
 		n *= 2
 	}
-	if s.told > s.bound+2*askStep {
-		return len(s.others) + 1
-	}
 	return n
 }
 
+// halls is how many halls have hosts that are alive.
+func (s situation) halls() int {
+	halls := map[string]bool{s.hall: true}
+	for _, h := range s.others {
+		halls[h.Hall] = true
+	}
+	return len(halls)
+}
+
 // chooseReaders decides anew whom this host hears and what it asks the
 // platform.
 func (e *Entry) chooseReaders(r *readers) {
@@ -154,7 +183,6 @@
 		host: s.Host, hall: s.Hall, link: s.Link, others: e.liveHosts(young < youngTime),
 		told: ageOr(young, e.watcher.ToldAge), proven: ageOr(young, e.watcher.ConfigAge), bound: s.Bounds.Config,
 	}.choose()
-	c.asks = c.asks || e.watcher.State().Config == nil && young > untoldTime
 	e.apply(r, c, now)
 }
 
@@ -168,40 +196,36 @@
 
 // apply brings a choice into force. What was widened stays so for a while.
 func (e *Entry) apply(r *readers, c choice, now time.Time) {
-	if c.asks {
-		r.asking = now.Add(askTime)
+	if c.asking == watch.AskAll {
+		r.asks = now.Add(askTime)
+	}
+	if now.Before(r.asks) {
+		c.asking = watch.AskAll
 	}
-	c.asks = c.asks || now.Before(r.asking)
 	if len(c.hear) > len(r.hear) {
 		r.wider = now.Add(askTime)
 	}
 	if len(c.hear) < len(r.hear) && now.Before(r.wider) {
 		c.hear = r.hear
 	}
-	if c.asks == r.asks && c.pause == r.pause && slices.Equal(c.hear, r.hear) {
+	if c.asking == r.asking && c.pause == r.pause && slices.Equal(c.hear, r.hear) {
 		return
 	}
 	r.choice = c
-	asking := watch.AskNothing
-	if c.asks {
-		asking = watch.AskAll
-	}
-	e.watcher.SetAsking(asking, c.pause)
+	e.watcher.SetAsking(c.asking, c.pause)
 	e.relays.Hear(c.hear)
-	e.log.Write(event.RelayChosen, slog.Bool("asks", c.asks), slog.String("hears", strings.Join(c.hear, ",")),
+	e.log.Write(event.RelayChosen, slog.Bool("asks", c.asking != watch.AskNothing), slog.String("hears", strings.Join(c.hear, ",")),
 		slog.Int("others", e.neighbors.Load().others))
 }
 
-// lookForHosts decides what is asked while no other host is known. A host that
-// starts again finds the rows of the others at once, and hears the rest from
-// them: each start costs the platform two calls instead of four.
+// lookForHosts decides what is asked while no other host is known.
 func (e *Entry) lookForHosts() {
 	announced := e.announced.Load()
 	now := time.Since(e.start)
 	switch {
-	case now > lonelyTime:
+	case !e.settings.Load().FirstStart || now > lonelyTime:
 		e.watcher.SetAsking(watch.AskAll, askersPause)
-	case !e.settings.Load().FirstStart, announced > 0 && now-time.Duration(announced) > settleTime:
+	case announced > 0 && now-time.Duration(announced) > settleTime:
 		e.watcher.SetAsking(watch.AskHosts, askersPause)
 	}
 }
--- a/daemon/entry/readers_test.go
+++ b/daemon/entry/readers_test.go
@@ -38,35 +38,53 @@
 }
 
 func TestChoose(t *testing.T) {
-	const fresh, late, later, latest = time.Second, 2800 * time.Millisecond, 3100 * time.Millisecond, 4 * time.Second
+	const (
+		fresh, late, later = time.Second, 2800 * time.Millisecond, 3100 * time.Millisecond
+		latest, alone      = 4 * time.Second, 6 * time.Second
+		hallPause          = 25 * othersPause
+	)
 	for name, tc := range map[string]struct {
 		perHall, place int
 		told, proven   time.Duration
-		asks           bool
+		asking         watch.Asking
 		hears          int
 		pause          time.Duration
 	}{
-		"a reader":                             {25, 0, fresh, fresh, true, 2, askersPause},
-		"a reader that is told late":           {25, 1, late, fresh, true, 2, askersPause},
-		"a reader without news":                {25, 1, late, late, true, 7 + otherHallsStale, askersPause},
-		"another":                              {25, 2, fresh, fresh, false, 2, askersPause},
-		"far down the order":                   {25, 20, fresh, fresh, false, 2, othersPause},
-		"the third, told late":                 {25, 2, late, late, true, 2, askersPause},
-		"the fifth, told late":                 {25, 4, late, late, false, 2, askersPause},
-		"the fifth, told later":                {25, 4, later, later, true, 2, askersPause},
-		"far down the order, told later":       {25, 20, later, later, false, 2, othersPause},
-		"far down the order, told of no proof": {25, 20, latest, latest, true, 2, othersPause},
-		"alone in its hall":                    {1, 0, fresh, fresh, true, 1, askersPause},
+		"a reader":                              {25, 0, fresh, fresh, watch.AskAll, 2, askersPause},
+		"the second of its hall":                {25, 1, fresh, fresh, watch.AskNothing, 2, askersPause},
+		"the second, told late":                 {25, 1, late, fresh, watch.AskAll, 2, askersPause},
+		"the second, without news":              {25, 1, late, late, watch.AskAll, 7 + otherHallsStale, askersPause},
+		"another":                               {25, 2, fresh, fresh, watch.AskNothing, 2, askersPause},
+		"far down the order":                    {25, 20, fresh, fresh, watch.AskNothing, 2, hallPause},
+		"the third, told late":                  {25, 2, late, late, watch.AskNothing, 2, askersPause},
+		"the third, told later":                 {25, 2, later, later, watch.AskAll, 2, askersPause},
+		"the fifth, told later":                 {25, 4, later, later, watch.AskNothing, 2, askersPause},
+		"the fifth, told latest":                {25, 4, latest, latest, watch.AskAll, 2, askersPause},
+		"far down the order, told later":        {25, 20, later, later, watch.AskNothing, 2, hallPause},
+		"far down the order, told of no proof":  {25, 20, latest, latest, watch.AskConfig, 2, hallPause},
+		"far down, no news while all is silent": {25, 20, alone, alone, watch.AskConfig, 2, hallPause},
+		"far down, no news but from the store":  {25, 20, alone, fresh, watch.AskAll, 2, hallPause},
+		"alone in its hall":                     {1, 0, fresh, fresh, watch.AskAll, 1, askersPause},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := seenBy(site(tc.perHall), tc.place, tc.told, tc.proven).choose()
-			if c.asks != tc.asks || len(c.hear) != tc.hears || c.pause != tc.pause {
-				t.Errorf("asks %v, hears %v, pauses up to %v; want %v, %d hosts, %v", c.asks, c.hear, c.pause, tc.asks, tc.hears, tc.pause)
+			if c.asking != tc.asking || len(c.hear) != tc.hears || c.pause != tc.pause {
+				t.Errorf("asks %v, hears %v, pauses up to %v; want %v, %d hosts, %v", c.asking, c.hear, c.pause, tc.asking, tc.hears, tc.pause)
 			}
 		})
 	}
 }
 
+// TestTwoOfAHallAskWhereThereIsNoOther has the second host of the only hall ask
+// too: nobody else would tell it what the first one misses.
+func TestTwoOfAHallAskWhereThereIsNoOther(t *testing.T) {
+	s := seenBy(site(25), 1, time.Second, time.Second)
+	s.others = slices.DeleteFunc(s.others, func(h watch.Host) bool { return h.Hall != s.hall })
+	if c := s.choose(); c.asking != watch.AskAll {
+		t.Errorf("the second host of the only hall asks %v", c.asking)
+	}
+}
+
 // TestNewsReachEachHost follows who hears whom, from one host that the
 // platform serves while it turns away all others.
 func TestNewsReachEachHost(t *testing.T) {
@@ -121,14 +139,30 @@
 		hosts[i].Link = 20
 	}
 	hosts[3].Link, hosts[30].Link = 200, 200 // of hall-0
+	asking, listeners := 0, map[string]int{}
 	for _, h := range hosts {
 		if h.Hall != "hall-0" {
 			continue
 		}
 		s := situation{host: h.Name, hall: h.Hall, link: h.Link, bound: 3 * time.Second}
 		s.others = slices.DeleteFunc(slices.Clone(hosts), func(o watch.Host) bool { return o.Name == h.Name })
-		if c := s.choose(); c.asks != (h.Link == 200) {
-			t.Errorf("%s with a link of %v Mbit/s asks the platform: %v", h.Name, h.Link, c.asks)
+		c := s.choose()
+		if c.asking != watch.AskNothing {
+			asking++
+			if h.Link != 200 {
+				t.Errorf("%s with a link of %v Mbit/s asks the platform", h.Name, h.Link)
+			}
+		}
+		for _, from := range c.hear {
+			listeners[from]++
+		}
+	}
+	if asking != 1 {
+		t.Errorf("%d hosts of the hall ask, want one", asking)
+	}
+	for _, wide := range []string{hosts[3].Name, hosts[30].Name} {
+		if listeners[wide] < fanout {
+			t.Errorf("%s is heard by %d hosts of its hall, want at least %d", wide, listeners[wide], fanout)
 		}
 	}
 }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -54,10 +54,8 @@
 	// half a megabyte and come with those of 30 other listeners over a link of
 	// 20 Mbit/s.
 	firstTime = 10 * time.Second
-	// retryPause lies between tries to reach a server, and comeAgain before one
-	// that asks to come again: it has just learnt what it is to tell.
+	// retryPause lies between tries to reach a server.
 	retryPause = 500 * time.Millisecond
-	comeAgain  = 50 * time.Millisecond
 	// lostTime is for how long a server that could not be heard counts as lost
 	// once it is no longer tried.
 	lostTime = 10 * time.Second
@@ -102,8 +100,8 @@
 	}},
 }
 
-// errTurnedAway is a server that lives and asks to come again: it knew nothing
-// yet when it was asked, or its listener was too slow.
+// errTurnedAway is a server that lives and asks to come again: it has just
+// started and knows nothing yet, or its listener was too slow.
 var errTurnedAway = errors.New("the server asks to come again")
 
 func init() { encoding.RegisterCodec(codec{}) }
@@ -149,7 +147,7 @@
 		case <-quiet.C:
 		}
 		if !ok {
-			return errors.New("nothing was known when the stream began, or it was too slow; ask anew")
+			return errors.New("nothing is known yet, or the stream was too slow; ask anew")
 		}
 		for _, v := range waiting(u, updates) {
 			if err := stream.SendMsg(&v); err != nil {
@@ -238,12 +236,10 @@
 			c.log.Write(event.RelayLost, slog.String("from", addr), slog.String("error", err.Error()))
 		}
 		lost = true
-		rest := comeAgain
 		if !errors.Is(err, errTurnedAway) {
 			c.setLost(addr, true)
-			rest = retryPause
 		}
-		_ = pause.For(ctx, rest) // ctx is looked at above
+		_ = pause.For(ctx, retryPause) // ctx is looked at above
 	}
 }
 
--- a/daemon/watch/follow.go
+++ b/daemon/watch/follow.go
@@ -10,9 +10,17 @@
 	"slipcrank.example/core/pause"
 )
 
-// answeringPoll is how often the followers of other tables look whether the
-// platform answers questions for the configuration again.
-const answeringPoll = 100 * time.Millisecond
+const (
+	// answeringPoll is how often the followers of other tables look whether the
+	// platform answers questions for the configuration again.
+	answeringPoll = 100 * time.Millisecond
+	// seldomStart spreads the first questions of those that ask seldom: their
+	// keys are no longer proven, and most are told within this time that the
+	// platform is back.
+	seldomStart = time.Second
+	// seldomPause is their pause after the first question that has failed.
+	seldomPause = 4 * time.Second
+)
 
 // SetAsking sets which tables the platform is asked for, and the longest pause
 // between questions that fail. What isn't asked for has to be told by other
@@ -29,7 +37,7 @@
 // asks reports whether the platform is asked for a table.
 func (w *Watcher) asks(table string) bool {
 	a := Asking(w.asking.Load())
-	return a == AskAll || a == AskHosts && table == w.tables.Hosts
+	return a == AskAll || a == AskHosts && table == w.tables.Hosts || a == AskConfig && table == w.tables.Config
 }
 
 // waits reports whether a question for a table waits for the platform to
@@ -56,6 +64,7 @@
 			case <-turned:
 			}
 			listed = false
+			rest = w.begin(ctx)
 			continue
 		}
 		if w.waits(table) {
@@ -105,6 +114,16 @@
 	}
 }
 
+// begin waits for a while before the first question of one that asks seldom, and
+// returns the pause after it, should it fail.
+func (w *Watcher) begin(ctx context.Context) time.Duration {
+	if Asking(w.asking.Load()) != AskConfig {
+		return firstPause
+	}
+	_ = pause.UpTo(ctx, seldomStart) // the caller looks at ctx
+	return seldomPause
+}
+
 // longer is the pause after another question that has failed.
 func (w *Watcher) longer(rest time.Duration) time.Duration {
 	return min(2*rest, time.Duration(w.longest.Load()))
--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -115,7 +115,6 @@
 	for c := range w.heard {
 		w.offer(c, u)
 	}
-	w.dismissEarly()
 }
 
 // Join returns one update in place of two of the same table, of which the
@@ -184,15 +183,12 @@
 }
 
 // welcome tells a new listener all that is known. Without a reading of the
-// platform's clock nothing can be proven to it: it waits until there is one,
-// and then has to come again, since what it is told of the clock counts from
-// its question. After all hosts were off, those below others in the tree so
-// know what is in force as soon as these do.
+// platform's clock nothing can be proven to it, so it has to come again.
 func (w *Watcher) welcome(l listener) {
 	c := l.updates
 	clock, known := w.clock.Age(0, w.Now()) // the age of the reading zero is what the clock shows
 	if !known {
-		w.early[c] = true
+		close(c)
 		return
 	}
 	w.heard[c] = true
@@ -206,16 +202,8 @@
 }
 
 func (w *Watcher) dismiss(c chan Update) {
-	if w.heard[c] || w.early[c] {
+	if w.heard[c] {
 		delete(w.heard, c)
-		delete(w.early, c)
 		close(c)
 	}
 }
-
-// dismissEarly sends listeners away that came before anything was known.
-func (w *Watcher) dismissEarly() {
-	for c := range w.early {
-		w.dismiss(c)
-	}
-}
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -33,6 +33,8 @@
 	AskNothing Asking = iota
 	// AskHosts asks only who the other hosts are.
 	AskHosts
+	// AskConfig asks only for the configuration, and seldom.
+	AskConfig
 	// AskAll asks for all tables.
 	AskAll
 )
@@ -139,7 +141,6 @@
 		returned       time.Duration // stamp at which the platform was back last
 		rows           map[string]*table
 		heard          map[chan Update]bool
-		early          map[chan Update]bool // that came before anything was known
 	}
 
 	// read is what a follower has learnt, or that it can't.
@@ -169,7 +170,6 @@
 		leave: make(chan chan Update),
 		rows:  map[string]*table{},
 		heard: map[chan Update]bool{},
-		early: map[chan Update]bool{},
 	}
 	turned := make(chan struct{})
 	w.turned.Store(&turned)
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -340,6 +340,30 @@
 	})
 }
 
+// TestThoseThatAskSeldomCostFewCalls has a host begin to ask only while the
+// platform is away, as most hosts of a large hall do.
+func TestThoseThatAskSeldomCostFewCalls(t *testing.T) {
+	run(t, func(s *fakeStore, w *watch.Watcher) {
+		const longest = 12 * time.Second
+		w.SetAsking(watch.AskNothing, longest)
+		settle()
+		s.setDown(true)
+		before := s.count()
+		w.SetAsking(watch.AskConfig, longest)
+		pass(8 * time.Second)
+		if n := s.count() - before; n < 2 || n > 6 {
+			t.Errorf("%d calls in an outage of 8 s, want a few", n)
+		}
+		s.put(configTable, "config", "1")
+		s.put(serversTable, "a", `{"Service":"s"}`)
+		s.setDown(false)
+		pass(longest)
+		if w.State().Config == nil || w.State().Servers.Len() != 0 {
+			t.Errorf("the configuration is known: %v; %d servers are, want none", w.State().Config != nil, w.State().Servers.Len())
+		}
+	})
+}
+
 // TestLongListIsWaitedFor lists a table of many pages over a slow link.
 func TestLongListIsWaitedFor(t *testing.T) {
 	run(t, func(s *fakeStore, w *watch.Watcher) {
@@ -357,9 +381,10 @@
 		asking        watch.Asking
 		config, hosts bool
 	}{
-		"nothing":    {watch.AskNothing, false, false},
-		"hosts only": {watch.AskHosts, false, true},
-		"all":        {watch.AskAll, true, true},
+		"nothing":                {watch.AskNothing, false, false},
+		"hosts only":             {watch.AskHosts, false, true},
+		"the configuration only": {watch.AskConfig, true, false},
+		"all":                    {watch.AskAll, true, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			run(t, func(s *fakeStore, w *watch.Watcher) {
