Let prompts of several engines' memory displace more if they will be in time

Cause: reading takes time with the square of the length, value grows with the length, so a burst of long prompts turned away nearly all of the longest. Change: what a request may displace grows by as many engines' memory as it fills, if it is predicted in time.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -69,6 +69,8 @@
 		// Displaces is the value of what the engines could do instead, beside
 		// the value of the request.
 		Displaces float64
+		// Engines is how many engines' memory the request fills.
+		Engines float64
 	}
 
 	// Refusal is why a request isn't served, and after how long its caller may
@@ -102,7 +104,7 @@
 		return Refusal{NoTime, noTimeWait}, true
 	case p.late && r.queued():
 		return r.later(QueueTooLong, r.First), true
-	case p.displaced && r.Displaces > mostDisplaced:
+	case p.displaced && r.Displaces > r.mostDisplaced():
 		return r.later(EnginesBusy, max(r.First, enginesWait)), true
 	}
 	return Refusal{}, false
@@ -119,6 +121,19 @@
 	return r.Stream && r.First > r.Objective && r.First > queueTimes*r.Idle
 }
 
+// mostDisplaced is how many times its own value a request may displace. Reading
+// takes time with the square of the length and value grows with the length, so
+// a burst of long prompts would turn away nearly all of the longest: on 150
+// engines, of those that need the memory of several 54 in 127 were refused for
+// what they displace, all of them predicted in time, and 35 read. One that will
+// be in time may displace more by as many engines' memory as it fills.
+func (r Request) mostDisplaced() float64 {
+	if r.First > r.Objective {
+		return mostDisplaced
+	}
+	return mostDisplaced * max(r.Engines, 1)
+}
+
 // later refuses with a time to come back: when that is over which is in front,
 // as far as callers still come back then.
 func (r Request) later(why Reason, after time.Duration) Refusal {
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -53,6 +53,19 @@
 			with(short, func(r *admission.Request) { r.First = 3 * time.Second }), admission.QueueTooLong, 2 * time.Second,
 		},
 		"displaces more": {with(long, func(r *admission.Request) { r.Displaces = 1.1 }), admission.EnginesBusy, 2 * time.Second},
+		"of two engines' memory, displaces more": {
+			with(long, func(r *admission.Request) { r.Displaces, r.Engines = 2.1, 2 }), admission.EnginesBusy, 2 * time.Second,
+		},
+		"of two engines' memory, displaces less": {with(long, func(r *admission.Request) { r.Displaces, r.Engines = 1.9, 2 }), "", 0},
+		"of half of one's": {
+			with(long, func(r *admission.Request) { r.Displaces, r.Engines = 1.1, 0.5 }), admission.EnginesBusy, 2 * time.Second,
+		},
+		"of two engines' memory, late": {
+			with(long, func(r *admission.Request) {
+				r.Displaces, r.Engines, r.First, r.Idle = 1.1, 2, 4*time.Second, 3*time.Second
+			}),
+			admission.EnginesBusy, 3 * time.Second,
+		},
 		"displaces less": {with(long, func(r *admission.Request) { r.Displaces = 0.9 }), "", 0},
 	} {
 		t.Run(name, func(t *testing.T) {
--- /dev/null
+++ b/core/emulate/wide_test.go
@@ -0,0 +1,48 @@
+package emulate_test
+
+import (
+	"testing"
+	"time"
+
+	"slipcrank.example/core/admission"
+	"slipcrank.example/core/emulate"
+	"slipcrank.example/core/site"
+)
+
+// wide is long prompts that ask for two thirds of 75 engines, one in eight of
+// them of twice the usual length, beside short streams on a tenth.
+func wide() emulate.Scenario {
+	const end = 12 * time.Second
+	return emulate.Scenario{
+		Engines: 75,
+		Engine: site.Engine{
+			Slots: 10, Memory: 232_000, Stride: 68, Step: 1020 * time.Microsecond, PerWriter: 2260 * time.Nanosecond,
+			PerContext: 4310 * time.Nanosecond, ReadRate: 206_000, PerPairs: 138 * time.Microsecond, Chunk: 2048,
+			UsualPrompt: 12_331, UsualAnswer: 1_303,
+		},
+		Wait: 15 * time.Second,
+		Loads: []emulate.Load{
+			{Name: "long", Until: end, Rate: 11, Prompt: 170_000, Answer: 700, Objective: 3 * time.Second, Gap: time.Second},
+			{Name: "longest", Until: end, Rate: 1.5, Prompt: 340_000, Answer: 700, Objective: 3 * time.Second, Gap: time.Second},
+			{Name: "short", Until: end, Rate: 40, Prompt: 4_960, Answer: 1_500, Objective: 400 * time.Millisecond, Gap: 250 * time.Millisecond},
+		},
+	}
+}
+
+// TestLongestPromptsAreNotTurnedAway plays a burst of long prompts on many
+// engines, in which those that need the memory of several engines are served
+// nearly as often as the others.
+func TestLongestPromptsAreNotTurnedAway(t *testing.T) {
+	inTime, asked := map[string]int{}, map[string]int{}
+	for seed := range uint64(6) {
+		for name, c := range emulate.Play(wide(), emulate.Judge(admission.Default()), seed) {
+			inTime[name] += c.InTime
+			asked[name] += c.Asked
+		}
+	}
+	for name, least := range map[string]float64{"long": 0.9, "longest": 0.7, "short": 0.99} {
+		if part := float64(inTime[name]) / float64(asked[name]); part < least {
+			t.Errorf("%.3f of the %s requests are in time, want %.2f", part, name, least)
+		}
+	}
+}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -68,7 +68,9 @@
 		// Displaces is the value of what the servers could do instead, beside
 		// the value of the request: above 1 it had better come later.
 		Displaces float64
-		Work      Work
+		// Engines is how many engines' memory the request fills.
+		Engines float64
+		Work    Work
 		// Objective is the time from Begun until its first event is late.
 		Objective time.Duration
 		Gap       time.Duration
--- a/daemon/gateway/admit.go
+++ b/daemon/gateway/admit.go
@@ -22,6 +22,7 @@
 		First:     p.First,
 		Idle:      p.Idle,
 		Displaces: p.Displaces,
+		Engines:   p.Engines,
 	})
 	if !refused {
 		return nil
