Let the longest displace more only as far as other engines stay free

Before 18 engines a prompt that 17 read together leaves none for the others. Change: the further limit counts by the least part of the engines that doesn't read the prompt: 0.06 of 18, 0.72 of 60, 0.77 of 75.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -69,8 +69,9 @@
 		// Displaces is the value of what the engines could do instead, beside
 		// the value of the request.
 		Displaces float64
-		// Engines is how many engines' memory the request fills.
-		Engines float64
+		// Engines is how many engines' memory the request fills, and Spare the
+		// least part of all engines that doesn't read it.
+		Engines, Spare float64
 	}
 
 	// Refusal is why a request isn't served, and after how long its caller may
@@ -126,12 +127,14 @@
 // a burst of long prompts would turn away nearly all of the longest: on 150
 // engines, of those that need the memory of several 54 in 127 were refused for
 // what they displace, all of them predicted in time, and 35 read. One that will
-// be in time may displace more by as many engines' memory as it fills.
+// be in time may displace more by as many engines' memory as it fills, as far
+// as other engines are left for the rest: before 18 engines, where none are, it
+// cost 0.005 of worth (standard error 0.004, 15 pairs of days with equal seeds).
 func (r Request) mostDisplaced() float64 {
 	if r.First > r.Objective {
 		return mostDisplaced
 	}
-	return mostDisplaced * max(r.Engines, 1)
+	return mostDisplaced * (1 + max(r.Engines-1, 0)*r.Spare)
 }
 
 // later refuses with a time to come back: when that is over which is in front,
--- a/core/emulate/emulate.go
+++ b/core/emulate/emulate.go
@@ -138,7 +138,7 @@
 	})
 	no, refused := judge(admission.Request{
 		Stream: true, Left: wait - (r.comes - r.arrived), Objective: r.load.Objective,
-		First: p.First, Idle: p.Idle, Displaces: p.Displaces, Engines: p.Engines,
+		First: p.First, Idle: p.Idle, Displaces: p.Displaces, Engines: p.Engines, Spare: p.Spare,
 	}, r.back)
 	if refused {
 		f.board.Ended(p.ID)
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -60,6 +60,7 @@
 	p.Lead, p.First, p.Shares = best.lead.server.ID, best.first, best.shares
 	p.Fits = best.fits
 	p.Engines = float64(r.Work.Prompt+r.Work.Answer) / float64(room(e))
+	p.Spare = max(1-float64(maxHelpers+1)/float64(len(servers)), 0)
 	p.Idle = idleRead(e, r.Work.Prompt, len(servers))
 	p.Pass = passTime(e, best.lead.running+1, best.lead.context+r.Work.Prompt)
 	p.LeadRuns, p.LeadReads = best.lead.running, best.lead.reading
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -68,9 +68,10 @@
 		// Displaces is the value of what the servers could do instead, beside
 		// the value of the request: above 1 it had better come later.
 		Displaces float64
-		// Engines is how many engines' memory the request fills.
-		Engines float64
-		Work    Work
+		// Engines is how many engines' memory the request fills, and Spare the
+		// least part of the service's engines that doesn't read it.
+		Engines, Spare float64
+		Work           Work
 		// Objective is the time from Begun until its first event is late.
 		Objective time.Duration
 		Gap       time.Duration
--- a/daemon/gateway/admit.go
+++ b/daemon/gateway/admit.go
@@ -23,6 +23,7 @@
 		Idle:      p.Idle,
 		Displaces: p.Displaces,
 		Engines:   p.Engines,
+		Spare:     p.Spare,
 	})
 	if !refused {
 		return nil
