Answer operators once the view that they changed is out

Cause: the owning goroutine answered Ask and Do from within the function, before it published the view. Ruled out: a change lost or taken out of order (the book never skips or goes back).

--- a/daemon/control/gone_test.go
+++ b/daemon/control/gone_test.go
@@ -37,7 +37,6 @@
 	if !c.loop.Do(context.Background(), f) {
 		c.t.Fatal("the loop has ended")
 	}
-	c.loop.Do(context.Background(), func(*control.State) {}) // the view is out
 }
 
 // poll polls all owned engines with one outcome and returns how many there were.
--- a/daemon/control/loop.go
+++ b/daemon/control/loop.go
@@ -33,12 +33,19 @@
 type (
 	// Loop runs the goroutine that owns the control state.
 	Loop struct {
-		inbox chan func(*State)
+		inbox chan work
 		done  chan struct{}
 		view  atomic.Pointer[View]
 		state *State
 	}
 
+	// work is a function to run on the owning goroutine, and what to do once
+	// its view is out; done may be nil.
+	work struct {
+		run  func(*State)
+		done func()
+	}
+
 	// placedReply is what became of a placement.
 	placedReply struct {
 		now route.Offer
@@ -73,7 +80,7 @@
 		o(s)
 	}
 	s.demand = placement.NewMeter(s.now())
-	l := &Loop{inbox: make(chan func(*State), inboxLength), done: make(chan struct{}), state: s}
+	l := &Loop{inbox: make(chan work, inboxLength), done: make(chan struct{}), state: s}
 	l.publish()
 	return l
 }
@@ -83,9 +90,12 @@
 	defer close(l.done)
 	for {
 		select {
-		case f := <-l.inbox:
-			f(l.state)
+		case w := <-l.inbox:
+			w.run(l.state)
 			l.publish()
+			if w.done != nil {
+				w.done()
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -106,7 +116,7 @@
 // Post runs f on the owning goroutine, some time later.
 func (l *Loop) Post(f func(*State)) {
 	select {
-	case l.inbox <- f:
+	case l.inbox <- work{run: f}:
 	case <-l.done:
 	}
 }
@@ -122,13 +132,20 @@
 	return ok
 }
 
-// Ask runs f on the owning goroutine and returns its result. It reports false,
-// with no result, if the loop has ended or ctx ends first.
+// Ask runs f on the owning goroutine and returns its result once the view that
+// f leads to is out: an operator who was told that a change is in force reads
+// it with the next command. It reports false, with no result, if the loop has
+// ended or ctx ends first.
 func Ask[T any](ctx context.Context, l *Loop, f func(*State) T) (T, bool) {
 	var none T
+	var answer T // written and read on the owning goroutine only
 	result := make(chan T, 1)
+	w := work{
+		run:  func(s *State) { answer = f(s) },
+		done: func() { result <- answer },
+	}
 	select {
-	case l.inbox <- func(s *State) { result <- f(s) }:
+	case l.inbox <- w:
 	case <-ctx.Done():
 		return none, false
 	case <-l.done:
--- /dev/null
+++ b/daemon/control/loop_test.go
@@ -0,0 +1,40 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+
+	"slipcrank.example/core/member"
+	"slipcrank.example/core/template"
+	"slipcrank.example/daemon/control"
+)
+
+// What an operator was told is in force must be what the next command reads.
+func TestViewIsOutWhenDoReturns(t *testing.T) {
+	c := newClocked(t, "127.0.0.1:1")
+	const changes = 2000
+	for n := uint64(1); n <= changes; n++ {
+		x := template.Change{Number: n, Template: template.Template{Workspace: "till", Version: n}}
+		c.loop.Do(context.Background(), func(s *control.State) {
+			s.MoveBook(template.Update{Changes: []template.Change{x}})
+		})
+		if got := c.loop.View().Book.Number(); got != n {
+			t.Fatalf("change %d is in force, the view has %d", n, got)
+		}
+	}
+}
+
+func TestAskAnswersAfterTheView(t *testing.T) {
+	c := newClocked(t, "127.0.0.1:1")
+	const hosts = 370
+	for n := uint64(1); n <= hosts; n++ {
+		m := member.Member{Addr: string(rune('a'+n%26)) + string(rune('a'+n/26)), Hall: "oslo-b", Incarnation: n}
+		want, _ := control.Ask(context.Background(), c.loop, func(s *control.State) int {
+			s.MergeMembers([]member.Member{m})
+			return len(s.Members().All())
+		})
+		if got := len(c.loop.View().Members); got != want {
+			t.Fatalf("the state has %d members, the view %d", want, got)
+		}
+	}
+}
