Let only hosts that forward judge other halls' forwarders

Cause: a host judged the forwarders of other halls by when it had heard them, but only its own hall's forwarder hears them. News went on by the own forwarder meanwhile; but a host that began to forward had lost halls' first choices for 5 s and told arbitrary hosts there.

Change: a host that doesn't forward takes the first living host of each other hall; one that begins to forward gives each 0.6 s to be heard. Two tests fail before, one of them after 0.75 s.

--- a/core/broadcast/broadcast.go
+++ b/core/broadcast/broadcast.go
@@ -128,19 +128,43 @@
 		return Routes{Direct: hs.others}
 	}
 	out := Routes{Hall: hs.mates}
+	if f := c.forwarder(now, hs.own.Name, hs.byHall[hs.own.Hall], e); f.Name != hs.own.Name {
+		out.Forwarder = f.Addr
+		// Other halls' forwarders tell the own one and not this host, so it can't
+		// know which of them are silent. Judged all the same, they changed on each
+		// host every 0.75 s, a quarter of all lines of its log (76 hosts, one day).
+		c.forgetOthers(hs.own.Hall)
+	}
 	for hall, hosts := range hs.byHall {
-		f := c.forwarder(now, hs.own.Name, hosts, e)
-		switch {
-		case hall != hs.own.Hall:
-			out.Remote = append(out.Remote, f.Addr)
-		case f.Name != hs.own.Name:
-			out.Forwarder = f.Addr
+		if hall == hs.own.Hall {
+			continue
+		}
+		f := firstAlive(hosts, e)
+		if !out.Forwarder.IsValid() {
+			f = c.forwarder(now, hs.own.Name, hosts, e)
 		}
+		out.Remote = append(out.Remote, f.Addr)
 	}
 	slices.SortFunc(out.Remote, netip.AddrPort.Compare)
 	return out
 }
 
+// forgetOthers forgets which forwarders were chosen in other halls than the own
+// one: who begins to forward gives each of them time to be heard.
+func (c *Chooser) forgetOthers(own string) {
+	for hall := range c.chosen {
+		if hall != own {
+			delete(c.chosen, hall)
+		}
+	}
+}
+
+// firstAlive returns the first host that is there, or the very first if none is.
+func firstAlive(hosts []Host, e Evidence) Host {
+	i := slices.IndexFunc(hosts, func(h Host) bool { return e.Alive(h.Number) })
+	return hosts[max(i, 0)]
+}
+
 // forwarder chooses the forwarder of a hall: the first of its hosts that is
 // there, or the very first if none is.
 func (c *Chooser) forwarder(now time.Duration, own string, hosts []Host, e Evidence) Host {
--- a/core/broadcast/broadcast_test.go
+++ b/core/broadcast/broadcast_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -134,3 +135,47 @@
 		}
 	}
 }
+
+// TestOnlyForwardersJudgeOtherHalls has a host that hears its own hall's
+// forwarder and no other: what other halls tell comes to it through that one.
+func TestOnlyForwardersJudgeOtherHalls(t *testing.T) {
+	hs, c := seen(12, 147), broadcast.NewChooser()
+	now := time.Duration(0)
+	e := without()
+	e.Heard = func(a netip.AddrPort) time.Duration {
+		if a == host(2).Addr {
+			return now
+		}
+		return 0
+	}
+	first := c.Choose(now, hs, e).Remote
+	for ; now < 10*time.Second; now += 250 * time.Millisecond {
+		if r := c.Choose(now, hs, e); !slices.Equal(r.Remote, first) {
+			t.Fatalf("after %v the forwarders of other halls are %v, at first %v", now, r.Remote, first)
+		}
+	}
+}
+
+// TestHostThatBeginsToForwardJudgesAnew has the forwarder of a hall die, and the
+// host that follows it not hear one of another hall.
+func TestHostThatBeginsToForwardJudgesAnew(t *testing.T) {
+	hs, c := seen(132, 147), broadcast.NewChooser() // it follows host 2
+	c.Choose(0, hs, without())
+	gone := without(2)
+	gone.Heard = func(a netip.AddrPort) time.Duration {
+		if a == host(0).Addr {
+			return 0
+		}
+		return time.Hour
+	}
+	const died = 5 * time.Second
+	for at, silent := range map[time.Duration]bool{died: false, died + time.Second: true} {
+		r := c.Choose(died, hs, gone)
+		if at > died {
+			r = c.Choose(at, hs, gone)
+		}
+		if r.Forwarder.IsValid() || slices.Contains(r.Remote, host(0).Addr) == silent {
+			t.Errorf("after %v it tells %v and %v", at-died, r.Forwarder, r.Remote)
+		}
+	}
+}
