Stand-in engine: let jobs in when a holding expires

Cause: an engine without running streams slept until it was roused, and the expiry of a reservation roused nobody, also where a load report noticed it. A job that waited for that memory waited on: 60 s in the new test, until the next job came.

Change: an idle engine wakes at the next expiry, and whoever notices one rouses it. The test fails before with 1m0s, passes after five times with -race; cmd/devel's tests of groups pass. Only the stand-in changes, no daemon.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -190,10 +190,7 @@
 	for ctx.Err() == nil {
 		d := e.plan()
 		if d == 0 {
-			select {
-			case <-ctx.Done():
-			case <-e.wake:
-			}
+			e.rest(ctx)
 			continue
 		}
 		t := time.NewTimer(d)
@@ -206,6 +203,18 @@
 	}
 }
 
+// rest waits until there may be something to do: somebody says so, or a holding
+// expires, whose memory a waiting job may need.
+func (e *Engine) rest(ctx context.Context) {
+	t := time.NewTimer(e.nextExpiry())
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-e.wake:
+	case <-t.C:
+	}
+}
+
 func (e *Engine) rouse() {
 	select {
 	case e.wake <- struct{}{}:
--- a/standin/engine/memory.go
+++ b/standin/engine/memory.go
@@ -7,6 +7,9 @@
 	"slipcrank.example/core/prefix"
 )
 
+// noExpiry is how long an engine without holdings rests unless it is roused.
+const noExpiry = time.Minute
+
 // holding is memory kept for somebody until a time.
 type holding struct {
 	protocol.Holding
@@ -67,12 +70,26 @@
 	return out
 }
 
-// expire gives back the holdings whose time has passed.
+// nextExpiry is how long it takes until the next holding expires, or noExpiry if
+// there is none.
+func (e *Engine) nextExpiry() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	next := noExpiry
+	for _, h := range e.holds {
+		next = min(next, time.Until(h.until))
+	}
+	return next
+}
+
+// expire gives back the holdings whose time has passed, and lets jobs in that
+// wait for their memory, whoever it is that notices.
 func (e *Engine) expire() {
 	now := time.Now()
 	for id, h := range e.holds {
 		if !now.Before(h.until) {
 			e.release(id)
+			e.rouse()
 		}
 	}
 }
