Experiment: a crowding workspace to play, and the rule on shares to weigh

The scenario of the test moves into core/emulate (Crowd), loads name over how many workspaces they are spread, and slipcrank experiment plays it by name and weighs no-shares. Tests of the command line: the new keys, and too many workspaces.

--- a/cmd/command/command_test.go
+++ b/cmd/command/command_test.go
@@ -120,7 +120,14 @@
 		exit subcommands.ExitStatus
 		want string // in what is printed, or complained of
 	}{
-		"a scenario":      {[]string{"--scenario", write(good), "--seeds", "2"}, command.ExitSuccess, "let-back  short"},
+		"a scenario": {[]string{"--scenario", write(good), "--seeds", "2"}, command.ExitSuccess, "let-back  short"},
+		"by workspaces": {
+			[]string{"--scenario", write(strings.Replace(good, "gap: 200ms}", "gap: 200ms, workspaces: 3, group: tills}", 1)), "--seeds", "2", "--policy", "no-shares,default"},
+			command.ExitSuccess, "no-shares  short",
+		},
+		"too many workspaces": {
+			[]string{"--scenario", write(strings.Replace(good, "gap: 200ms}", "gap: 200ms, workspaces: 30000}", 1))}, command.ExitUsage, "workspaces",
+		},
 		"no such policy":  {[]string{"--policy", "default,best"}, command.ExitUsage, "there is no policy best"},
 		"one seed":        {[]string{"--seeds", "1"}, command.ExitUsage, "--seeds 2 to 1000"},
 		"no file":         {[]string{"--scenario", "nowhere.yaml"}, command.ExitUsage, "can't be read"},
--- a/cmd/command/experiment.go
+++ b/cmd/command/experiment.go
@@ -20,11 +20,13 @@
 
 const experimentUsage = `experiment
   Play a load on a model of engines in virtual time, by several rules of
-  admission, and compare what callers get. Without --scenario it plays long
-  prompts that ask for most of 18 engines, and then many short streams.
-  docs/OPERATIONS.md has the keys of a scenario.
+  admission, and compare what callers get. Scenarios that are there: surge (long
+  prompts that ask for most of 18 engines, and then many short streams; the usual
+  one) and crowd (one workspace sends many long prompts beside nine others).
+  docs/OPERATIONS.md has the keys of a scenario of your own.
 
   slipcrank experiment --seeds 20 --policy default,no-late
+  slipcrank experiment --scenario crowd --policy no-shares,default
   slipcrank experiment --scenario night.yaml --json`
 
 // letBackTimes is by how many times callers that come back may displace their
@@ -35,10 +37,22 @@
 var policies = map[string]emulate.Rule{
 	"default":      emulate.Judge(admission.Default()),
 	"no-late":      emulate.Judge(admission.Default().WithLate(false)),
+	"no-shares":    emulate.Judge(admission.Default().WithShares(false)),
 	"no-displaced": emulate.Judge(admission.Default().WithDisplaced(false)),
 	"let-back":     emulate.LetBack(admission.Default().WithLate(false), letBackTimes),
 }
 
+// crowdRate is how many long prompts a second the crowding workspace sends: as
+// many as keep all engines of the scenario reading.
+const crowdRate = 10
+
+// scenarios are those that can be named instead of a file.
+var scenarios = map[string]emulate.Scenario{
+	"":      emulate.Surge(),
+	"surge": emulate.Surge(),
+	"crowd": emulate.Crowd(emulate.Rates{Long: crowdRate}),
+}
+
 // comparison is how one kind of request fared by one policy.
 type comparison struct {
 	Policy string        `json:"policy"`
@@ -56,7 +70,7 @@
 	var seeds int
 	c := &command{name: "experiment", synopsis: "play a load on a model of engines, by several rules", usage: experimentUsage}
 	c.flags = func(f *flag.FlagSet) {
-		f.StringVar(&path, "scenario", "", "YAML file with engines and loads")
+		f.StringVar(&path, "scenario", "", "surge, crowd, or a YAML file with engines and loads")
 		f.StringVar(&names, "policy", "default,let-back", "rules to compare with the first: "+strings.Join(policyNames(), ", "))
 		f.IntVar(&seeds, "seeds", 8, "how many days are played by each rule, 2 to 1000")
 	}
@@ -82,10 +96,10 @@
 
 func policyNames() []string { return slices.Sorted(maps.Keys(policies)) }
 
-// scenario reads a scenario from a file, or returns the usual one.
+// scenario returns a scenario that is there, or reads one from a file.
 func scenario(path string) (emulate.Scenario, error) {
-	if path == "" {
-		return emulate.Surge(), nil
+	if s, ok := scenarios[path]; ok {
+		return s, nil
 	}
 	b, err := os.ReadFile(path)
 	if err != nil {
