Judge a workspace by what it holds, not by what it asks for

Cause: a request counted in its workspace's part of the engines' time.

Change: only what is placed already counts.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -179,7 +179,7 @@
 // shared is the request with its workspace's part of the engines counted in:
 // what it displaces has that part's price, and where slots are scarce one that
 // holds too much leaves the last places in the queue to others. It guards
-// against one workspace that sends many times its usual: at eight times it, 71
+// against one workspace that sends many times its usual: at eight times it, 74
 // of the others' long prompts are in time, 45 without the rule, 78 on the same
 // days without the crowd; at twenty times it, 0.97 and 0.96 of their short
 // streams, 0.71 and 0.72 without the rule, for 0.020 and 0.007 of the value that
--- a/core/schedule/part.go
+++ b/core/schedule/part.go
@@ -55,11 +55,12 @@
 	return uint32(xxhash.Sum64String(name))
 }
 
-// part compares what a request's workspace holds, with the request, with what
-// others hold.
+// part compares what a request's workspace holds already with what others hold.
+// The request itself doesn't count: a prompt of 500,000 tokens keeps an engine
+// busy for 20 s, and would make any workspace look like a crowd.
 func (b *Board) part(e *site.Engine, servers []backend.Server, r Request) Part {
 	var hs holders
-	hs.give(r.Workspace, engineTime(e, r.Work, false))
+	hs.give(r.Workspace, 0)
 	for _, s := range servers {
 		l := b.byServer[s.ID]
 		if l == nil {
