--- a/core/emulate/wide_test.go
+++ b/core/emulate/wide_test.go
@@ -6,7 +6,6 @@
 
 	"slipcrank.example/core/admission"
 	"slipcrank.example/core/emulate"
-	"slipcrank.example/core/site"
 )
 
 // wide is long prompts that ask for two thirds of 75 engines, one in eight of
@@ -15,12 +14,8 @@
 	const end = 12 * time.Second
 	return emulate.Scenario{
 		Engines: 75,
-		Engine: site.Engine{
-			Slots: 10, Memory: 232_000, Stride: 68, Step: 1020 * time.Microsecond, PerWriter: 2260 * time.Nanosecond,
-			PerContext: 4310 * time.Nanosecond, ReadRate: 206_000, PerPairs: 138 * time.Microsecond, Chunk: 2048,
-			UsualPrompt: 12_331, UsualAnswer: 1_303,
-		},
-		Wait: 15 * time.Second,
+		Engine:  emulate.Crowd(emulate.Rates{}).Engine,
+		Wait:    15 * time.Second,
 		Loads: []emulate.Load{
 			{Name: "long", Until: end, Rate: 11, Prompt: 170_000, Answer: 700, Objective: 3 * time.Second, Gap: time.Second},
 			{Name: "longest", Until: end, Rate: 1.5, Prompt: 340_000, Answer: 700, Objective: 3 * time.Second, Gap: time.Second},
