See which request ran where a server ended

Cause: no log line said that two attempts are one request, nor whether a server had ended or a connection had broken, so two hypotheses could not be told apart. Change: lines of requests have a digest of workspace, key, path and size; after a break with the answer due the server's port is tried once, and SC1313 names server and request if it refuses. No decision reads either.

--- /dev/null
+++ b/core/quarantine/identity.go
@@ -0,0 +1,76 @@
+// Package quarantine tells requests apart by what is asked, whichever attempt it
+// is.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+type (
+	// Request is what makes two attempts the same request: who asks for what.
+	Request struct {
+		Workspace, Key       string
+		Method, Host, Target string
+		Body                 []byte
+	}
+
+	// Mark is a cheap digest of a request, which doesn't read its body. Two
+	// requests with one mark may differ; it decides where something is looked
+	// up, never what becomes of a request.
+	Mark uint64
+
+	// Print is a digest of a whole request that nobody can craft another
+	// request for. Zero is none.
+	Print [printSize]byte
+)
+
+const (
+	// printSize is in bytes: 128 bits, for which no second request can be found.
+	printSize = 16
+	// separator can't stand in what it separates.
+	separator = "\x00"
+)
+
+// Mark returns the request's mark. It hashes some hundred bytes.
+func (r Request) Mark() Mark {
+	d := xxhash.New()
+	for _, part := range r.head() {
+		_, _ = d.WriteString(part) // never fails
+		_, _ = d.WriteString(separator)
+	}
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(r.Body)))
+	_, _ = d.Write(size[:])
+	return Mark(d.Sum64())
+}
+
+// Print returns the request's print. It hashes the body, which may have
+// megabytes: it is asked for only where there is something to compare with.
+func (r Request) Print() Print {
+	h := sha256.New()
+	for _, part := range r.head() {
+		_, _ = h.Write([]byte(part + separator)) // never fails
+	}
+	_, _ = h.Write(r.Body)
+	return Print(h.Sum(nil)[:printSize])
+}
+
+// head is the request without its body. The workspace is part of it, so that no
+// caller can make a request that counts as one of another workspace's.
+func (r Request) head() [5]string {
+	return [5]string{r.Workspace, r.Key, r.Method, r.Host, r.Target}
+}
+
+// String returns the mark as it stands in logs.
+func (m Mark) String() string {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], uint64(m))
+	return hex.EncodeToString(b[:])
+}
+
+// String returns the print as it stands in logs.
+func (p Print) String() string { return hex.EncodeToString(p[:]) }
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -63,6 +63,7 @@
 	WorkspaceReleased = Event{1516, "workspace no longer held to its share of engines"}
 	ServerAvoided     = Event{1311, "backend server avoided for a while"}
 	ServersChanged    = Event{1312, "backend servers changed"}
+	ServerEnded       = Event{1313, "backend server has ended under requests"}
 	ConfigInForce     = Event{1411, "configuration in force"}
 	ConfigBad         = Event{1412, "configuration can't be read"}
 	KeysUnproven      = Event{1413, "keys are no longer proven to be in force"}
@@ -87,7 +88,7 @@
 	LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 	PlatformLost, PlatformBack,
 	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceHeld, WorkspaceReleased,
-	ServerAvoided, ServersChanged, ConfigInForce, ConfigBad, KeysUnproven, KeysProven,
+	ServerAvoided, ServersChanged, ServerEnded, ConfigInForce, ConfigBad, KeysUnproven, KeysProven,
 	SettingsRead, SettingsBad, NewsLost, HostsChanged, RelayLost, RelayChosen, NewsRouted,
 }
 
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/core/site"
 )
@@ -22,6 +23,7 @@
 	header    http.Header
 	body      []byte
 	key       string
+	mark      quarantine.Mark
 	workspace site.Workspace
 	route     site.Route
 	work      schedule.Work
@@ -71,6 +73,7 @@
 	if no := g.permit(c, s); no != nil {
 		return c, no
 	}
+	c.mark = c.identity().Mark()
 	c.header = passed(r.Header, g.dialect.Private...)
 	c.work.Prompt, c.work.Answer = sizes(r.Header.Get(g.dialect.Size))
 	if n, err := strconv.Atoi(r.Header.Get(g.dialect.AnswerHint)); err == nil && n > 0 {
@@ -80,6 +83,13 @@
 	return c, nil
 }
 
+// identity is what makes two attempts the same request.
+func (c *call) identity() quarantine.Request {
+	return quarantine.Request{
+		Workspace: c.workspace.Name, Key: c.key, Method: c.method, Host: c.host, Target: c.target, Body: c.body,
+	}
+}
+
 // hold is how long a request is held: what the caller waits, and the route
 // allows.
 func hold(deadline string, timeout time.Duration) time.Duration {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -22,6 +22,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"slipcrank.example/core/admission"
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/limit"
@@ -73,6 +75,7 @@
 		active         atomic.Int64
 		memory         *memory.Keeper // nil if none can be set aside
 		shares         *shares
+		probes         singleflight.Group // of servers, by address
 		placed         func(schedule.Placement)
 		started, ended func(schedule.ID)
 		failed         func(server string)
@@ -204,7 +207,7 @@
 			g.giveUp(w, c, out)
 			return
 		}
-		g.log.Write(event.RequestRetried, slog.String("id", c.id), slog.String("why", out.why),
+		g.log.Write(event.RequestRetried, slog.String("id", c.id), slog.String("same", c.mark.String()), slog.String("why", out.why),
 			slog.String("server", out.server), slog.Int("attempts", c.attempts))
 		g.metrics.Count("gateway_retries", 1, "why", out.why)
 	}
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -68,7 +68,7 @@
 	g.metrics.Count("gateway_refusals", 1, "why", no.why, "status", strconv.Itoa(no.status))
 	attrs := []slog.Attr{slog.String("why", no.why), slog.Int("status", no.status)}
 	if c != nil {
-		attrs = append(attrs, slog.String("id", c.id), slog.String("route", c.route.Name),
+		attrs = append(attrs, slog.String("id", c.id), slog.String("same", c.mark.String()), slog.String("route", c.route.Name),
 			slog.String("workspace", c.workspace.Name),
 			slog.Int("attempts", c.attempts), slog.Bool("may_have_run", c.may),
 			slog.Duration("held", time.Since(c.arrived)))
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -43,7 +43,8 @@
 			break
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
-			out.result, out.why = g.failure(c, err, "stream").result, "stream_broken"
+			no := g.failure(c, err, "stream")
+			out.result, out.why, out.broken = no.result, "stream_broken", no.broken
 			return out
 		}
 		if n == 0 {
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -54,6 +54,8 @@
 		answer  *whole   // of the server, if it is passed on as it is
 		no      *refusal // what the caller is told, if nothing ran
 		first   time.Duration
+		// broken says that the connection broke with the answer due.
+		broken bool
 	}
 
 	// whole is an answer with its body.
@@ -139,6 +141,9 @@
 	default:
 		rest = g.board.Failed(blamed, now)
 	}
+	if out.broken {
+		g.inquire(c, out)
+	}
 	if rest > 0 {
 		g.failed(blamed)
 		g.log.Write(event.ServerAvoided, slog.String("id", c.id), slog.String("server", blamed),
@@ -154,7 +159,7 @@
 	case errors.Is(parent.Err(), context.Canceled):
 		out.result, out.why = callerGone, "caller_gone"
 	case parent.Err() != nil:
-		out.why = "out_of_time"
+		out.why, out.broken = "out_of_time", false
 	}
 	return out
 }
@@ -168,7 +173,7 @@
 	defer a.stop()
 	out := g.answer(ctx, w, c, s, p, server, a)
 	if out.result == failed && errors.Is(context.Cause(ctx), errSilent) {
-		out.why = "server_silent"
+		out.why, out.broken = "server_silent", false
 		c.silent = true
 		g.pool.Drop(server.Addr)
 	}
@@ -207,11 +212,10 @@
 	if doing == "send" {
 		c.attempts++
 	}
-	why := doing + "_broken"
 	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
-		why = doing + "_timeout"
+		return outcome{result: failed, why: doing + "_timeout"}
 	}
-	return outcome{result: failed, why: why}
+	return outcome{result: failed, why: doing + "_broken", broken: true}
 }
 
 // notRun takes in an answer that says that the request has not run.
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -25,6 +25,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -285,6 +286,21 @@
 	_ = c.Close()
 }
 
+// Probe reports whether a server takes connections. The one that it opens is
+// kept for requests. An error that [Refused] reports says that the server's port
+// is closed; others say nothing of the server.
+func (p *Pool) Probe(ctx context.Context, addr string) error {
+	c, err := p.connection(ctx, addr, true)
+	if err != nil {
+		return errors.Wrapf(err, "connect to %s", addr)
+	}
+	p.keep(addr, c, maxRest)
+	return nil
+}
+
+// Refused reports whether err says that a host is there and nothing listens.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // Drop closes the kept connections to a server. Connections may fall silent all
 // at once and without a reset, while new ones work; each that is tried costs a
 // request its time.
