Keep held requests at the platform, pardon suspects, copies meet only while undecided

Cause: what was known of a held request died with the hosts that knew it, and reached no other cell; nobody could clear one; a copy of a request whose caller had left a slow server was sent to that server again.

--- a/cmd/command/command.go
+++ b/cmd/command/command.go
@@ -84,7 +84,7 @@
 	}
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
-	add(operatorGroup, templateCommand(), workspaceCommand(), hostsCommand(), enginesCommand(), explainCommand())
+	add(operatorGroup, templateCommand(), workspaceCommand(), hostsCommand(), enginesCommand(), explainCommand(), suspectsCommand())
 	add(tryGroup, devCommand(), standinCommand(), loadCommand(), experimentCommand(), capacityCommand(), versionCommand())
 }
 
--- a/core/quarantine/identity.go
+++ b/core/quarantine/identity.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 type (
@@ -63,6 +64,19 @@
 	return [5]string{r.Workspace, r.Key, r.Method, r.Host, r.Target}
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (p Print) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (p *Print) UnmarshalText(b []byte) error {
+	raw, err := hex.DecodeString(string(b))
+	if err != nil || len(raw) != printSize {
+		return errors.Newf("a print has %d hexadecimal digits, not %q", 2*printSize, b)
+	}
+	copy(p[:], raw)
+	return nil
+}
+
 // String returns the mark as it stands in logs.
 func (m Mark) String() string {
 	var b [8]byte
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -20,7 +20,7 @@
 //	if b.Knows(r.Mark()) && b.Stage(r.Print(), now) == quarantine.Held { ... refuse }
 //	b.Broke(r, server, apart, now)   // the connection broke, the answer was due
 //	b.Ended(server, now)             // the server is found to have ended
-//	b.Answered(print)
+//	b.Answered(print, now)
 //	for _, r := range b.Records(now) { ... tell others }
 //	b.Hear(record, now)
 package quarantine
@@ -62,10 +62,10 @@
 	// suspectTime forgets suspects that came again no more: callers come back
 	// within their deadlines, of which the longest used are 15 s.
 	suspectTime = time.Minute
-	// heldTime forgets held requests, so that one is tried again at some time:
+	// HeldTime forgets held requests, so that one is tried again at some time:
 	// servers with other software may well run it. One that still ends servers
 	// ends three more, an hour's share of which is little.
-	heldTime = time.Hour
+	HeldTime = time.Hour
 	// listedTime is how long after its end a server may still be on the
 	// platform's list, which it leaves after three heartbeats of 1.2 s.
 	listedTime = 6 * time.Second
@@ -100,6 +100,9 @@
 		Print     Print
 		Workspace string
 		Ends      []End // by server, each once
+		// Pardons counts how often it was cleared, by an answer or an operator.
+		// Ends that were known before the last time don't count.
+		Pardons uint32
 	}
 
 	// Change is a suspect whose stage has changed.
@@ -219,8 +222,11 @@
 		b.marks[r.Mark]++
 	}
 	before := s.record.Stage()
-	merged := s.record.with(r.Ends)
-	if own || !slices.Equal(merged.Ends, s.record.Ends) {
+	if own {
+		r.Pardons = s.record.Pardons
+	}
+	merged := s.record.with(r)
+	if own || merged.Pardons != s.record.Pardons || !slices.Equal(merged.Ends, s.record.Ends) {
 		s.latest, s.checked = now, false
 	}
 	s.record, s.own = merged, s.own || own
@@ -230,10 +236,16 @@
 	return changes
 }
 
-// with returns the record with more ends.
-func (r Record) with(ends []End) Record {
+// with returns the record with what another one says of the same request.
+func (r Record) with(o Record) Record {
+	switch {
+	case o.Pardons > r.Pardons:
+		r.Pardons, r.Ends = o.Pardons, nil
+	case o.Pardons < r.Pardons:
+		return r
+	}
 	all := slices.Clone(r.Ends)
-	for _, e := range ends {
+	for _, e := range o.Ends {
 		i, known := slices.BinarySearchFunc(all, e.Server, func(o End, s uint32) int { return cmp.Compare(o.Server, s) })
 		switch {
 		case known:
@@ -277,7 +289,7 @@
 		return errors.New("a suspect without a print")
 	case len(r.Workspace) > maxName:
 		return errors.Newf("a suspect's workspace has a name of %d bytes", len(r.Workspace))
-	case len(r.Ends) == 0 || len(r.Ends) > mostEnds:
+	case len(r.Ends) == 0 && r.Pardons == 0, len(r.Ends) > mostEnds:
 		return errors.Newf("a suspect with %d servers", len(r.Ends))
 	case !slices.IsSortedFunc(r.Ends, byServer):
 		return errors.New("a suspect's servers are out of order")
@@ -321,27 +333,32 @@
 
 // Answered notes that a request was answered whole: it ends no servers. It
 // reports whether the request was a suspect. What is held stays held.
-func (b *Book) Answered(p Print) bool {
+func (b *Book) Answered(p Print, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.suspects[p]
-	if s == nil || s.record.Stage() == Held {
-		return false
-	}
-	b.drop(s)
-	return true
+	return s != nil && s.record.Stage() != Held && s.pardon(now)
 }
 
-// Forget drops a suspect, also one that is held, and reports whether there was
+// Pardon clears a suspect, also one that is held, and reports whether there was
 // one.
-func (b *Book) Forget(p Print) bool {
+func (b *Book) Pardon(p Print, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.suspects[p]
-	if s != nil {
-		b.drop(s)
+	return s != nil && s.pardon(now)
+}
+
+// pardon clears a suspect, unless it is clear. It is kept for a while, so that
+// others who know less don't bring it back.
+func (s *suspect) pardon(now time.Duration) bool {
+	if s.record.Stage() == Clear {
+		return false
 	}
-	return s != nil
+	s.record.Ends = nil
+	s.record.Pardons++
+	s.latest, s.own = now, true
+	return true
 }
 
 // Expire drops what is too old, and returns it.
@@ -358,7 +375,7 @@
 	for _, s := range b.suspects {
 		life := suspectTime
 		if s.record.Stage() == Held {
-			life = heldTime
+			life = HeldTime
 		}
 		if now-s.latest > life {
 			changes = append(changes, b.drop(s))
--- a/core/schedule/apart.go
+++ b/core/schedule/apart.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/route"
@@ -12,11 +13,14 @@
 //
 // Copies of one request go to one server while that has a free slot. Should the
 // request end it, then that is one server and not one for each copy.
-func (b *Board) given(able []backend.Server, r Request) (string, bool) {
+func (b *Board) given(now time.Duration, able []backend.Server, r Request) (string, bool) {
 	if r.Mark == 0 {
 		return "", true
 	}
 	for _, p := range b.byMark[r.Mark] {
+		if !r.Apart && !p.undecided(now) {
+			continue
+		}
 		for _, s := range able {
 			if s.ID == p.Lead && (r.Apart || b.count(s.ID) < s.Slots) {
 				return s.ID, !r.Single
@@ -32,6 +36,13 @@
 	return "", true
 }
 
+// undecided reports whether it is yet to be seen what becomes of a placement: no
+// token of it has come, and it isn't late. A caller that left a slow server and
+// comes back isn't sent there again.
+func (p *Placement) undecided(now time.Duration) bool {
+	return !p.writing && now-p.Begun < p.Objective
+}
+
 // apart returns the server for a request that has to run where no other such
 // runs: the first of these in an order that all hosts know, so that copies which
 // arrive at several hosts at once meet. While each server has one, it takes the
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -176,7 +176,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	able := b.able(now, servers, r.Avoid)
-	lead, ok := b.given(able, r)
+	lead, ok := b.given(now, able, r)
 	if len(able) == 0 || !ok {
 		return Placement{}, false
 	}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -80,14 +80,16 @@
 		news     *news.News
 		// quarantine is what is known of requests under which servers ended.
 		quarantine *quarantine.Book
-		relays     *relay.Client
-		relay      *relay.Server
-		callers    *http.Server
-		cancel     context.CancelFunc
-		number     uint32 // of this start of this host
-		start      time.Time
-		stopping   atomic.Bool
-		unproven   bool // as noteProof saw it last
+		// changed wakes who stores suspects.
+		changed  chan struct{}
+		relays   *relay.Client
+		relay    *relay.Server
+		callers  *http.Server
+		cancel   context.CancelFunc
+		number   uint32 // of this start of this host
+		start    time.Time
+		stopping atomic.Bool
+		unproven bool // as noteProof saw it last
 		// neighbors are the servers and hosts of this one's cell.
 		neighbors atomic.Pointer[neighbors]
 		// announced is when, from the start, others could first read of this
@@ -105,6 +107,7 @@
 		start:    time.Now(),
 
 		quarantine: quarantine.NewBook(),
+		changed:    make(chan struct{}, 1),
 	}
 	e.neighbors.Store(&neighbors{cells: 1})
 	e.pool = upstream.New(upstream.WithMaxIdle(e.maxIdle))
@@ -125,7 +128,7 @@
 		gateway.WithMemory(memory.New(p.Orders, e.log)),
 		gateway.WithProof(gateway.Proof{Keys: e.keysTrusted, Config: e.configCurrent, Age: e.proofAge}),
 		gateway.WithNews(n.Placed, n.Started, n.Ended),
-		gateway.WithQuarantine(e.quarantine, func() { e.tellSuspects(0) }),
+		gateway.WithQuarantine(e.quarantine, e.suspectsChanged),
 		gateway.WithEvidence(func(server string) { n.Failed(e.number, server) }),
 	)
 	n.OnSuspects(e.hearSuspects)
@@ -166,7 +169,7 @@
 	ctx, e.cancel = context.WithCancel(ctx)
 	go e.serve(e.callers, listeners[0])
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.readiness), ReadHeaderTimeout: headerTime}, listeners[1])
-	go e.serve(&http.Server{Handler: http.HandlerFunc(e.figures), ReadHeaderTimeout: headerTime}, listeners[2])
+	go e.serve(&http.Server{Handler: e.operators(), ReadHeaderTimeout: headerTime}, listeners[2])
 	go e.serve(e.relay, listeners[3])
 	if s.FirstStart {
 		e.watcher.SetAsking(watch.AskNothing, askersPause)
@@ -174,6 +177,7 @@
 	go e.watcher.Run(ctx)
 	go e.news.Run()
 	go e.announce(ctx)
+	go e.storeSuspects(ctx)
 	go e.upkeep(ctx)
 	e.log.Write(event.DaemonReady, slog.String("callers", l.Callers), slog.String("hall", s.Hall))
 	return nil
--- a/daemon/entry/neighbors.go
+++ b/daemon/entry/neighbors.go
@@ -64,6 +64,7 @@
 
 // setHosts takes in who the other hosts are, and what servers there are now.
 func (e *Entry) setHosts(hosts []watch.Host) {
+	e.hearStored(e.watcher.State().Suspects)
 	own := e.settings.Load()
 	var others []watch.Host
 	for _, h := range hosts {
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -1,38 +1,59 @@
 package entry
 
 import (
+	"context"
+	"encoding/json"
+	"log/slog"
 	"slices"
+	"strconv"
 	"time"
 
+	"slipcrank.example/core/pause"
 	"slipcrank.example/core/quarantine"
+	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/watch"
 )
 
 const (
 	// suspectNews is for how long others are told of a change each upkeepPeriod:
 	// of eight such datagrams all are lost once in a hundred million times where
-	// a tenth is. After that they are told of what is held only, each
-	// heldEvery times, for hosts that start, wake up or were cut off.
-	suspectNews = 2 * time.Second
-	heldEvery   = 4
+	// a tenth is. After that they are told of what is held or was cleared only,
+	// each lastingEvery times, for hosts that start, wake up or were cut off.
+	suspectNews  = 2 * time.Second
+	lastingEvery = 4
 	// mostTold bounds what is told at once.
 	mostTold = 20
+	// storedName names who told of suspects that the platform's table has.
+	storedName = "platform"
 )
 
+// suspectsChanged tells others at once that this host knows more of suspects.
+func (e *Entry) suspectsChanged() {
+	e.tellSuspects(0)
+	select {
+	case e.changed <- struct{}{}:
+	default: // it is to wake up already
+	}
+}
+
 // tellSuspects tells other hosts of the suspects of which this one has evidence
-// of its own. It is called with a rising number, and at once with zero when there
-// is more.
+// of its own. It is called again and again, with a rising number.
 func (e *Entry) tellSuspects(number int) {
 	var rs []quarantine.Record
 	for _, t := range e.quarantine.Own(time.Since(e.start)) {
-		held := t.Record.Stage() == quarantine.Held && number%heldEvery == 0
-		if (t.Age < suspectNews || held) && len(rs) < mostTold {
+		again := lasts(t.Record) && number%lastingEvery == 0
+		if (t.Age < suspectNews || again) && len(rs) < mostTold {
 			rs = append(rs, t.Record)
 		}
 	}
 	e.news.Suspects(e.number, rs)
 }
 
+// lasts reports whether others need to know of a suspect also later.
+func lasts(r quarantine.Record) bool {
+	return r.Stage() == quarantine.Held || r.Stage() == quarantine.Clear
+}
+
 // hearSuspects takes in what another host tells of suspects, if it is one that the
 // platform's table names: others have no say in what is refused.
 func (e *Entry) hearSuspects(host uint32, rs []quarantine.Record) {
@@ -41,5 +62,58 @@
 		e.metrics.Count("suspects_of_unknown_hosts", int64(len(rs)))
 		return
 	}
-	e.gateway.HearSuspects(host, rs)
+	e.gateway.HearSuspects(strconv.FormatUint(uint64(host), 10), rs)
+}
+
+// hearStored takes in the suspects that the platform's table has. They reach
+// hosts of other cells, and those that start when no other host is left.
+func (e *Entry) hearStored(ss []watch.Suspect) {
+	for _, s := range ss {
+		if age, known := e.watcher.Age(s.At()); !known || age < quarantine.HeldTime {
+			e.gateway.HearSuspects(storedName, []quarantine.Record{s.Record})
+		}
+	}
+}
+
+// storeSuspects writes to the platform what this host has found to be held, and
+// what was cleared of it. That is one call for each, which is rare: a request has
+// to end three servers first.
+func (e *Entry) storeSuspects(ctx context.Context) {
+	stored := map[quarantine.Print]uint32{} // how often each was cleared as it was stored
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.changed:
+		}
+		for _, t := range e.quarantine.Own(time.Since(e.start)) {
+			pardons, known := stored[t.Record.Print]
+			held := t.Record.Stage() == quarantine.Held
+			if known && pardons == t.Record.Pardons || !known && !held {
+				continue
+			}
+			if e.storeSuspect(ctx, t.Record) {
+				stored[t.Record.Print] = t.Record.Pardons
+			}
+		}
+	}
+}
+
+// storeSuspect writes one suspect. It reports false if ctx ended before that.
+func (e *Entry) storeSuspect(ctx context.Context, r quarantine.Record) bool {
+	for ctx.Err() == nil {
+		at, _ := e.watcher.PlatformClock() // zero is long ago: then nobody heeds it
+		row, err := json.Marshal(watch.NewSuspect(r, at))
+		if err == nil {
+			c, cancel := context.WithTimeout(ctx, announceTime)
+			_, err = e.platform.Source.Put(c, e.platform.Tables.Hosts, watch.SuspectKey(r.Print), row)
+			cancel()
+		}
+		if err == nil {
+			return true
+		}
+		e.log.Write(event.PlatformLost, slog.String("doing", "store a suspect"), slog.String("error", err.Error()))
+		_ = pause.UpTo(ctx, announceTime) // ctx is looked at above
+	}
+	return false
 }
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"time"
 
 	"slipcrank.example/core/quarantine"
@@ -78,21 +77,32 @@
 
 // answeredWhole clears a suspect: a request that was answered ends no servers.
 func (g *Gateway) answeredWhole(c *call) {
-	if g.stage(c) != quarantine.Clear && g.quarantine.Answered(c.print) {
+	if g.stage(c) != quarantine.Clear && g.quarantine.Answered(c.print, time.Since(g.start)) {
 		g.log.Write(event.SuspectCleared, slog.String("id", c.id), slog.String("same", c.mark.String()),
 			slog.String("print", c.print.String()))
+		g.suspects()
+	}
+}
+
+// Pardon clears a suspect for an operator, and reports whether there was one.
+func (g *Gateway) Pardon(p quarantine.Print) bool {
+	if !g.quarantine.Pardon(p, time.Since(g.start)) {
+		return false
 	}
+	g.log.Write(event.SuspectCleared, slog.String("print", p.String()), slog.String("by", "operator"))
+	g.suspects()
+	return true
 }
 
-// HearSuspects takes in what another host knows of requests under which servers
-// ended.
-func (g *Gateway) HearSuspects(host uint32, rs []quarantine.Record) {
+// HearSuspects takes in what others know of requests under which servers ended,
+// with by whom it was told.
+func (g *Gateway) HearSuspects(by string, rs []quarantine.Record) {
 	for _, r := range rs {
 		if err := r.Validate(); err != nil {
-			g.log.Write(event.NewsLost, slog.Uint64("host", uint64(host)), slog.String("error", err.Error()))
+			g.log.Write(event.NewsLost, slog.String("by", by), slog.String("error", err.Error()))
 			continue
 		}
-		g.suspected(strconv.FormatUint(uint64(host), 10), g.quarantine.Hear(r, time.Since(g.start)))
+		g.suspected(by, g.quarantine.Hear(r, time.Since(g.start)))
 	}
 }
 
--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -186,7 +186,7 @@
 // platform's clock nothing can be proven to it, so it has to come again.
 func (w *Watcher) welcome(l listener) {
 	c := l.updates
-	clock, known := w.clock.Age(0, w.Now()) // the age of the reading zero is what the clock shows
+	clock, known := w.PlatformClock()
 	if !known {
 		close(c)
 		return
--- a/daemon/watch/take.go
+++ b/daemon/watch/take.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"log/slog"
 
+	"slipcrank.example/core/feed"
 	"slipcrank.example/daemon/event"
 )
 
@@ -114,13 +115,28 @@
 	return changed
 }
 
+func (w *Watcher) takeSuspect(row feed.Row) {
+	var s Suspect
+	if err := json.Unmarshal(row.Value, &s); err != nil {
+		w.log.Write(event.ConfigBad, slog.String("suspect", row.Key), slog.String("error", err.Error()))
+		return
+	}
+	w.suspects[row.Key] = s
+}
+
 func (w *Watcher) takeHosts(r read) bool {
 	if r.whole {
 		clear(w.hosts)
+		clear(w.suspects)
 	}
 	for _, row := range r.batch.Rows {
 		if row.Gone {
 			delete(w.hosts, row.Key)
+			delete(w.suspects, row.Key)
+			continue
+		}
+		if isSuspect(row.Key) {
+			w.takeSuspect(row)
 			continue
 		}
 		h := Host{Name: row.Key}
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -104,6 +104,8 @@
 		Config  *site.Config
 		Servers *backend.View
 		Hosts   []Host
+		// Suspects are requests under which servers ended, as hosts stored them.
+		Suspects []Suspect
 	}
 
 	// Watcher follows the tables.
@@ -136,6 +138,7 @@
 		// configRevision is the platform's of the configuration in force.
 		configRevision int64
 		hosts          map[string]Host
+		suspects       map[string]Suspect
 		lost           map[string]bool
 		answered       time.Duration // newest stamp of an answer about the configuration
 		returned       time.Duration // stamp at which the platform was back last
@@ -164,7 +167,7 @@
 		clock: freshness.NewClock(),
 		reads: make(chan read),
 		book:  backend.NewBook(),
-		hosts: map[string]Host{},
+		hosts: map[string]Host{}, suspects: map[string]Suspect{},
 		lost:  map[string]bool{},
 		tell:  make(chan listener),
 		leave: make(chan chan Update),
@@ -194,6 +197,14 @@
 // this host didn't ask.
 func (w *Watcher) ToldAge() (time.Duration, bool) { return w.age(w.told.Load()) }
 
+// Age returns how old a reading of the platform's steady clock is, at most. It
+// reports false if that clock isn't known yet.
+func (w *Watcher) Age(stamp time.Duration) (time.Duration, bool) { return w.clock.Age(stamp, w.Now()) }
+
+// PlatformClock returns what the platform's steady clock shows, at the latest. It
+// reports false if that isn't known yet.
+func (w *Watcher) PlatformClock() (time.Duration, bool) { return w.clock.Age(0, w.Now()) }
+
 func (w *Watcher) age(stamp int64) (time.Duration, bool) {
 	if stamp < 0 {
 		return 0, false
@@ -246,6 +257,9 @@
 	for _, h := range w.hosts {
 		s.Hosts = append(s.Hosts, h)
 	}
+	for _, k := range w.suspects {
+		s.Suspects = append(s.Suspects, k)
+	}
 	w.state.Store(s)
 	w.onHosts(s.Hosts)
 }
