Time what was proven, promised and placed by a clock that no suspension stops

Cause: while a machine is suspended Go's differences of times stand still. Proofs of keys and of the configuration, placements, deadlines and leases seemed younger afterwards by as long as that took. After a suspension kept connections are closed and calls past their deadlines given up.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -1,10 +1,10 @@
 // Package lease keeps one lease in the platform's table service, with a
 // fencing number that rises with every new holder.
 //
-// No two clocks are compared. A holder counts its lease from before it sent
-// the write, on its own monotonic clock, and stops using it a margin before
-// the end. Another daemon takes over only after it has itself watched the row
-// stand unchanged for the whole length and the margin.
+// No two clocks are compared. A holder counts its lease from before it sent the
+// write, on its own clock, which has to go on while the machine is suspended, and
+// stops using it a margin before the end. Another daemon takes over only after it
+// has itself watched the row stand unchanged for the whole length and the margin.
 //
 // A holder that is paused past the end and wakes up finds [Keeper.Held] false
 // before it acts. What it had sent before carries the old fence: engines that
@@ -13,10 +13,10 @@
 //
 // # Usage
 //
-//	k := lease.New(store, "control/oslo-a", self)
+//	k := lease.New(store, "control/oslo-a", self, lease.WithNow(boottime.Time))
 //	// every k.Period():
 //	err := k.Step(ctx)
-//	h, ok := k.Held(time.Now())
+//	h, ok := k.Held(boottime.Time()) // by the clock of WithNow
 package lease
 
 import (
--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -34,7 +34,7 @@
 		stamp, err := e.platform.Source.Put(c, e.platform.Tables.Hosts, s.Host, row)
 		cancel()
 		if err == nil {
-			e.announced.CompareAndSwap(0, int64(time.Since(e.start)))
+			e.announced.CompareAndSwap(0, int64(e.clock.Now()))
 			e.watcher.ObserveClock(asked, stamp)
 			_ = pause.For(ctx, announcePeriod) // ctx is looked at above
 			continue
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"slipcrank.example/core/boottime"
 	"slipcrank.example/core/broadcast"
 	"slipcrank.example/core/feed"
 	"slipcrank.example/core/limit"
@@ -87,7 +88,7 @@
 		callers  *http.Server
 		cancel   context.CancelFunc
 		number   uint32 // of this start of this host
-		start    time.Time
+		clock    *boottime.Clock
 		stopping atomic.Bool
 		unproven bool // as noteProof saw it last
 		// neighbors are the servers and hosts of this one's cell.
@@ -104,7 +105,7 @@
 		platform: p,
 		log:      decision.New(os.Stdout, slog.String("host", s.Host)),
 		metrics:  telemetry.NewMetrics(),
-		start:    time.Now(),
+		clock:    boottime.New(),
 
 		quarantine: quarantine.NewBook(),
 		changed:    make(chan struct{}, 1),
@@ -112,19 +113,21 @@
 	e.neighbors.Store(&neighbors{cells: 1})
 	e.pool = upstream.New(upstream.WithMaxIdle(e.maxIdle))
 	e.settings.Store(&s)
-	e.number = hostNumber(s.Host, e.start)
+	e.number = hostNumber(s.Host, time.Now())
 	e.board = schedule.NewBoard(e.number)
-	n, err := news.Listen(s.Listen.News, e.board, e.log, func() time.Duration { return time.Since(e.start) })
+	n, err := news.Listen(s.Listen.News, e.board, e.log, e.clock.Now)
 	if err != nil {
 		return nil, err
 	}
 	e.news = n
 	p.Tables.ConfigWait = s.Bounds.Config / proofsWithinBound
 	e.watcher = watch.New(p.Source, p.Tables, p.Decoders, e.log, e.metrics, e.setHosts)
+	e.watcher.SetClock(e.clock)
 	e.relays, e.relay = relay.NewClient(e.watcher, e.log), relay.NewServer(e.watcher)
 	budget := limit.NewWindow(s.Bounds.Retries.Span, s.Bounds.Retries.Share*retryPart, e.retrySlack)
 	e.gateway = gateway.New(p.Dialect, e.state, e.pool, e.board, budget, e.log, e.metrics,
 		gateway.WithHall(s.Hall),
+		gateway.WithClock(e.clock),
 		gateway.WithMemory(memory.New(p.Orders, e.log)),
 		gateway.WithProof(gateway.Proof{Keys: e.keysTrusted, Config: e.configCurrent, Age: e.proofAge}),
 		gateway.WithNews(n.Placed, n.Started, n.Ended),
@@ -228,6 +231,15 @@
 	_, _ = w.Write([]byte(e.metrics.Text())) // the reader has gone: nothing to do
 }
 
+// noteSuspension looks whether the machine was suspended. Servers have closed the
+// connections that rested meanwhile, and no packet has told.
+func (e *Entry) noteSuspension() {
+	if d := e.clock.Refresh(); d > 0 {
+		e.log.Write(event.DaemonWoke, slog.Duration("suspended", d))
+		e.pool.Sweep(func(string) bool { return false })
+	}
+}
+
 func (e *Entry) upkeep(ctx context.Context) {
 	tick := time.NewTicker(upkeepPeriod)
 	defer tick.Stop()
@@ -238,7 +250,8 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			e.board.Forget(time.Since(e.start))
+			e.noteSuspension()
+			e.board.Forget(e.clock.Now())
 			e.gateway.Upkeep(time.Now())
 			e.noteProof()
 			e.chooseReaders(&r)
--- a/daemon/entry/neighbors.go
+++ b/daemon/entry/neighbors.go
@@ -4,7 +4,6 @@
 	"log/slog"
 	"net/netip"
 	"slices"
-	"time"
 
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/broadcast"
@@ -101,7 +100,7 @@
 
 // routeNews decides anew by whom this host's news reach the cell.
 func (e *Entry) routeNews(c *broadcast.Chooser, old broadcast.Routes) broadcast.Routes {
-	now := time.Since(e.start)
+	now := e.clock.Now()
 	r := c.Choose(now, e.neighbors.Load().cell, broadcast.Evidence{
 		Alive: func(number uint32) bool { return e.board.HeardFrom(number, now) },
 		Heard: e.news.Heard,
--- a/daemon/entry/readers.go
+++ b/daemon/entry/readers.go
@@ -213,7 +213,7 @@
 // lookForHosts decides what is asked while no other host is known.
 func (e *Entry) lookForHosts() {
 	announced := e.announced.Load()
-	now := time.Since(e.start)
+	now := e.clock.Now()
 	switch {
 	case !e.settings.Load().FirstStart || now > lonelyTime:
 		e.watcher.SetAsking(watch.AskAll, askersPause)
@@ -232,7 +232,7 @@
 		if h.Number == e.number || h.Name == e.settings.Load().Host {
 			continue
 		}
-		heard := mates[h.Name] && e.board.HeardFrom(h.Number, time.Since(e.start))
+		heard := mates[h.Name] && e.board.HeardFrom(h.Number, e.clock.Now())
 		if all || heard || !mates[h.Name] && !e.relays.Lost(h.Addr) {
 			live = append(live, h)
 		}
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -40,7 +40,7 @@
 // of its own. It is called again and again, with a rising number.
 func (e *Entry) tellSuspects(number int) {
 	var rs []quarantine.Record
-	for _, t := range e.quarantine.Own(time.Since(e.start)) {
+	for _, t := range e.quarantine.Own(e.clock.Now()) {
 		again := lasts(t.Record) && number%lastingEvery == 0
 		if (t.Age < suspectNews || again) && len(rs) < mostTold {
 			rs = append(rs, t.Record)
@@ -86,7 +86,7 @@
 			return
 		case <-e.changed:
 		}
-		for _, t := range e.quarantine.Own(time.Since(e.start)) {
+		for _, t := range e.quarantine.Own(e.clock.Now()) {
 			pardons, known := stored[t.Record.Print]
 			held := t.Record.Stage() == quarantine.Held
 			if known && pardons == t.Record.Pardons || !known && !held {
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -28,6 +28,7 @@
 	DaemonStopped   = Event{1104, "daemon stopped"}
 	DaemonGaveUp    = Event{1105, "daemon stopped with requests in progress"}
 	HandlerPanic    = Event{1106, "handler met an unexpected state and went on"}
+	DaemonWoke      = Event{1109, "machine was suspended"}
 	MemberJoined    = Event{1201, "member joined"}
 	MemberSuspected = Event{1202, "member suspected"}
 	MemberGone      = Event{1203, "member gone"}
@@ -83,7 +84,7 @@
 
 // All lists every event by number.
 var All = []Event{
-	DaemonReady, DaemonDraining, DaemonWaiting, DaemonStopped, DaemonGaveUp, HandlerPanic,
+	DaemonReady, DaemonDraining, DaemonWaiting, DaemonStopped, DaemonGaveUp, HandlerPanic, DaemonWoke,
 	MemberJoined, MemberSuspected, MemberGone,
 	EngineUp, EngineLeaving, EngineDown, CacheResync, HoldingFreed,
 	TemplatesMoved, TemplateApplied, SnapshotLoaded, LogTrimmed,
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -30,7 +30,8 @@
 	work      schedule.Work
 	arrived   time.Time
 	deadline  time.Time
-	lastEvent string // of the caller, or the last that was passed on
+	due       time.Duration // the deadline on the clock that no suspension stops
+	lastEvent string        // of the caller, or the last that was passed on
 
 	attempts int             // servers that it reached
 	unsent   int             // tries of which nothing left this host
@@ -80,7 +81,8 @@
 	if n, err := strconv.Atoi(r.Header.Get(g.dialect.AnswerHint)); err == nil && n > 0 {
 		c.work.Answer = n
 	}
-	c.deadline = now.Add(hold(r.Header.Get(g.dialect.Deadline), c.route.Timeout))
+	held := hold(r.Header.Get(g.dialect.Deadline), c.route.Timeout)
+	c.deadline, c.due = now.Add(held), g.clock.Now()+held
 	return c, nil
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -26,6 +26,7 @@
 
 	"slipcrank.example/core/admission"
 	"slipcrank.example/core/backend"
+	"slipcrank.example/core/boottime"
 	"slipcrank.example/core/limit"
 	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/schedule"
@@ -71,7 +72,7 @@
 		log            *decision.Log
 		metrics        *telemetry.Metrics
 		hall           string
-		start          time.Time
+		clock          *boottime.Clock
 		stop           atomic.Pointer[stop]
 		active         atomic.Int64
 		memory         *memory.Keeper // nil if none can be set aside
@@ -116,6 +117,10 @@
 	return func(g *Gateway) { g.quarantine, g.suspects = b, changed }
 }
 
+// WithClock sets the clock by which all is timed that may not outlive a suspension
+// of the machine.
+func WithClock(c *boottime.Clock) Option { return func(g *Gateway) { g.clock = c } }
+
 // WithMemory sets what sets memory of backend servers aside.
 func WithMemory(k *memory.Keeper) Option { return func(g *Gateway) { g.memory = k } }
 
@@ -137,7 +142,7 @@
 		quarantine: quarantine.NewBook(),
 		suspects:   func() {},
 
-		start:  time.Now(),
+		clock:  boottime.New(),
 		shares: newShares(),
 	}
 	for _, o := range os {
@@ -272,7 +277,7 @@
 	if !ok {
 		return schedule.Placement{}, service, false
 	}
-	p, ok := g.board.Place(time.Since(g.start), service, s.ready(service.Name), schedule.Request{
+	p, ok := g.board.Place(g.clock.Now(), service, s.ready(service.Name), schedule.Request{
 		Work:      c.work,
 		Objective: c.route.Objective - time.Since(c.arrived),
 		Gap:       c.route.Gap,
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -124,6 +124,12 @@
 
 // start puts a gateway before servers.
 func start(t *testing.T, answers ...reply) *fixture {
+	t.Helper()
+	return startWith(t, nil, answers...)
+}
+
+// startWith starts a gateway with more options.
+func startWith(t *testing.T, more []gateway.Option, answers ...reply) *fixture {
 	t.Helper()
 	f := &fixture{t: t, fresh: true}
 	book := backend.NewBook()
@@ -161,8 +167,7 @@
 	t.Cleanup(l.Close)
 	budget := limit.NewWindow(10*time.Second, 0.2, func() float64 { return 10 })
 	f.board, f.metrics = schedule.NewBoard(1), telemetry.NewMetrics()
-	f.gateway = gateway.New(dialect, func() gateway.State { return gateway.State{Config: f.config, Servers: f.view} },
-		upstream.New(), f.board, budget, l, f.metrics,
+	os := append([]gateway.Option{
 		gateway.WithProof(gateway.Proof{
 			Keys:   func() bool { return f.fresh },
 			Config: func() bool { return f.fresh },
@@ -174,7 +179,10 @@
 				return memory.ErrNoRoom
 			},
 			Release: func(context.Context, string, string) error { return nil },
-		}, l)))
+		}, l)),
+	}, more...)
+	f.gateway = gateway.New(dialect, func() gateway.State { return gateway.State{Config: f.config, Servers: f.view} },
+		upstream.New(), f.board, budget, l, f.metrics, os...)
 	f.front = httptest.NewServer(f.gateway)
 	t.Cleanup(f.front.Close)
 	return f
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -85,7 +85,7 @@
 		g.logEnd(c, "stream_broken", 0, out)
 		panic(http.ErrAbortHandler) // the caller sees that the answer is cut
 	}
-	late := !time.Now().Before(c.deadline)
+	late := g.clock.Now() >= c.due
 	switch {
 	case out.no != nil && (!c.may || !promises(out.no.status)):
 		g.answerRefusal(w, c, out.no)
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -56,8 +56,9 @@
 
 // allowed is asked last before a request leaves this host.
 func (g *Gateway) allowed(c *call, p schedule.Placement) error {
+	g.clock.Refresh() // the machine may have been suspended since the call came
 	s := g.state()
-	if !time.Now().Before(c.deadline) || !s.Servers.Takes(p.Lead) || g.permit(c, s) != nil ||
+	if g.clock.Now() >= c.due || !s.Servers.Takes(p.Lead) || g.permit(c, s) != nil ||
 		g.stage(c) == quarantine.Held {
 		return errForbidden
 	}
--- a/daemon/gateway/shares.go
+++ b/daemon/gateway/shares.go
@@ -82,8 +82,8 @@
 	for _, w := range g.shares.released(now) {
 		g.log.Write(event.WorkspaceReleased, slog.String("workspace", w))
 	}
-	g.checkSuspects(now.Sub(g.start))
-	for _, s := range g.exchanges.giveUp(g.state().Servers.Replaced) {
+	g.checkSuspects(g.clock.Now())
+	for _, s := range g.exchanges.giveUp(g.state().Servers.Replaced, g.clock.Now()) {
 		g.pool.Drop(s.Addr) // connections of the start that is over
 	}
 }
--- a/daemon/gateway/silence.go
+++ b/daemon/gateway/silence.go
@@ -96,7 +96,7 @@
 		if service.Engine == nil {
 			return 0
 		}
-		pause := g.board.Pause(time.Since(g.start), service.Engine, server)
+		pause := g.board.Pause(g.clock.Now(), service.Engine, server)
 		return time.Duration(explainedPart * float64(pause))
 	}
 }
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -45,7 +45,7 @@
 	if g.stage(c) != quarantine.Held {
 		return nil
 	}
-	r, age := g.quarantine.Record(c.print, time.Since(g.start))
+	r, age := g.quarantine.Record(c.print, g.clock.Now())
 	g.log.Write(event.SuspectRefused, slog.String("id", c.id), slog.String("same", c.mark.String()),
 		slog.String("print", c.print.String()), slog.String("workspace", c.workspace.Name),
 		slog.Int("ended", len(r.Ends)), slog.Duration("evidence_age", age))
@@ -61,7 +61,7 @@
 	if now.Draining || !listed && !servers.Replaced(server) {
 		return
 	}
-	at := time.Since(g.start)
+	at := g.clock.Now()
 	g.quarantine.Broke(c.identity(), server.ID, out.apart, at)
 	if listed && !g.closed(server) {
 		return
@@ -85,7 +85,7 @@
 
 // answeredWhole clears a suspect: a request that was answered ends no servers.
 func (g *Gateway) answeredWhole(c *call) {
-	if g.stage(c) != quarantine.Clear && g.quarantine.Answered(c.print, time.Since(g.start)) {
+	if g.stage(c) != quarantine.Clear && g.quarantine.Answered(c.print, g.clock.Now()) {
 		g.log.Write(event.SuspectCleared, slog.String("id", c.id), slog.String("same", c.mark.String()),
 			slog.String("print", c.print.String()))
 		g.suspects()
@@ -94,7 +94,7 @@
 
 // Pardon clears a suspect for an operator, and reports whether there was one.
 func (g *Gateway) Pardon(p quarantine.Print) bool {
-	if !g.quarantine.Pardon(p, time.Since(g.start)) {
+	if !g.quarantine.Pardon(p, g.clock.Now()) {
 		return false
 	}
 	g.log.Write(event.SuspectCleared, slog.String("print", p.String()), slog.String("by", "operator"))
@@ -110,7 +110,7 @@
 			g.log.Write(event.NewsLost, slog.String("by", by), slog.String("error", err.Error()))
 			continue
 		}
-		g.suspected(by, g.quarantine.Hear(r, time.Since(g.start)))
+		g.suspected(by, g.quarantine.Hear(r, g.clock.Now()))
 	}
 }
 
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -129,7 +129,7 @@
 // judge notes evidence for and against the server. Where our own time or
 // right had run out there is none.
 func (g *Gateway) judge(c *call, p schedule.Placement, server backend.Server, out outcome) {
-	now := time.Since(g.start)
+	now := g.clock.Now()
 	var rest time.Duration
 	switch {
 	case out.result == answered:
@@ -182,8 +182,11 @@
 	a := &alarm{quiet: silence(c, p), more: g.explained(s, p, server), ring: func() { cancel(errSilent) }}
 	a.start()
 	defer a.stop()
-	defer g.exchanges.begin(server, cancel)()
+	defer g.exchanges.begin(server, c.due, cancel)()
 	out := g.answer(ctx, w, c, s, p, server, a)
+	if out.result == failed && errors.Is(context.Cause(ctx), errOverdue) {
+		out.why, out.broken = "out_of_time", false
+	}
 	if out.result == failed && errors.Is(context.Cause(ctx), errRestarted) {
 		out.why, out.broken = "server_restarted", true
 	}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -21,6 +21,7 @@
 	"slipcrank.example/clients/oldsite"
 	"slipcrank.example/clients/tables"
 	"slipcrank.example/clients/web"
+	"slipcrank.example/core/boottime"
 	"slipcrank.example/core/changes"
 	"slipcrank.example/core/claim"
 	"slipcrank.example/core/lease"
@@ -132,7 +133,7 @@
 	n.client = peers.NewClient(peers.WithClientTLS(security), peers.WithReach(n.reach))
 	n.batcher = claim.NewBatcher(platform)
 	n.server = peers.NewServer(n.loop, n.client, peers.WithBatcher(n.batcher.Write), peers.WithServerTLS(security))
-	n.lease = lease.New(platform, "control/"+s.Hall, leaseName(self), lease.WithLength(s.Periods.Lease))
+	n.lease = lease.New(platform, "control/"+s.Hall, leaseName(self), lease.WithLength(s.Periods.Lease), lease.WithNow(boottime.Time))
 	n.upkeep = upkeep.New(n.loop, n.client,
 		upkeep.WithEngines(polled),
 		upkeep.WithHosts(hosts.New(n.control, s.Platform)),
--- a/daemon/upkeep/lease.go
+++ b/daemon/upkeep/lease.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"slipcrank.example/core/boottime"
 	"slipcrank.example/daemon/event"
 )
 
@@ -16,9 +16,9 @@
 func (u *Upkeep) keepLease(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, u.lease.Period())
 	defer cancel()
-	before, had := u.lease.Held(time.Now())
+	before, had := u.lease.Held(boottime.Time())
 	_ = u.lease.Step(ctx) // a silent platform shows in the lease's end
-	after, has := u.lease.Held(time.Now())
+	after, has := u.lease.Held(boottime.Time())
 	switch {
 	case has && (!had || before.Fence != after.Fence):
 		event.LeaseTaken.Info("fence", after.Fence)
--- a/daemon/upkeep/orders.go
+++ b/daemon/upkeep/orders.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"slipcrank.example/clients/engine"
+	"slipcrank.example/core/boottime"
 	"slipcrank.example/core/directory"
 	"slipcrank.example/core/lease"
 	"slipcrank.example/core/placement"
@@ -36,7 +37,7 @@
 // moves, if this daemon holds the hall's control lease. While the platform is
 // down the lease ends, and placement stays as it is.
 func (u *Upkeep) place(ctx context.Context) {
-	held, ok := u.lease.Held(time.Now())
+	held, ok := u.lease.Held(boottime.Time())
 	v := u.loop.View()
 	if !ok || v.Book.Number() == 0 {
 		return
@@ -124,10 +125,10 @@
 // the daemon may have been paused; an engine that checks no fence gets orders
 // only after those of an earlier holder have run out.
 func (u *Upkeep) order(ctx context.Context, v *control.View, held lease.Held, m placement.Move) {
-	if !v.ChecksFence(m.Addr) && time.Now().Before(held.OrdersFrom) {
+	if !v.ChecksFence(m.Addr) && boottime.Time().Before(held.OrdersFrom) {
 		return
 	}
-	now, ok := u.lease.Held(time.Now())
+	now, ok := u.lease.Held(boottime.Time())
 	if !ok || now.Fence != held.Fence {
 		return
 	}
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"slipcrank.example/core/backend"
+	"slipcrank.example/core/boottime"
 	"slipcrank.example/core/feed"
 	"slipcrank.example/core/freshness"
 	"slipcrank.example/core/site"
@@ -115,7 +116,7 @@
 		decode  Decoders
 		log     *decision.Log
 		metrics *telemetry.Metrics
-		start   time.Time
+		steady  *boottime.Clock
 		clock   *freshness.Clock
 		state   atomic.Pointer[State]
 		proven  atomic.Int64 // stamp of the newest proof of the configuration, -1 for none
@@ -164,11 +165,11 @@
 func New(s feed.Source, t Tables, d Decoders, l *decision.Log, m *telemetry.Metrics, onHosts func([]Host)) *Watcher {
 	w := &Watcher{
 		source: s, tables: t, decode: d, log: l, metrics: m, onHosts: onHosts,
-		start: time.Now(),
-		clock: freshness.NewClock(),
-		reads: make(chan read),
-		book:  backend.NewBook(),
-		hosts: map[string]Host{}, suspects: map[string]Suspect{},
+		steady: boottime.New(),
+		clock:  freshness.NewClock(),
+		reads:  make(chan read),
+		book:   backend.NewBook(),
+		hosts:  map[string]Host{}, suspects: map[string]Suspect{},
 		unusable: map[string]int64{},
 		lost:     map[string]bool{},
 		tell:     make(chan listener),
@@ -242,8 +243,11 @@
 // lapseTick is how often kept servers are looked at whose entries lapsed.
 const lapseTick = 250 * time.Millisecond
 
+// SetClock sets the watcher's steady clock, before Run.
+func (w *Watcher) SetClock(c *boottime.Clock) { w.steady = c }
+
 // Now is the time on the watcher's steady clock.
-func (w *Watcher) Now() time.Duration { return time.Since(w.start) }
+func (w *Watcher) Now() time.Duration { return w.steady.Now() }
 
 func (w *Watcher) hand(ctx context.Context, r read) bool {
 	select {
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"encoding/json"
 	"io"
+	"slipcrank.example/core/boottime"
+	"slipcrank.example/core/freshness"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -415,3 +418,18 @@
 	defer f.mu.Unlock()
 	return f.calls
 }
+
+// TestSuspensionAgesProofs suspends the machine after a proof. By a clock that
+// stood still meanwhile the proof would be fresh, and keys in use for as much longer.
+func TestSuspensionAgesProofs(t *testing.T) {
+	var boot atomic.Int64
+	clock := boottime.New(boottime.WithBoot(func() (time.Duration, error) { return time.Duration(boot.Load()), nil }))
+	proof := freshness.NewClock()
+	proof.Observe(clock.Now(), time.Minute)
+	before, _ := proof.Age(time.Minute, clock.Now())
+	boot.Add(int64(10 * time.Second))
+	clock.Refresh()
+	if after, _ := proof.Age(time.Minute, clock.Now()); after-before < 9*time.Second {
+		t.Errorf("a proof is %v old, and %v after 10 s of suspension", before, after)
+	}
+}
