Place a suspect where it costs least, unless copies of it broke together

Cause: a request that had stood under one ended server went to a server picked by a digest, whatever ran there. Change: it is placed by cost among the servers without a suspect; only where several copies broke together, or a second server has ended, do hosts take the one that all of them find by the digest.

--- a/core/schedule/apart.go
+++ b/core/schedule/apart.go
@@ -8,32 +8,32 @@
 	"slipcrank.example/core/route"
 )
 
-// given returns the server that a request has to go to for the sake of others: ""
-// if any will do. It reports false if there is none now.
+// leads returns the servers of which one may lead a request. It reports false if
+// there is none now.
 //
 // Copies of one request go to one server while that has a free slot. Should the
 // request end it, then that is one server and not one for each copy.
-func (b *Board) given(now time.Duration, able []backend.Server, r Request) (string, bool) {
+func (b *Board) leads(now time.Duration, able []backend.Server, r Request) ([]backend.Server, bool) {
 	if r.Mark == 0 {
-		return "", true
+		return able, len(able) > 0
 	}
 	for _, p := range b.byMark[r.Mark] {
 		if !r.Apart && !p.undecided(now) {
 			continue
 		}
-		for _, s := range able {
+		for i, s := range able {
 			if s.ID == p.Lead && (r.Apart || b.count(s.ID) < s.Slots) {
-				return s.ID, !r.Single
+				return able[i : i+1], !r.Single
 			}
 		}
 	}
 	if r.Single && len(b.byMark[r.Mark]) > 0 {
-		return "", false
+		return nil, false
 	}
 	if r.Apart {
-		return b.apart(able, r)
+		able = b.apart(able, r)
 	}
-	return "", true
+	return able, len(able) > 0
 }
 
 // undecided reports whether it is yet to be seen what becomes of a placement: no
@@ -43,28 +43,41 @@
 	return !p.writing && now-p.Begun < p.Objective
 }
 
-// apart returns the server for a request that has to run where no other such
-// runs: the first of these in an order that all hosts know, so that copies which
-// arrive at several hosts at once meet. While each server has one, it takes the
-// server with the fewest, unless the request has to be single.
-func (b *Board) apart(able []backend.Server, r Request) (string, bool) {
+// apart returns the servers for a request that has to run where no other such
+// runs. While each server has one, these are the servers with the fewest, unless the
+// request has to be single. If several copies of it have broken together, it is the
+// first of these in an order that all hosts know, so that the copies meet again.
+func (b *Board) apart(able []backend.Server, r Request) []backend.Server {
 	fewest := -1
-	var names []string
+	var free []backend.Server
 	for _, s := range able {
 		n := b.countApart(s.ID)
 		if fewest < 0 || n < fewest {
-			fewest, names = n, nil
+			fewest, free = n, nil
 		}
 		if n == fewest {
-			names = append(names, s.ID)
+			free = append(free, s)
 		}
 	}
-	if len(names) == 0 || r.Single && fewest > 0 {
-		return "", false
+	if r.Single && fewest > 0 {
+		return nil
+	}
+	if !r.Copied && !r.Single || len(free) < 2 {
+		return free
+	}
+	names := make([]string, 0, len(free))
+	for _, s := range free {
+		names = append(names, s.ID)
 	}
 	var key [8]byte
 	binary.BigEndian.PutUint64(key[:], r.Mark)
-	return route.Owner(string(key[:]), names), true
+	owner := route.Owner(string(key[:]), names)
+	for i, s := range free {
+		if s.ID == owner {
+			return free[i : i+1]
+		}
+	}
+	return nil
 }
 
 // countApart counts the requests on a server that have to run apart.
@@ -79,3 +92,10 @@
 	}
 	return n
 }
+
+// Copies returns how many placements of copies of a request are known.
+func (b *Board) Copies(mark uint64) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.byMark[mark])
+}
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -32,28 +32,28 @@
 	}
 )
 
-// choose fills in the way to place r that costs least.
-func (b *Board) choose(now time.Duration, e *site.Engine, servers []backend.Server, r Request, p *Placement) {
+// choose fills in the way to place r that costs least, led by one of the leads.
+func (b *Board) choose(now time.Duration, e *site.Engine, servers, leads []backend.Server, r Request, p *Placement) {
 	states := make([]state, 0, len(servers))
+	leading := make([]state, 0, len(leads))
 	unknown := b.unknown(p.Service, now)
 	for i, s := range servers {
 		st := b.state(now, e, s)
 		st.unknown = unknown
 		st.order = float64(i) / float64(len(servers))
 		states = append(states, st)
+		if len(leading) < len(leads) && leads[len(leading)].ID == s.ID {
+			leading = append(leading, st) // both are in one order
+		}
 	}
 	value := Value(e, r.Work)
 	draw := b.random()
-	leads := states
-	if i := slices.IndexFunc(states, func(s state) bool { return s.server.ID == p.Lead }); i >= 0 {
-		leads = states[i : i+1]
-	}
 	var best plan
 	for k := 1; k <= min(maxHelpers+1, len(states)); k++ {
 		if k > 1 && r.Work.Prompt/k < leastPart {
 			break
 		}
-		c := planOver(e, leads, states, k, r, value, draw)
+		c := planOver(e, leading, states, k, r, value, draw)
 		if k == 1 || c.cost < best.cost {
 			best = c
 		}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -57,8 +57,9 @@
 		// Mark is the same for copies of one request; zero for none.
 		Mark uint64
 		// Apart asks for a server on which no other such request runs, and Single
-		// beside it that no copy runs anywhere.
-		Apart, Single bool
+		// beside it that no copy runs anywhere. Copied says that several copies of
+		// it have failed together.
+		Apart, Single, Copied bool
 	}
 
 	// Placement is a request on its servers.
@@ -176,23 +177,20 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	able := b.able(now, servers, r.Avoid)
-	lead, ok := b.given(now, able, r)
-	if len(able) == 0 || !ok {
+	leads, ok := b.leads(now, able, r)
+	if !ok {
 		return Placement{}, false
 	}
 	p := &Placement{
 		Service: s.Name, Workspace: r.Workspace, Part: Part{Price: 1}, Work: r.Work,
 		Objective: r.Objective, Gap: r.Gap, Begun: now,
-		Mark: r.Mark, Apart: r.Apart, Lead: lead,
+		Mark: r.Mark, Apart: r.Apart,
 	}
-	switch {
-	case s.Engine != nil && r.Work.Prompt > 0:
-		b.choose(now, s.Engine, able, r, p)
-	case lead == "":
-		p.Lead = b.leastLoaded(able, r.Hall).ID
-		fallthrough
-	default:
+	if s.Engine == nil || r.Work.Prompt == 0 {
 		p.Fits = true
+		p.Lead = b.leastLoaded(leads, r.Hall).ID
+	} else {
+		b.choose(now, s.Engine, able, leads, r, p)
 	}
 	b.next++
 	p.ID = ID{b.host, b.next}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -287,6 +287,7 @@
 		Mark:      uint64(c.mark),
 		Apart:     stage >= quarantine.Suspect,
 		Single:    stage >= quarantine.Doubtful,
+		Copied:    c.copied,
 	})
 	return p, service, ok
 }
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -153,6 +153,7 @@
 		rest = g.board.Failed(blamed, now)
 	}
 	if out.broken {
+		c.copied = c.copied || g.board.Copies(uint64(c.mark)) > 1
 		g.inquire(c, server, out)
 	}
 	if rest > 0 {
