Look at a prompt's readers too when its answer breaks, and only then hash its body

Cause: a server that reads a part of a prompt may be the one that ends; the lead's answer breaks then and the lead lives on, so nothing was held against the request. Bodies were hashed on each break, also on those that say nothing. Change: where the lead lives its readers are tried as well; a request's print is worked out once a server is found to have ended, so that nothing has to be kept until then. Of too many suspects those that are held fall out last.

--- a/core/quarantine/identity.go
+++ b/core/quarantine/identity.go
@@ -17,6 +17,13 @@
 		Body                 []byte
 	}
 
+	// Identity is a request as suspects are known: digests, and whose it is.
+	Identity struct {
+		Mark      Mark
+		Print     Print
+		Workspace string
+	}
+
 	// Mark is a cheap digest of a request, which doesn't read its body. Two
 	// requests with one mark may differ; it decides where something is looked
 	// up, never what becomes of a request.
@@ -58,6 +65,9 @@
 	return Print(h.Sum(nil)[:printSize])
 }
 
+// Identity returns both digests.
+func (r Request) Identity() Identity { return Identity{r.Mark(), r.Print(), r.Workspace} }
+
 // head is the request without its body. The workspace is part of it, so that no
 // caller can make a request that counts as one of another workspace's.
 func (r Request) head() [5]string {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -18,8 +18,7 @@
 //
 //	b := quarantine.NewBook()
 //	if b.Knows(r.Mark()) && b.Stage(r.Print(), now) == quarantine.Held { ... refuse }
-//	b.Broke(r, server, apart, now)   // the connection broke, the answer was due
-//	b.Ended(server, now)             // the server is found to have ended
+//	b.Ended(r.Identity(), server, apart, now)   // with the answer due
 //	b.Answered(print, now)
 //	for _, r := range b.Records(now) { ... tell others }
 //	b.Hear(record, now)
@@ -56,9 +55,6 @@
 	// suspects. Many copies of a harmless request that run at once may see
 	// several servers end together.
 	apartEnds = 1
-	// brokeTime is for how long a request stays connected with a server on which
-	// it broke, until somebody finds that this server has ended.
-	brokeTime = 2 * time.Second
 	// suspectTime forgets suspects that came again no more: callers come back
 	// within their deadlines, of which the longest used are 15 s.
 	suspectTime = time.Minute
@@ -71,7 +67,7 @@
 	listedTime = 6 * time.Second
 	// most bounds the suspects, mostOfOne those of one workspace: some 200 bytes
 	// each. A server that ends makes some ten. The one that was heard of longest
-	// ago falls out first, and of one workspace's its own.
+	// ago falls out first, held ones last, and of one workspace's its own.
 	most      = 1024
 	mostOfOne = 128
 	// mostEnds bounds what is kept of the servers that ended under a request.
@@ -119,7 +115,6 @@
 		mu       sync.Mutex
 		suspects map[Print]*suspect
 		marks    map[Mark]int // how many suspects have the mark
-		broke    map[string][]breakage
 	}
 
 	suspect struct {
@@ -129,18 +124,11 @@
 		// checked says that its ends were compared with the list of servers.
 		checked bool
 	}
-
-	// breakage is a request whose connection broke.
-	breakage struct {
-		record Record
-		apart  bool
-		at     time.Duration
-	}
 )
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{suspects: map[Print]*suspect{}, marks: map[Mark]int{}, broke: map[string][]breakage{}}
+	return &Book{suspects: map[Print]*suspect{}, marks: map[Mark]int{}}
 }
 
 // ServerOf digests a server's ID.
@@ -178,30 +166,13 @@
 	return Record{}, 0
 }
 
-// Broke notes that a request's connection to a server broke with the answer due,
-// and whether the request ran there apart from other suspects. It says nothing
-// of the request unless the server has ended.
-func (b *Book) Broke(r Request, server string, apart bool, now time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.broke[server] = append(b.broke[server], breakage{
-		record: Record{Mark: r.Mark(), Print: r.Print(), Workspace: r.Workspace}, apart: apart, at: now,
-	})
-}
-
-// Ended notes that a server has ended. It returns the requests that broke there
-// whose stage changes by it.
-func (b *Book) Ended(server string, now time.Duration) []Change {
+// Ended notes that a server has ended with a request's answer due, and whether the
+// request ran there apart from other suspects. It returns the stages that changed.
+func (b *Book) Ended(id Identity, server string, apart bool, now time.Duration) []Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	var changes []Change
-	for _, k := range b.broke[server] {
-		r := k.record
-		r.Ends = []End{{Server: ServerOf(server), Apart: k.apart}}
-		changes = append(changes, b.merge(r, true, now)...)
-	}
-	delete(b.broke, server)
-	return changes
+	r := Record{Mark: id.Mark, Print: id.Print, Workspace: id.Workspace, Ends: []End{{Server: ServerOf(server), Apart: apart}}}
+	return b.merge(r, true, now)
 }
 
 // Hear takes in what another host knows of a suspect.
@@ -315,13 +286,22 @@
 		if ofOne >= mostOfOne && s.record.Workspace != workspace {
 			continue
 		}
-		if oldest == nil || s.latest < oldest.latest {
+		if oldest == nil || s.before(oldest) {
 			oldest = s
 		}
 	}
 	return []Change{b.drop(oldest)}
 }
 
+// before reports whether a suspect falls out before another one.
+func (s *suspect) before(o *suspect) bool {
+	held, other := s.record.Stage() == Held, o.record.Stage() == Held
+	if held != other {
+		return other
+	}
+	return s.latest < o.latest
+}
+
 // drop forgets a suspect.
 func (b *Book) drop(s *suspect) Change {
 	delete(b.suspects, s.record.Print)
@@ -365,12 +345,6 @@
 func (b *Book) Expire(now time.Duration) []Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for server, ks := range b.broke {
-		ks = slices.DeleteFunc(ks, func(k breakage) bool { return now-k.at > brokeTime })
-		if b.broke[server] = ks; len(ks) == 0 {
-			delete(b.broke, server)
-		}
-	}
 	var changes []Change
 	for _, s := range b.suspects {
 		life := suspectTime
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"slipcrank.example/core/backend"
@@ -52,24 +53,40 @@
 	return refuse(heldStatus, "request_ends_servers", 0)
 }
 
-// inquire finds out whether the server on which a call broke has ended. A
-// connection breaks for many reasons: reset, garbled, cut. Only the end of the
-// server says something of the request, and not even that if it was to leave.
-func (g *Gateway) inquire(c *call, server backend.Server, out outcome) {
+// inquire finds out which of the servers have ended on which a call broke. A
+// connection breaks for many reasons: reset, garbled, cut. Only the end of a server
+// says something of the request. The lead's answer breaks also when a server has
+// ended that read a part of the prompt for it.
+func (g *Gateway) inquire(c *call, lead backend.Server, helpers []string, out outcome) {
+	if g.endedUnder(c, lead, out) || len(helpers) == 0 {
+		return
+	}
+	servers := g.state().Servers
+	var all sync.WaitGroup
+	for _, id := range helpers {
+		if h, ok := servers.Get(id); ok {
+			all.Go(func() { g.endedUnder(c, h, out) })
+		}
+	}
+	all.Wait()
+}
+
+// endedUnder notes what a call says of a server on which it broke, and reports whether
+// that server has ended. One that was to leave ends in any case.
+func (g *Gateway) endedUnder(c *call, server backend.Server, out outcome) bool {
 	servers := g.state().Servers
 	now, listed := servers.Get(server.ID)
 	if now.Draining || !listed && !servers.Replaced(server) {
-		return
+		return false
 	}
-	at := g.clock.Now()
-	g.quarantine.Broke(c.identity(), server.ID, out.apart, at)
 	if listed && !g.closed(server) {
-		return
+		return false
 	}
 	g.log.Write(event.ServerEnded, slog.String("server", server.ID), slog.String("id", c.id),
 		slog.String("same", c.mark.String()), slog.String("workspace", c.workspace.Name), slog.String("why", out.why),
 		slog.Bool("apart", out.apart))
-	g.suspected(byThisHost, g.quarantine.Ended(server.ID, at))
+	g.suspected(byThisHost, g.quarantine.Ended(c.identity().Identity(), server.ID, out.apart, g.clock.Now()))
+	return true
 }
 
 // closed reports whether a server's port is found closed. Calls that break on a
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -154,7 +154,7 @@
 	}
 	if out.broken {
 		c.copied = c.copied || g.board.Copies(uint64(c.mark)) > 1
-		g.inquire(c, server, out)
+		g.inquire(c, server, p.Helpers, out)
 	}
 	if rest > 0 {
 		g.failed(blamed)
