Confine a workspace under whose requests one server after the other ends

Cause: whoever sends one deadly request after the other, each of them new, ends all servers, though each request by itself is remembered.

--- a/core/quarantine/identity.go
+++ b/core/quarantine/identity.go
@@ -54,6 +54,9 @@
 	return Mark(d.Sum64())
 }
 
+// WorkspaceMark is the mark under which all requests of a confined workspace run.
+func WorkspaceMark(workspace string) Mark { return Request{Workspace: workspace}.Mark() }
+
 // Print returns the request's print. It hashes the body, which may have
 // megabytes: it is asked for only where there is something to compare with.
 func (r Request) Print() Print {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -72,6 +72,15 @@
 	mostOfOne = 128
 	// mostEnds bounds what is kept of the servers that ended under a request.
 	mostEnds = 8
+	// confineAfter is how many servers have to end within confineTime under a
+	// workspace's suspects that ran apart, before all that it sends runs on one
+	// server. One may be chance; whoever sends one deadly request after the other
+	// would end all servers though each request is held in the end.
+	confineAfter = 3
+	confineTime  = time.Minute
+	// endPause lies between two ends under such a workspace: as servers are back
+	// after some four seconds, it keeps four of them down at most.
+	endPause = time.Second
 	// maxName is the longest name of a workspace that others are believed.
 	maxName = 256
 )
@@ -115,6 +124,15 @@
 		mu       sync.Mutex
 		suspects map[Print]*suspect
 		marks    map[Mark]int // how many suspects have the mark
+		// workspaces are those under whose suspects servers ended that ran apart.
+		workspaces map[string]*offender
+	}
+
+	// offender is such a workspace: when servers ended under it that ran apart,
+	// the last confineAfter times, and when any did last.
+	offender struct {
+		apart []time.Duration
+		last  time.Duration
 	}
 
 	suspect struct {
@@ -128,7 +146,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{suspects: map[Print]*suspect{}, marks: map[Mark]int{}}
+	return &Book{suspects: map[Print]*suspect{}, marks: map[Mark]int{}, workspaces: map[string]*offender{}}
 }
 
 // ServerOf digests a server's ID.
@@ -200,6 +218,7 @@
 	if own || merged.Pardons != s.record.Pardons || !slices.Equal(merged.Ends, s.record.Ends) {
 		s.latest, s.checked = now, false
 	}
+	b.blame(s.record.Workspace, len(merged.Ends)-len(s.record.Ends), merged.apart()-s.record.apart(), now)
 	s.record, s.own = merged, s.own || own
 	if after := s.record.Stage(); after != before {
 		changes = append(changes, Change{Record: s.record, Stage: after})
@@ -207,6 +226,36 @@
 	return changes
 }
 
+// blame notes that more servers ended under a workspace, some of them while its
+// request ran apart.
+func (b *Book) blame(workspace string, ended, apart int, now time.Duration) {
+	o := b.workspaces[workspace]
+	if o == nil && apart > 0 {
+		o = &offender{}
+		b.workspaces[workspace] = o
+	}
+	if o == nil || ended <= 0 {
+		return
+	}
+	o.last = now
+	for range apart {
+		o.apart = append(o.apart, now)
+	}
+	o.apart = o.apart[max(len(o.apart)-confineAfter, 0):]
+}
+
+// Confined reports whether all that a workspace sends has to run on one server now,
+// and whether it has to wait since one has just ended under it.
+func (b *Book) Confined(workspace string, now time.Duration) (confined, waits bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	o := b.workspaces[workspace]
+	if o == nil || len(o.apart) < confineAfter || now-o.apart[0] >= confineTime {
+		return false, false
+	}
+	return true, now-o.last < endPause
+}
+
 // with returns the record with what another one says of the same request.
 func (r Record) with(o Record) Record {
 	switch {
@@ -236,14 +285,8 @@
 
 // Stage returns what becomes of the request.
 func (r Record) Stage() Stage {
-	apart := 0
-	for _, e := range r.Ends {
-		if e.Apart {
-			apart++
-		}
-	}
 	switch n := len(r.Ends); {
-	case n >= heldEnds && apart >= apartEnds:
+	case n >= heldEnds && r.apart() >= apartEnds:
 		return Held
 	case n >= doubtfulEnds:
 		return Doubtful
@@ -270,6 +313,17 @@
 
 func byServer(x, y End) int { return cmp.Compare(x.Server, y.Server) }
 
+// apart counts the servers that ended while the request ran apart.
+func (r Record) apart() int {
+	n := 0
+	for _, e := range r.Ends {
+		if e.Apart {
+			n++
+		}
+	}
+	return n
+}
+
 // makeRoom drops a suspect if there are as many as there may be.
 func (b *Book) makeRoom(workspace string) []Change {
 	ofOne := 0
@@ -345,6 +399,11 @@
 func (b *Book) Expire(now time.Duration) []Change {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for w, o := range b.workspaces {
+		if now-o.last >= confineTime {
+			delete(b.workspaces, w)
+		}
+	}
 	var changes []Change
 	for _, s := range b.suspects {
 		life := suspectTime
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -277,6 +277,11 @@
 	if !ok {
 		return schedule.Placement{}, service, false
 	}
+	mark := uint64(c.mark)
+	confined, _ := g.quarantine.Confined(c.workspace.Name, g.clock.Now())
+	if confined && stage < quarantine.Doubtful {
+		mark = uint64(quarantine.WorkspaceMark(c.workspace.Name))
+	}
 	p, ok := g.board.Place(g.clock.Now(), service, s.ready(service.Name), schedule.Request{
 		Work:      c.work,
 		Objective: c.route.Objective - time.Since(c.arrived),
@@ -284,10 +289,10 @@
 		Workspace: schedule.WorkspaceOf(c.workspace.Name),
 		Hall:      g.hall,
 		Avoid:     c.tried,
-		Mark:      uint64(c.mark),
-		Apart:     stage >= quarantine.Suspect,
+		Mark:      mark,
+		Apart:     confined || stage >= quarantine.Suspect,
 		Single:    stage >= quarantine.Doubtful,
-		Copied:    c.copied,
+		Copied:    confined || c.copied,
 	})
 	return p, service, ok
 }
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -22,6 +22,8 @@
 	// verdict on a copy of it, or for a server without another suspect: somewhat
 	// more than what a short request takes.
 	apartWait = 300 * time.Millisecond
+	// confinedWait is the same for a workspace under which a server has just ended.
+	confinedWait = time.Second
 	// heldStatus tells a caller that the request itself is at fault, and so not to
 	// come back with it.
 	heldStatus = http.StatusBadRequest
