Keep suspects for ten minutes, and disbelieve an end only if its server stays listed

Cause: a request that ends one server a minute was forgotten each time before it came again; an entry that had lapsed in an outage of the platform is listed for 2.2 s after it, and could have made a true end look false. Change: suspects are kept for ten minutes, cleared ones told for 30 s; an end is dropped once its server has been on a proven list for 6 s more.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -55,15 +55,18 @@
 	// suspects. Many copies of a harmless request that run at once may see
 	// several servers end together.
 	apartEnds = 1
-	// suspectTime forgets suspects that came again no more: callers come back
-	// within their deadlines, of which the longest used are 15 s.
-	suspectTime = time.Minute
+	// suspectTime forgets suspects that came again no more. Callers come back
+	// within their deadlines, of which the longest used are 15 s; a request that
+	// comes seldom and ends a server each time has to add up all the same.
+	suspectTime = 10 * time.Minute
 	// HeldTime forgets held requests, so that one is tried again at some time:
 	// servers with other software may well run it. One that still ends servers
 	// ends three more, an hour's share of which is little.
 	HeldTime = time.Hour
 	// listedTime is how long after its end a server may still be on the
-	// platform's list, which it leaves after three heartbeats of 1.2 s.
+	// platform's list, which it leaves after three heartbeats of 1.2 s, and again
+	// how much longer it has to be there to count as living: after an outage of the
+	// platform entries that lapsed are kept for 2.2 s.
 	listedTime = 6 * time.Second
 	// most bounds the suspects, mostOfOne those of one workspace: some 200 bytes
 	// each. A server that ends makes some ten. The one that was heard of longest
@@ -139,8 +142,10 @@
 		record Record
 		latest time.Duration // when more was learnt of it
 		own    bool          // whether this host has evidence of its own
-		// checked says that its ends were compared with the list of servers.
+		// checked says that its ends were compared with the list of servers, and
+		// listed when one of these was found there first, 0 for none.
 		checked bool
+		listed  time.Duration
 	}
 )
 
@@ -216,7 +221,7 @@
 	}
 	merged := s.record.with(r)
 	if own || merged.Pardons != s.record.Pardons || !slices.Equal(merged.Ends, s.record.Ends) {
-		s.latest, s.checked = now, false
+		s.latest, s.checked, s.listed = now, false, 0
 	}
 	b.blame(s.record.Workspace, len(merged.Ends)-len(s.record.Ends), merged.apart()-s.record.apart(), now)
 	s.record, s.own = merged, s.own || own
@@ -417,8 +422,8 @@
 	return changes
 }
 
-// Check drops ends of servers that are still on the platform's list long after:
-// these have not ended. A way that is cut may refuse connections, and whoever
+// Check drops ends of servers that stay on the platform's list long after: these
+// have not ended. It is called again and again while the list is new. A way that is cut may refuse connections, and whoever
 // forges news can't take servers off the list. It returns the changes.
 func (b *Book) Check(listed func(server uint32) bool, now time.Duration) []Change {
 	b.mu.Lock()
@@ -428,6 +433,16 @@
 		if s.checked || now-s.latest < listedTime {
 			continue
 		}
+		if !slices.ContainsFunc(s.record.Ends, func(e End) bool { return listed(e.Server) }) {
+			s.checked = true
+			continue
+		}
+		if s.listed == 0 {
+			s.listed = now
+		}
+		if now-s.listed < listedTime {
+			continue
+		}
 		s.checked = true
 		before := s.record.Stage()
 		s.record.Ends = slices.DeleteFunc(slices.Clone(s.record.Ends), func(e End) bool { return listed(e.Server) })
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -92,9 +92,14 @@
 			for _, s := range []string{"a", "b", "c"} {
 				b.Ended(r.Identity(), s, true, 0)
 			}
-			b.Check(func(s uint32) bool {
-				return slices.ContainsFunc(tc.listed, func(id string) bool { return quarantine.ServerOf(id) == s })
-			}, 7*time.Second)
+			for now := 7 * time.Second; now < 20*time.Second; now += time.Second {
+				if now == 8*time.Second && b.Stage(r.Print()) != quarantine.Held {
+					t.Error("what was listed for a second is believed to live")
+				}
+				b.Check(func(s uint32) bool {
+					return slices.ContainsFunc(tc.listed, func(id string) bool { return quarantine.ServerOf(id) == s })
+				}, now)
+			}
 			if got := b.Stage(r.Print()); got != tc.want {
 				t.Errorf("stage %v, want %v", got, tc.want)
 			}
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -17,9 +17,11 @@
 const (
 	// suspectNews is for how long others are told of a change each upkeepPeriod:
 	// of eight such datagrams all are lost once in a hundred million times where
-	// a tenth is. After that they are told of what is held or was cleared only,
-	// each lastingEvery times, for hosts that start, wake up or were cut off.
+	// a tenth is. After that they are told of what is held, and for clearedNews of
+	// what was cleared, each lastingEvery times, for hosts that start, wake up or
+	// were cut off.
 	suspectNews  = 2 * time.Second
+	clearedNews  = 30 * time.Second
 	lastingEvery = 4
 	// mostTold bounds what is told at once.
 	mostTold = 20
@@ -41,7 +43,7 @@
 func (e *Entry) tellSuspects(number int) {
 	var rs []quarantine.Record
 	for _, t := range e.quarantine.Own(e.clock.Now()) {
-		again := lasts(t.Record) && number%lastingEvery == 0
+		again := lasts(t) && number%lastingEvery == 0
 		if (t.Age < suspectNews || again) && len(rs) < mostTold {
 			rs = append(rs, t.Record)
 		}
@@ -49,9 +51,15 @@
 	e.news.Suspects(e.number, rs)
 }
 
-// lasts reports whether others need to know of a suspect also later.
-func lasts(r quarantine.Record) bool {
-	return r.Stage() == quarantine.Held || r.Stage() == quarantine.Clear
+// lasts reports whether others are told of a suspect also later.
+func lasts(t quarantine.Told) bool {
+	switch t.Record.Stage() {
+	case quarantine.Held:
+		return true
+	case quarantine.Clear:
+		return t.Age < clearedNews
+	}
+	return false
 }
 
 // hearSuspects takes in what another host tells of suspects, if it is one that the
