Confine no callers that have no workspace

Cause: callers of public routes have no workspace and would be confined together for what one of them sends. Change: they aren't confined; each of their requests is still remembered. Result: TestConfined.

--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -250,12 +250,13 @@
 }
 
 // Confined reports whether all that a workspace sends has to run on one server now,
-// and whether it has to wait since one has just ended under it.
+// and whether it has to wait since one has just ended under it. Callers without a
+// workspace are many: one of them doesn't confine the others.
 func (b *Book) Confined(workspace string, now time.Duration) (confined, waits bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	o := b.workspaces[workspace]
-	if o == nil || len(o.apart) < confineAfter || now-o.apart[0] >= confineTime {
+	if workspace == "" || o == nil || len(o.apart) < confineAfter || now-o.apart[0] >= confineTime {
 		return false, false
 	}
 	return true, now-o.last < endPause
--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -124,6 +124,37 @@
 	}
 }
 
+// TestConfined ends servers under new requests of a workspace, which run apart.
+func TestConfined(t *testing.T) {
+	for name, tc := range map[string]struct {
+		workspace       string
+		ends            int
+		apart           bool
+		after           time.Duration
+		confined, waits bool
+	}{
+		"two ends":            {"w", 2, true, 0, false, false},
+		"three":               {"w", 3, true, 0, true, true},
+		"a second later":      {"w", 3, true, time.Second, true, false},
+		"a minute later":      {"w", 3, true, time.Minute, false, false},
+		"three, not apart":    {"w", 3, false, 0, false, false},
+		"without a workspace": {"", 3, true, 0, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := quarantine.NewBook()
+			for n := range tc.ends {
+				b.Ended(request(tc.workspace, n).Identity(), fmt.Sprint(n), tc.apart, 0)
+			}
+			if confined, waits := b.Confined(tc.workspace, tc.after); confined != tc.confined || waits != tc.waits {
+				t.Errorf("confined %v, waits %v, want %v, %v", confined, waits, tc.confined, tc.waits)
+			}
+			if confined, _ := b.Confined("other", tc.after); confined {
+				t.Error("another workspace is confined")
+			}
+		})
+	}
+}
+
 // TestNobodyMakesAnothersPrint changes one part of a request at a time.
 func TestNobodyMakesAnothersPrint(t *testing.T) {
 	r := request("w", 1)
