--- a/cmd/devel/devel.go
+++ b/cmd/devel/devel.go
@@ -13,6 +13,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +45,9 @@
 	operatorsPort = 90
 	platformPort  = 100
 
+	// Deadly is a text in a prompt that ends each engine which begins to run it.
+	Deadly = "ends the engine that runs it"
+
 	// oldPause is the time between two tokens of the old site.
 	oldPause = 15 * time.Millisecond
 )
@@ -70,6 +75,7 @@
 		list     []hosts.Host
 		extra    int
 		kills    []context.CancelFunc
+		ended    atomic.Int64
 	}
 
 	// Option changes a fleet under construction.
@@ -148,8 +154,9 @@
 func (f *Fleet) startStandins(ctx context.Context) error {
 	for _, h := range f.halls {
 		for range f.engines {
-			e := engine.New(engine.WithParams(f.params), engine.WithCopies(protocol.Copy{Model: Model, Version: Version}))
 			ctx, kill := context.WithCancel(ctx)
+			e := engine.New(engine.WithParams(f.params), engine.WithCopies(protocol.Copy{Model: Model, Version: Version}),
+				engine.WithDeadly(f.deadly(kill)))
 			f.kills = append(f.kills, kill)
 			a, err := e.Serve(ctx, "127.0.0.1:0")
 			if err != nil {
@@ -196,6 +203,21 @@
 	return nil
 }
 
+// deadly ends an engine that begins to run a prompt which says so.
+func (f *Fleet) deadly(kill func()) func(prompt string) bool {
+	return func(prompt string) bool {
+		if !strings.Contains(prompt, Deadly) {
+			return false
+		}
+		kill()
+		f.ended.Add(1)
+		return true
+	}
+}
+
+// Ended returns how many engines deadly prompts have ended.
+func (f *Fleet) Ended() int { return int(f.ended.Load()) }
+
 // KillEngine makes an engine die at once: its connections break.
 func (f *Fleet) KillEngine(i int) { f.kills[i]() }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -54,6 +54,7 @@
 		params      Params
 		incarnation uint64
 		dropEvent   func(uint64) bool
+		deadly      func(prompt string) bool
 
 		mu      sync.Mutex
 		wake    chan struct{}
@@ -104,6 +105,7 @@
 		params:      DefaultParams(),
 		incarnation: uint64(time.Now().UnixNano()),
 		dropEvent:   func(uint64) bool { return false },
+		deadly:      func(string) bool { return false },
 		wake:        make(chan struct{}, 1),
 		role:        protocol.Mixed,
 		holds:       map[string]*holding{},
--- a/standin/engine/serve.go
+++ b/standin/engine/serve.go
@@ -104,6 +104,10 @@
 	if !listen.Read(c, &r) {
 		return
 	}
+	if e.deadly(r.Prompt) {
+		_ = c.Conn().Close() // as the end of the engine does
+		return
+	}
 	s, err := e.Submit(jobOf(c, r))
 	if err != nil {
 		c.Error(err.Error(), statusOf(err))
