Remember prompts that end engines on slipcrank's own interface

Cause: daemon/dispatch tried a prompt on other engines and forgot under what each had ended, as the entry hosts did. Change: the same decisions there (core/quarantine): evidence is an engine whose port refuses after a break; daemons tell each other by a call of their own in CBOR; suspects go to a free engine that all daemons find, wait for one after two ends, and are refused after three (ends_engines, 422).

--- a/core/fault/fault.go
+++ b/core/fault/fault.go
@@ -44,6 +44,7 @@
 	DeadlineExpired  Kind = "deadline_expired"
 	NoEngine         Kind = "no_engine"
 	EngineFailed     Kind = "engine_failed"
+	EndsEngines      Kind = "ends_engines"
 	NotRun           Kind = "not_run"
 	Undecided        Kind = "undecided"
 	OutcomeUnknown   Kind = "outcome_unknown"
@@ -68,6 +69,7 @@
 	DeadlineExpired:  http.StatusGatewayTimeout,
 	NoEngine:         http.StatusServiceUnavailable,
 	EngineFailed:     http.StatusBadGateway,
+	EndsEngines:      http.StatusUnprocessableEntity,
 	NotRun:           http.StatusServiceUnavailable,
 	Undecided:        http.StatusServiceUnavailable,
 	OutcomeUnknown:   http.StatusBadGateway,
--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 	"slipcrank.example/core/fault"
 	"slipcrank.example/core/limit"
 	"slipcrank.example/core/pause"
+	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/route"
 	"slipcrank.example/core/template"
 	"slipcrank.example/daemon/control"
@@ -79,6 +80,7 @@
 		explain    *Ring
 		background func(func())
 		attempts   int
+		suspects   *suspects
 	}
 
 	// Option changes a dispatcher under construction.
@@ -129,6 +131,7 @@
 		explain:    NewRing(),
 		background: func(f func()) { go f() },
 		attempts:   defaultAttempts,
+		suspects:   newSuspects(),
 	}
 	for _, o := range os {
 		o(d)
@@ -187,6 +190,10 @@
 		}
 		x.metrics.Count("retries_total", 1)
 		event.RequestResumed.Info("request", x.request.ID, "offset", x.offset, "cause", err)
+		if x.stage() != quarantine.Clear {
+			_ = pause.For(ctx, suspectPause) // all looks at ctx
+			continue
+		}
 		_ = pause.UpTo(ctx, retryPause)
 	}
 }
@@ -233,16 +240,27 @@
 // once makes one attempt: it places the request and passes the stream on.
 func (x *run) once(ctx context.Context) error {
 	attempt := uuid.NewString()
-	if x.large(x.loop.View()) {
+	v, stage := x.loop.View(), x.stage()
+	if err := x.held(stage); err != nil {
+		return err
+	}
+	if x.large(v) {
 		return x.largeOnce(ctx, attempt)
 	}
 	ctx, span := telemetry.Span(ctx, "attempt", attribute.String("request", x.request.ID))
-	o, err := x.place(ctx, attempt)
+	place, apart := x.place, stage != quarantine.Clear
+	if apart {
+		place = x.placeApart
+	}
+	o, err := place(ctx, attempt)
 	if err != nil {
 		telemetry.End(span, err)
 		return err
 	}
 	span.SetAttributes(attribute.String("engine", o.Addr))
+	if apart {
+		defer x.suspects.enter(o.Addr)()
+	}
 	started := time.Now()
 	first, err := x.stream(ctx, attempt, o)
 	if first > 0 {
@@ -252,6 +270,9 @@
 	x.record.Attempts[len(x.record.Attempts)-1].Took = time.Since(started)
 	if err != nil {
 		x.excluded[o.Addr] = true
+		x.inquire(v, o.Addr, apart, err)
+	} else if apart {
+		x.suspects.book.Answered(x.request.identity().Print(), x.suspects.clock.Now())
 	}
 	telemetry.End(span, err)
 	return err
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -35,6 +35,8 @@
 	EngineUp        = Event{1301, "engine up"}
 	EngineLeaving   = Event{1302, "engine leaving"}
 	EngineDown      = Event{1303, "engine down"}
+	EngineEnded     = Event{1306, "engine has ended under a request"}
+	SuspectUnusable = Event{1507, "what another daemon tells of suspects can't be used"}
 	CacheResync     = Event{1304, "prefix index resynced after a gap in events"}
 	HoldingFreed    = Event{1305, "holding without a living owner freed"}
 	TemplatesMoved  = Event{1401, "template changes in force"}
@@ -86,7 +88,7 @@
 var All = []Event{
 	DaemonReady, DaemonDraining, DaemonWaiting, DaemonStopped, DaemonGaveUp, HandlerPanic, DaemonWoke,
 	MemberJoined, MemberSuspected, MemberGone,
-	EngineUp, EngineLeaving, EngineDown, CacheResync, HoldingFreed,
+	EngineUp, EngineLeaving, EngineDown, EngineEnded, SuspectUnusable, CacheResync, HoldingFreed,
 	TemplatesMoved, TemplateApplied, SnapshotLoaded, LogTrimmed,
 	RequestFailed, RequestResumed, PieceDropped, GroupBroken, ReleaseLost,
 	ClaimUndecided, ClaimUnknown, AnswerNotStored,
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -27,6 +27,7 @@
 	"slipcrank.example/core/lease"
 	"slipcrank.example/core/limit"
 	"slipcrank.example/core/member"
+	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/store"
 	"slipcrank.example/daemon/callers"
 	"slipcrank.example/daemon/calls"
@@ -46,22 +47,23 @@
 
 // Node is one daemon.
 type Node struct {
-	settings  settings.Settings
-	listeners listeners
-	loop      *control.Loop
-	client    *peers.Client
-	server    *peers.Server
-	batcher   *claim.Batcher
-	lease     *lease.Keeper
-	upkeep    *upkeep.Upkeep
-	callers   *callers.Server
-	operators *operators.Server
-	control   *web.Client // to the platform, and for polls of engines
-	streams   *web.Client // generations on engines
-	traffic   *web.Client // calls, and requests of the old site
-	pool      *ants.Pool
-	reach     func(addr string) bool
-	cancel    context.CancelFunc
+	settings   settings.Settings
+	listeners  listeners
+	loop       *control.Loop
+	client     *peers.Client
+	dispatcher *dispatch.Dispatcher
+	server     *peers.Server
+	batcher    *claim.Batcher
+	lease      *lease.Keeper
+	upkeep     *upkeep.Upkeep
+	callers    *callers.Server
+	operators  *operators.Server
+	control    *web.Client // to the platform, and for polls of engines
+	streams    *web.Client // generations on engines
+	traffic    *web.Client // calls, and requests of the old site
+	pool       *ants.Pool
+	reach      func(addr string) bool
+	cancel     context.CancelFunc
 }
 
 // Option changes a daemon under construction.
@@ -132,7 +134,8 @@
 	}
 	n.client = peers.NewClient(peers.WithClientTLS(security), peers.WithReach(n.reach))
 	n.batcher = claim.NewBatcher(platform)
-	n.server = peers.NewServer(n.loop, n.client, peers.WithBatcher(n.batcher.Write), peers.WithServerTLS(security))
+	n.server = peers.NewServer(n.loop, n.client, peers.WithBatcher(n.batcher.Write), peers.WithServerTLS(security),
+		peers.WithSuspects(func(rs []quarantine.Record) { n.dispatcher.HearSuspects(rs) }))
 	n.lease = lease.New(platform, "control/"+s.Hall, leaseName(self), lease.WithLength(s.Periods.Lease), lease.WithNow(boottime.Time))
 	n.upkeep = upkeep.New(n.loop, n.client,
 		upkeep.WithEngines(polled),
@@ -144,11 +147,12 @@
 		upkeep.WithBootstrap(s.Bootstrap...),
 	)
 	once := calls.NewOnce(claim.New(platform, claim.WithWriter(n.claimWriter())), metrics, n.background)
-	d := dispatch.New(n.loop, n.client, engine.New(n.streams),
+	n.dispatcher = dispatch.New(n.loop, n.client, engine.New(n.streams),
+		dispatch.WithSuspects(n.tellSuspects),
 		dispatch.WithBudgets(budgets), dispatch.WithMetrics(metrics), dispatch.WithRing(ring),
 		dispatch.WithBackground(n.background), dispatch.WithAttempts(s.Limits.MaxAttempts))
 	c := calls.New(n.loop, n.traffic, once, calls.WithBudgets(budgets), calls.WithAttempts(s.Limits.MaxAttempts))
-	n.callers, err = callers.New(n.loop, d, c,
+	n.callers, err = callers.New(n.loop, n.dispatcher, c,
 		callers.WithLimits(s.Limits), callers.WithMetrics(metrics), callers.WithOnce(once),
 		callers.WithOldSite(oldsite.New(n.traffic)))
 	n.operators = operators.New(n.loop, log, ring, metrics,
@@ -171,6 +175,27 @@
 	}
 }
 
+// tellSuspects tells all other daemons of requests under which engines ended. Who
+// can't be reached learns of them by an engine of its own.
+func (n *Node) tellSuspects(rs []quarantine.Record) {
+	v := n.loop.View()
+	for _, m := range v.Members {
+		if m.Addr == v.Self.Addr {
+			continue
+		}
+		n.background(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+			defer cancel()
+			if err := n.client.TellSuspects(ctx, m.Addr, rs); err != nil {
+				event.SuspectUnusable.Warn("daemon", m.Addr, "error", err)
+			}
+		})
+	}
+}
+
+// tellTimeout bounds telling one daemon: several ways between halls.
+const tellTimeout = 500 * time.Millisecond
+
 // background runs what nobody waits for, on the pool if it has room.
 func (n *Node) background(f func()) {
 	if n.pool.Submit(f) != nil {
--- a/daemon/peers/client.go
+++ b/daemon/peers/client.go
@@ -100,10 +100,19 @@
 }
 
 func (c *Client) peer(addr string) (wire.PeerClient, error) {
+	conn, err := c.conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewPeerClient(conn), nil
+}
+
+// conn returns the connection to a daemon, which is opened at its first call.
+func (c *Client) conn(addr string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if conn, ok := c.conns[addr]; ok {
-		return wire.NewPeerClient(conn), nil
+		return conn, nil
 	}
 	// The passthrough scheme takes the address as it is: no name service, no
 	// discovery and no balancing of the library is used.
@@ -126,7 +135,7 @@
 		return nil, errors.Wrapf(err, "connect to daemon %s", addr)
 	}
 	c.conns[addr] = conn
-	return wire.NewPeerClient(conn), nil
+	return conn, nil
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
--- a/daemon/peers/server.go
+++ b/daemon/peers/server.go
@@ -24,6 +24,7 @@
 	"google.golang.org/grpc/status"
 
 	"slipcrank.example/core/claim"
+	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/route"
 	"slipcrank.example/core/store"
 	"slipcrank.example/daemon/control"
@@ -40,6 +41,8 @@
 		client *Client
 		write  claim.Writer
 		tls    *tls.Config
+		// suspects takes in what other daemons know of requests.
+		suspects func([]quarantine.Record)
 	}
 
 	// ServerOption changes a server under construction.
@@ -59,6 +62,8 @@
 		loop:   l,
 		client: c,
 		write:  func(context.Context, store.Write) (claim.Result, uint64) { return claim.Refused, 0 },
+
+		suspects: func([]quarantine.Record) {},
 	}
 	for _, o := range os {
 		o(s)
@@ -80,6 +85,7 @@
 	}
 	g := grpc.NewServer(os...)
 	wire.RegisterPeerServer(g, s)
+	g.RegisterService(&suspectsDescription, s)
 	context.AfterFunc(ctx, g.Stop)
 	go func() { _ = g.Serve(l) }()
 }
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -27,22 +27,20 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/encoding"
 	"google.golang.org/grpc/status"
 
 	"slipcrank.example/core/pause"
+	"slipcrank.example/daemon/codec"
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/watch"
 )
 
 const (
-	codecName   = "cbor"
 	serviceName = "slipcrank.Relay"
 	methodName  = "Hear"
 	// silence is how long a server may say nothing before its stream is given
@@ -81,8 +79,6 @@
 		lost    map[string]time.Time // when a server could not be heard last
 	}
 
-	codec struct{}
-
 	// hearRequest asks for updates.
 	hearRequest struct {
 		// Knows are digests of the rows that the listener knows, by table.
@@ -104,17 +100,6 @@
 // started and knows nothing yet, or its listener was too slow.
 var errTurnedAway = errors.New("the server asks to come again")
 
-func init() { encoding.RegisterCodec(codec{}) }
-
-// Marshal implements encoding.Codec.
-func (codec) Marshal(v any) ([]byte, error) { return cbor.Marshal(v) }
-
-// Unmarshal implements encoding.Codec.
-func (codec) Unmarshal(b []byte, v any) error { return cbor.Unmarshal(b, v) }
-
-// Name implements encoding.Codec.
-func (codec) Name() string { return codecName }
-
 // NewServer returns a server of what w learns.
 func NewServer(w *watch.Watcher) *Server {
 	s := &Server{grpc: grpc.NewServer(grpc.MaxSendMsgSize(maxMessage)), watcher: w}
@@ -266,7 +251,7 @@
 func (c *Client) hear(ctx context.Context, addr string) (bool, error) {
 	conn, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName), grpc.MaxCallRecvMsgSize(maxMessage)))
+		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codec.Name), grpc.MaxCallRecvMsgSize(maxMessage)))
 	if err != nil {
 		return false, errors.Wrap(err, "connect")
 	}
