Store a held request also when its last end was heard of

Each of three hosts had seen one end; all learnt only by hearing that the request is to be held, and who stores was woken by a host's own evidence only. Change: hearing wakes it too.

--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -32,12 +32,25 @@
 // suspectsChanged tells others at once that this host knows more of suspects.
 func (e *Entry) suspectsChanged() {
 	e.tellSuspects(0)
+	e.wakeStoring()
+}
+
+func (e *Entry) wakeStoring() {
 	select {
 	case e.changed <- struct{}{}:
 	default: // it is to wake up already
 	}
 }
 
+// heard takes in what others know of suspects. Each host may have seen one of the
+// ends, so that all of them learn only by hearing that the request is to be held:
+// whoever saw any of them stores it then.
+func (e *Entry) heard(by string, rs []quarantine.Record) {
+	if e.gateway.HearSuspects(by, rs) {
+		e.wakeStoring()
+	}
+}
+
 // tellSuspects tells other hosts of the suspects of which this one has evidence
 // of its own. It is called again and again, with a rising number.
 func (e *Entry) tellSuspects(number int) {
@@ -70,7 +83,7 @@
 		e.metrics.Count("suspects_of_unknown_hosts", int64(len(rs)))
 		return
 	}
-	e.gateway.HearSuspects(strconv.FormatUint(uint64(host), 10), rs)
+	e.heard(strconv.FormatUint(uint64(host), 10), rs)
 }
 
 // hearStored takes in the suspects that the platform's table has. They reach
@@ -78,7 +91,7 @@
 func (e *Entry) hearStored(ss []watch.Suspect) {
 	for _, s := range ss {
 		if age, known := e.watcher.Age(s.At()); !known || age < quarantine.HeldTime {
-			e.gateway.HearSuspects(storedName, []quarantine.Record{s.Record})
+			e.heard(storedName, []quarantine.Record{s.Record})
 		}
 	}
 }
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -122,15 +122,19 @@
 }
 
 // HearSuspects takes in what others know of requests under which servers ended,
-// with by whom it was told.
-func (g *Gateway) HearSuspects(by string, rs []quarantine.Record) {
+// with by whom it was told. It reports whether what becomes of one has changed.
+func (g *Gateway) HearSuspects(by string, rs []quarantine.Record) bool {
+	changed := false
 	for _, r := range rs {
 		if err := r.Validate(); err != nil {
 			g.log.Write(event.NewsLost, slog.String("by", by), slog.String("error", err.Error()))
 			continue
 		}
-		g.suspected(by, g.quarantine.Hear(r, g.clock.Now()))
+		changes := g.quarantine.Hear(r, g.clock.Now())
+		g.suspected(by, changes)
+		changed = changed || len(changes) > 0
 	}
+	return changed
 }
 
 // suspected notes changes of what becomes of requests, with who saw the evidence
