--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -66,6 +66,9 @@
 		Decoders watch.Decoders
 		Dialect  gateway.Dialect
 		Orders   memory.Orders
+		// Dial opens connections to backend servers; nil for TCP with the bounds of
+		// [upstream.New].
+		Dial func(ctx context.Context, addr string) (net.Conn, error)
 	}
 
 	// Entry is the daemon.
@@ -111,7 +114,11 @@
 		changed:    make(chan struct{}, 1),
 	}
 	e.neighbors.Store(&neighbors{cells: 1})
-	e.pool = upstream.New(upstream.WithMaxIdle(e.maxIdle))
+	pool := []upstream.Option{upstream.WithMaxIdle(e.maxIdle)}
+	if p.Dial != nil {
+		pool = append(pool, upstream.WithDial(p.Dial))
+	}
+	e.pool = upstream.New(pool...)
 	e.settings.Store(&s)
 	e.number = hostNumber(s.Host, time.Now())
 	e.board = schedule.NewBoard(e.number)
