Choose engines without allocating, and rank only as many as are used

Cause: one decision among 60 engines took 89 us and 50 kB for a prompt of 5,000 tokens and 1,554 us and 423 kB for one of 300,000 (idle engines; 1,813 us for 45,000 on loaded ones): each count of parts sorted all engines twice, by a map of costs, and copied their states; a host with 0.19 cores needs five times that. Change: states are filled into memory that is kept, ranks of the three or sixteen that are used are inserted in order, what doesn't depend on the count of parts is worked out once, and no exponential is taken where a slot is free. Ruled out: other decisions.

--- a/core/schedule/apart.go
+++ b/core/schedule/apart.go
@@ -13,7 +13,7 @@
 //
 // Copies of one request go to one server while that has a free slot. Should the
 // request end it, then that is one server and not one for each copy.
-func (b *Board) leads(now time.Duration, able []backend.Server, r Request) ([]backend.Server, bool) {
+func (b *Board) leads(now time.Duration, able []*backend.Server, r Request) ([]*backend.Server, bool) {
 	if r.Mark == 0 {
 		return able, len(able) > 0
 	}
@@ -47,9 +47,9 @@
 // runs. While each server has one, these are the servers with the fewest, unless the
 // request has to be single. If several copies of it have broken together, it is the
 // first of these in an order that all hosts know, so that the copies meet again.
-func (b *Board) apart(able []backend.Server, r Request) []backend.Server {
+func (b *Board) apart(able []*backend.Server, r Request) []*backend.Server {
 	fewest := -1
-	var free []backend.Server
+	var free []*backend.Server
 	for _, s := range able {
 		n := b.countApart(s.ID)
 		if fewest < 0 || n < fewest {
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -21,8 +21,8 @@
 type (
 	// plan is a way to place a request.
 	plan struct {
-		lead    state
-		helpers []state
+		lead    *state
+		helpers []*state
 		shares  []Share
 		fits    bool
 		cost    float64
@@ -30,32 +30,90 @@
 		read    time.Duration // until all parts are read, without waits for slots
 		first   time.Duration
 	}
+
+	// choice is a request before the engines that may run it.
+	choice struct {
+		engine  *site.Engine
+		request Request
+		value   float64
+		draw    float64 // from 0 to below 1
+		states  []*state
+		leading []*state // those that may lead
+		scratch *scratch
+	}
+
+	// scratch is what choices work with. It is kept from one to the next, since each
+	// would allocate it anew: 32 to 360 kB for 60 engines, which keeps the garbage
+	// collector of a host with a fifth of a core busy. The board's lock guards it.
+	scratch struct {
+		able, resting []*backend.Server
+		pool          []state
+		states        []*state
+		leading       []*state
+		ranks         []rank
+		helpers       []*state
+		holders       holders
+	}
+
+	// rank is an engine's place among others by cost.
+	rank struct {
+		cost  float64
+		state *state
+	}
 )
 
 // choose fills in the way to place r that costs least, led by one of the leads.
-func (b *Board) choose(now time.Duration, e *site.Engine, servers, leads []backend.Server, r Request, p *Placement) {
-	states := make([]state, 0, len(servers))
-	leading := make([]state, 0, len(leads))
-	unknown := b.unknown(p.Service, now)
-	for i, s := range servers {
-		st := b.state(now, e, s)
+func (b *Board) choose(now time.Duration, e *site.Engine, servers, leads []*backend.Server, r Request, p *Placement) {
+	c := choice{engine: e, request: r, value: Value(e, r.Work), draw: b.random(), scratch: &b.scratch}
+	b.predict(&c, now, servers, leads, p.Service)
+	best := c.best()
+	p.Lead, p.First, p.Shares = best.lead.server.ID, best.first, best.shares
+	p.Fits = best.fits
+	p.Engines = float64(r.Work.Prompt+r.Work.Answer) / float64(room(e))
+	p.Spare = max(1-float64(maxHelpers+1)/float64(len(servers)), 0)
+	p.Idle = idleRead(e, r.Work.Prompt, len(servers))
+	p.Pass = passTime(e, best.lead.running+1, best.lead.context+r.Work.Prompt)
+	p.LeadRuns, p.LeadReads = best.lead.running, best.lead.reading
+	p.Displaces = (best.harm + displaced(e, c.states, r)) / (c.value * kept(best.first, r.Objective))
+	p.Part, p.Full = b.part(e, servers, r), full(slotsTaken(c.states))
+	for _, h := range best.helpers {
+		p.Helpers = append(p.Helpers, h.server.ID)
+	}
+}
+
+// predict fills in the engines of a choice.
+func (b *Board) predict(c *choice, now time.Duration, servers, leads []*backend.Server, service string) {
+	s := &b.scratch
+	if len(s.pool) < len(servers) {
+		s.pool = make([]state, len(servers))
+	}
+	s.states, s.leading = s.states[:0], s.leading[:0]
+	unknown := b.unknown(service, now)
+	for i, server := range servers {
+		st := &s.pool[i]
+		b.fill(st, now, c.engine, server)
 		st.unknown = unknown
 		st.order = float64(i) / float64(len(servers))
-		states = append(states, st)
-		if len(leading) < len(leads) && leads[len(leading)].ID == s.ID {
-			leading = append(leading, st) // both are in one order
+		s.states = append(s.states, st)
+		if len(s.leading) < len(leads) && leads[len(s.leading)].ID == server.ID {
+			s.leading = append(s.leading, st) // both are in one order
 		}
 	}
-	value := Value(e, r.Work)
-	draw := b.random()
+	c.states, c.leading = s.states, s.leading
+}
+
+// best returns the plan that costs least.
+func (c *choice) best() plan {
 	var best plan
-	for k := 1; k <= min(maxHelpers+1, len(states)); k++ {
+	r := c.request
+	for k := 1; k <= min(maxHelpers+1, len(c.states)); k++ {
 		if k > 1 && r.Work.Prompt/k < leastPart {
 			break
 		}
-		c := planOver(e, leading, states, k, r, value, draw)
-		if k == 1 || c.cost < best.cost {
-			best = c
+		p := c.over(k)
+		if k == 1 || p.cost < best.cost {
+			best = p
+			best.helpers = slices.Clone(p.helpers) // the next one reuses them
 		}
 		if k == 1 && r.Apart && best.fits {
 			break // so that one server alone can end
@@ -64,86 +122,87 @@
 			break
 		}
 	}
-	p.Lead, p.First, p.Shares = best.lead.server.ID, best.first, best.shares
-	p.Fits = best.fits
-	p.Engines = float64(r.Work.Prompt+r.Work.Answer) / float64(room(e))
-	p.Spare = max(1-float64(maxHelpers+1)/float64(len(servers)), 0)
-	p.Idle = idleRead(e, r.Work.Prompt, len(servers))
-	p.Pass = passTime(e, best.lead.running+1, best.lead.context+r.Work.Prompt)
-	p.LeadRuns, p.LeadReads = best.lead.running, best.lead.reading
-	p.Displaces = (best.harm + displaced(e, states, r)) / (value * kept(best.first, r.Objective))
-	p.Part, p.Full = b.part(e, servers, r), full(slotsTaken(states))
-	for _, h := range best.helpers {
-		p.Helpers = append(p.Helpers, h.server.ID)
-	}
+	return best
 }
 
-// planOver returns the best way to read a prompt in k parts, the first of them on
+// over returns the best way to read the prompt in k parts, the first of them on
 // one of the leads.
-func planOver(e *site.Engine, leads, states []state, k int, r Request, value, draw float64) plan {
-	part := readTime(e, r.Work.Prompt, k)
-	c := plan{lead: leadOf(e, leads, part, r, value, draw)}
-	c.harm, c.read = c.lead.loss(c.lead.pause(part)), c.lead.firstRead(part)
-	c.cost = c.harm + c.lead.ownCost(e, r, value)
+func (c *choice) over(k int) plan {
+	part := readTime(c.engine, c.request.Work.Prompt, k)
+	p := plan{lead: c.lead(part)}
+	p.harm, p.read = p.lead.loss(p.lead.pause(part)), p.lead.firstRead(part)
+	p.cost = p.harm + p.lead.ownCost(c.engine, c.request, c.value)
 	if k > 1 {
-		c = c.help(e, states, k, part, r, value)
+		c.help(&p, k, part)
 	}
-	c.first = c.lead.wait() + c.read
-	c.cost += c.lead.firstCost(c.read, r.Objective, value)
-	return c.fit(e, r, value)
+	p.first = p.lead.wait() + p.read
+	p.cost += p.lead.firstCost(p.read, c.request.Objective, c.value)
+	return p.fit(c.engine, c.request, c.value)
 }
 
 // asGood reports whether a draw may choose the engine for one that costs less: it
 // is no slower, and doesn't have all its slots taken where that one has a free
 // one. A wait for one slot costs a stream less than what counts as near.
-func (s state) asGood(best state) bool {
+func (s *state) asGood(best *state) bool {
 	return s.slow <= best.slow && (s.running < s.server.Slots || best.running >= best.server.Slots)
 }
 
-// leadOf chooses, by a draw from 0 to below 1, among the engines that would lead
-// a prompt for nearly the least cost, so that hosts that choose at the same
-// moment don't all take the same.
-func leadOf(e *site.Engine, states []state, part time.Duration, r Request, value, draw float64) state {
-	costs := make([]float64, len(states))
-	order := make([]int, len(states))
-	for i, s := range states {
-		order[i] = i
-		costs[i] = s.loss(s.pause(part)) + s.ownCost(e, r, value) + s.firstCost(s.firstRead(part), r.Objective, value)
-	}
-	slices.SortFunc(order, func(i, j int) int { return cmp.Compare(costs[i], costs[j]) })
+// lead chooses, by the draw, among the engines that would lead the prompt for
+// nearly the least cost, so that hosts that choose at the same moment don't all
+// take the same.
+func (c *choice) lead(part time.Duration) *state {
+	ranks := c.scratch.ranks[:0]
+	for _, s := range c.leading {
+		cost := s.loss(s.pause(part)) + s.ownCost(c.engine, c.request, c.value) +
+			s.firstCost(s.firstRead(part), c.request.Objective, c.value)
+		ranks = insert(ranks, rank{cost, s}, nearMost)
+	}
+	c.scratch.ranks = ranks
 	near := 1
-	best := states[order[0]]
-	for near < min(nearMost, len(order)) && costs[order[near]] <= costs[order[0]]+nearCost*value &&
-		states[order[near]].asGood(best) {
+	for near < len(ranks) && ranks[near].cost <= ranks[0].cost+nearCost*c.value && ranks[near].state.asGood(ranks[0].state) {
 		near++
 	}
-	return states[order[int(draw*float64(near))]]
+	return ranks[int(c.draw*float64(near))].state
 }
 
 // help adds the k-1 engines that read parts at the least cost.
-func (c plan) help(e *site.Engine, states []state, k int, part time.Duration, r Request, value float64) plan {
-	rest := make([]state, 0, len(states))
-	costs := make(map[string]float64, len(states))
-	for _, s := range states {
-		if s.server.ID != c.lead.server.ID && s.helping < s.server.Slots {
-			rest = append(rest, s)
-			costs[s.server.ID] = s.helpCost(e, part, r, value)
+func (c *choice) help(p *plan, k int, part time.Duration) {
+	ranks := c.scratch.ranks[:0]
+	for _, s := range c.states {
+		if s != p.lead && s.helping < s.server.Slots {
+			ranks = insert(ranks, rank{s.helpCost(c.engine, part, c.request, c.value), s}, k-1)
 		}
 	}
-	slices.SortFunc(rest, func(a, b state) int {
-		return cmp.Compare(costs[a.server.ID], costs[b.server.ID])
-	})
-	c.helpers = rest[:min(k-1, len(rest))]
-	if len(c.helpers) < k-1 {
-		c.cost += fullCost * value
+	c.scratch.ranks = ranks
+	if len(ranks) < k-1 {
+		p.cost += fullCost * c.value
 	}
-	for _, h := range c.helpers {
-		harm := h.loss(h.pause(part))
-		c.harm += harm
-		c.cost += harm + helperCost*value
-		c.read = max(c.read, h.firstRead(part))
+	p.helpers = c.scratch.helpers[:0]
+	for _, h := range ranks {
+		s := h.state
+		harm := s.loss(s.pause(part))
+		p.harm += harm
+		p.cost += harm + helperCost*c.value
+		p.read = max(p.read, s.firstRead(part))
+		p.helpers = append(p.helpers, s)
 	}
-	return c
+	c.scratch.helpers = p.helpers
+}
+
+// insert puts a rank in its place among the most that cost least, of equals behind
+// those that came before.
+func insert(ranks []rank, r rank, most int) []rank {
+	i := len(ranks)
+	for i > 0 && r.cost < ranks[i-1].cost {
+		i--
+	}
+	if i == most {
+		return ranks
+	}
+	if len(ranks) == most {
+		ranks = ranks[:most-1]
+	}
+	return slices.Insert(ranks, i, r)
 }
 
 // fit sets memory aside on helpers for what the lead has no room for.
@@ -155,7 +214,7 @@
 	}
 	lacking = min(lacking, r.Work.Prompt)
 	byRoom := slices.Clone(c.helpers)
-	slices.SortFunc(byRoom, func(a, b state) int { return cmp.Compare(a.context, b.context) })
+	slices.SortFunc(byRoom, func(a, b *state) int { return cmp.Compare(a.context, b.context) })
 	for _, h := range byRoom {
 		free := room(e) - h.context
 		if lacking <= 0 || free < leastPart {
--- /dev/null
+++ b/core/schedule/choose_test.go
@@ -0,0 +1,35 @@
+package schedule_test
+
+import (
+	"fmt"
+	"testing"
+
+	"slipcrank.example/core/schedule"
+)
+
+// BenchmarkPlace is one decision among 60 engines, without and with work on them.
+func BenchmarkPlace(b *testing.B) {
+	for _, tokens := range []int{5000, 45_000, 300_000} {
+		for name, load := range map[string]int{"idle": 0, "loaded": 400} {
+			b.Run(fmt.Sprintf("%d/%s", tokens, name), func(b *testing.B) {
+				board, ss := schedule.NewBoard(1), servers(60)
+				for n := range load {
+					board.Heard(schedule.Placement{
+						ID: schedule.ID{Host: 2, Number: uint32(n)}, Service: service.Name, Lead: ss[n%len(ss)].ID,
+						Workspace: uint32(n % 24), Work: short.Work, Gap: short.Gap, Objective: short.Objective,
+					})
+					if n%4 > 0 {
+						board.Started(schedule.ID{Host: 2, Number: uint32(n)}, 0)
+					}
+				}
+				r := long
+				r.Work.Prompt = tokens
+				b.ReportAllocs()
+				for b.Loop() {
+					p, _ := board.Place(0, service, ss, r)
+					board.Ended(p.ID)
+				}
+			})
+		}
+	}
+}
--- a/core/schedule/part.go
+++ b/core/schedule/part.go
@@ -58,8 +58,10 @@
 // part compares what a request's workspace holds already with what others hold.
 // The request itself doesn't count: a prompt of 500,000 tokens keeps an engine
 // busy for 20 s, and would make any workspace look like a crowd.
-func (b *Board) part(e *site.Engine, servers []backend.Server, r Request) Part {
-	var hs holders
+func (b *Board) part(e *site.Engine, servers []*backend.Server, r Request) Part {
+	hs := &b.scratch.holders
+	clear(hs.index)
+	hs.busy = hs.busy[:0]
 	hs.give(r.Workspace, 0)
 	for _, s := range servers {
 		l := b.byServer[s.ID]
--- a/core/schedule/price.go
+++ b/core/schedule/price.go
@@ -40,7 +40,7 @@
 // displaced is the value of what engines could do instead. Reading takes time
 // with the square of the length, and value grows with the length, so it
 // exceeds that of the longest prompts first.
-func displaced(e *site.Engine, states []state, r Request) float64 {
+func displaced(e *site.Engine, states []*state, r Request) float64 {
 	var busy float64
 	for _, s := range states {
 		busy += min(float64(s.reading)/float64(fullBacklog), 1)
@@ -51,7 +51,7 @@
 }
 
 // slotsTaken is the part of all slots that are taken.
-func slotsTaken(states []state) float64 {
+func slotsTaken(states []*state) float64 {
 	running, slots := 0, 0
 	for _, s := range states {
 		running += min(s.running, s.server.Slots)
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -129,6 +129,7 @@
 		rates      map[string]rate          // of others' placements, by service
 		heard      map[uint32]time.Duration // when other hosts were heard last
 		random     func() float64           // from 0 to below 1
+		scratch    scratch
 	}
 
 	// Option changes a board under construction.
@@ -267,7 +268,8 @@
 func (b *Board) Pause(now time.Duration, e *site.Engine, s backend.Server) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	st := b.state(now, e, s)
+	var st state
+	b.fill(&st, now, e, &s)
 	st.unknown = b.unknown(s.Service, now)
 	return st.pause(0) + st.wait()
 }
@@ -332,7 +334,7 @@
 
 // leastLoaded returns the server with the fewest placements for its slots,
 // and among equals one of the hall.
-func (b *Board) leastLoaded(servers []backend.Server, hall string) backend.Server {
+func (b *Board) leastLoaded(servers []*backend.Server, hall string) *backend.Server {
 	best, least := servers[0], 0.0
 	for i, s := range servers {
 		n := float64(b.count(s.ID)) / float64(max(s.Slots, 1))
--- a/core/schedule/slots.go
+++ b/core/schedule/slots.go
@@ -57,7 +57,7 @@
 // turnover is the mean time between two ends of requests on the engine once
 // all its slots are taken, if all that run write as many tokens as they are
 // expected to and what is yet to be read now is all that is read meanwhile.
-func (s state) turnover() time.Duration {
+func (s *state) turnover() time.Duration {
 	if s.running == 0 || s.server.Slots == 0 {
 		return 0
 	}
@@ -66,7 +66,7 @@
 }
 
 // wait is the mean time until a slot is free for one more request.
-func (s state) wait() time.Duration {
+func (s *state) wait() time.Duration {
 	var before float64
 	for n, p := range s.unknown {
 		before += p * float64(max(s.running+n+1-s.server.Slots, 0))
@@ -77,23 +77,28 @@
 // slotRisk is how likely the wait for a slot is longer than slack. Requests
 // end independently of each other, so the number that ends in a time is
 // Poisson distributed.
-func (s state) slotRisk(slack time.Duration) float64 {
+func (s *state) slotRisk(slack time.Duration) float64 {
 	t := s.turnover()
 	if t == 0 {
 		return 0
 	}
+	if s.running+len(s.unknown) <= s.server.Slots {
+		return 0 // whatever isn't known finds a slot
+	}
 	mean := max(float64(slack), 0) / float64(t)
+	none := math.Exp(-mean)
 	var risk float64
 	for n, p := range s.unknown {
-		risk += p * fewer(s.running+n+1-s.server.Slots, mean)
+		risk += p * fewer(s.running+n+1-s.server.Slots, mean, none)
 	}
 	return risk
 }
 
-// fewer is how likely a Poisson distributed number of the given mean is below n.
-func fewer(n int, mean float64) float64 {
+// fewer is how likely a Poisson distributed number of the given mean is below n;
+// none is how likely it is 0.
+func fewer(n int, mean, none float64) float64 {
 	var sum float64
-	p := math.Exp(-mean)
+	p := none
 	for i := range max(n, 0) {
 		sum += p
 		p *= mean / float64(i+1)
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -14,7 +14,7 @@
 type (
 	// state is what is predicted of one engine.
 	state struct {
-		server   backend.Server
+		server   *backend.Server
 		stride   int
 		slow     float64 // by how much it is slower than the model
 		order    float64 // place among the service's engines, 0 to 1
@@ -35,6 +35,7 @@
 	waiter struct {
 		waited, objective time.Duration
 		value             float64
+		now               float64 // what its delay costs as it stands
 	}
 
 	// stream is one that a pause may make late.
@@ -44,9 +45,9 @@
 	}
 )
 
-// state predicts an engine from its placements.
-func (b *Board) state(now time.Duration, e *site.Engine, s backend.Server) state {
-	st := state{server: s, stride: max(e.Stride, 1)}
+// fill predicts an engine from its placements. It reuses what st has allocated.
+func (b *Board) fill(st *state, now time.Duration, e *site.Engine, s *backend.Server) {
+	*st = state{server: s, stride: max(e.Stride, 1), waiters: st.waiters[:0], streams: st.streams[:0]}
 	if l := b.byServer[s.ID]; l != nil {
 		for _, p := range l.placements {
 			st.add(now, e, p)
@@ -55,7 +56,10 @@
 	st.slow = b.slowness(s.ID, now)
 	st.pass = time.Duration(st.slow * float64(passTime(e, st.running, st.context)))
 	st.reading = time.Duration(st.slow * float64(st.reading))
-	return st
+	for i := range st.waiters {
+		w := &st.waiters[i]
+		w.now = delay(w.waited+st.pause(0), w.objective, w.value)
+	}
 }
 
 // add counts a placement.
@@ -66,7 +70,7 @@
 			// Its first token waits for the last of its parts, so each part
 			// stands for its share of the harm.
 			value := Value(e, p.Work) / float64(len(p.Helpers)+1)
-			s.waiters = append(s.waiters, waiter{now - p.Begun, p.Objective, value})
+			s.waiters = append(s.waiters, waiter{waited: now - p.Begun, objective: p.Objective, value: value})
 		}
 	}
 	shared := 0
@@ -96,20 +100,20 @@
 
 // pause is how long streams on the engine stand still if so much more is
 // read.
-func (s state) pause(part time.Duration) time.Duration {
+func (s *state) pause(part time.Duration) time.Duration {
 	return s.pass + s.reading + time.Duration(s.slow*float64(part))
 }
 
 // firstRead is how long it takes until a part is read: what is left of the
 // pass under way, and the next one.
-func (s state) firstRead(part time.Duration) time.Duration { return s.pass/2 + s.pause(part) }
+func (s *state) firstRead(part time.Duration) time.Duration { return s.pass/2 + s.pause(part) }
 
 // loss is the value that others on the engine lose by such a pause: streams
 // that stand still too long, and first tokens that come later.
-func (s state) loss(pause time.Duration) float64 {
+func (s *state) loss(pause time.Duration) float64 {
 	var sum float64
 	for _, w := range s.waiters {
-		sum += delay(w.waited+pause, w.objective, w.value) - delay(w.waited+s.pause(0), w.objective, w.value)
+		sum += delay(w.waited+pause, w.objective, w.value) - w.now
 	}
 	for _, t := range s.streams {
 		gaps := float64(pause) / float64(t.gap)
--- a/core/schedule/trouble.go
+++ b/core/schedule/trouble.go
@@ -102,9 +102,10 @@
 
 // able returns the servers that a request may go to. Servers that rest are
 // left out unless too many do.
-func (b *Board) able(now time.Duration, servers []backend.Server, avoid map[string]bool) []backend.Server {
-	var able, resting []backend.Server
-	for _, s := range servers {
+func (b *Board) able(now time.Duration, servers []backend.Server, avoid map[string]bool) []*backend.Server {
+	able, resting := b.scratch.able[:0], b.scratch.resting[:0]
+	for i := range servers {
+		s := &servers[i]
 		switch {
 		case avoid[s.ID]:
 		case b.trouble[s.ID].until > now:
@@ -116,5 +117,6 @@
 	if float64(len(resting)) > most*float64(len(servers)) {
 		able = append(able, resting...)
 	}
+	b.scratch.able, b.scratch.resting = able, resting
 	return able
 }
--- a/core/schedule/weights.go
+++ b/core/schedule/weights.go
@@ -49,7 +49,7 @@
 
 // ownCost is what it costs a request itself that the engine leads it, beside
 // when its first token comes.
-func (s state) ownCost(e *site.Engine, r Request, value float64) float64 {
+func (s *state) ownCost(e *site.Engine, r Request, value float64) float64 {
 	cost := s.place(e, r) * value
 	if lacking := s.context + r.Work.Prompt + r.Work.Answer - room(e); lacking > 0 {
 		cost += spreadCost * value * (1 + float64(lacking)/float64(e.Memory))
@@ -62,7 +62,7 @@
 
 // firstCost is what a first token costs for which the engine needs so long
 // once a slot is free.
-func (s state) firstCost(read, objective time.Duration, value float64) float64 {
+func (s *state) firstCost(read, objective time.Duration, value float64) float64 {
 	cost := delay(s.wait()+read, objective, value)
 	if objective <= 0 {
 		return cost
@@ -74,13 +74,13 @@
 }
 
 // helpCost ranks an engine as a helper.
-func (s state) helpCost(e *site.Engine, part time.Duration, r Request, value float64) float64 {
+func (s *state) helpCost(e *site.Engine, part time.Duration, r Request, value float64) float64 {
 	return s.loss(s.pause(part)) + delay(s.firstRead(part), r.Objective, value) + s.place(e, r)*value
 }
 
 // place is the cost of the engine's place in the order. Streams that mind
 // pauses take it from one end, others from the other.
-func (s state) place(e *site.Engine, r Request) float64 {
+func (s *state) place(e *site.Engine, r Request) float64 {
 	if sensitive(e, r.Gap) {
 		return s.order * orderCost
 	}
@@ -105,5 +105,11 @@
 
 // risk is how likely a bound is missed at a prediction of so much of it.
 func risk(part float64) float64 {
-	return min(max((part-nearBound)/(1-nearBound), 0), 1)
+	switch {
+	case part <= nearBound:
+		return 0
+	case part >= 1:
+		return 1
+	}
+	return (part - nearBound) / (1 - nearBound)
 }
