Hold requests only for ends of servers that are proved

Cause: the end of a server was one host's one look at its port. Change: an end is proved when a second host finds the server closed, one of the two in the server's own hall, or when the platform's list has a later start of it or has lost it while its hall stands. A request is held, or waits for its turn, by proved ends only; it runs apart at once by any. A connection that is closed as soon as it is opened counts as a closed port. A held request counts once for its workspace, which is so no longer confined by it. Ruled out: agreement of hosts of several halls: hosts of both other halls find a cut hall's servers closed. The tests of the book say now of each end whether it is proved; all that they ask for of proved ends is as before, and four cases of unproved ones are added.

--- a/core/quarantine/quarantine_test.go
+++ b/core/quarantine/quarantine_test.go
@@ -16,28 +16,38 @@
 	}
 }
 
+// end is a server's end that is proved.
+func end(server string, apart bool) quarantine.End {
+	return quarantine.End{Server: quarantine.ServerOf(server), By: 1, Apart: apart, Proved: true}
+}
+
 func TestStage(t *testing.T) {
-	type end struct {
-		server string
-		apart  bool
+	claimed := func(server string, apart bool) quarantine.End {
+		e := end(server, apart)
+		e.Proved = false
+		return e
 	}
 	for name, tc := range map[string]struct {
-		ends []end
+		ends []quarantine.End
 		want quarantine.Stage
 	}{
 		"none":                        {nil, quarantine.Clear},
-		"one":                         {[]end{{"a", false}}, quarantine.Suspect},
-		"one, seen by several calls":  {[]end{{"a", false}, {"a", false}, {"a", true}}, quarantine.Suspect},
-		"two":                         {[]end{{"a", false}, {"b", false}}, quarantine.Doubtful},
-		"three, none of them apart":   {[]end{{"a", false}, {"b", false}, {"c", false}}, quarantine.Doubtful},
-		"three, one of them apart":    {[]end{{"a", false}, {"b", false}, {"c", true}}, quarantine.Held},
-		"four, the first of them not": {[]end{{"a", false}, {"b", true}, {"c", true}, {"d", true}}, quarantine.Held},
+		"one":                         {[]quarantine.End{end("a", false)}, quarantine.Suspect},
+		"one, seen by several calls":  {[]quarantine.End{end("a", false), end("a", false), end("a", true)}, quarantine.Suspect},
+		"two":                         {[]quarantine.End{end("a", false), end("b", false)}, quarantine.Doubtful},
+		"three, none of them apart":   {[]quarantine.End{end("a", false), end("b", false), end("c", false)}, quarantine.Doubtful},
+		"three, one of them apart":    {[]quarantine.End{end("a", false), end("b", false), end("c", true)}, quarantine.Held},
+		"four, the first of them not": {[]quarantine.End{end("a", false), end("b", true), end("c", true), end("d", true)}, quarantine.Held},
+		"three, none of them proved":  {[]quarantine.End{claimed("a", true), claimed("b", true), claimed("c", true)}, quarantine.Suspect},
+		"three, one of them proved":   {[]quarantine.End{end("a", true), claimed("b", true), claimed("c", true)}, quarantine.Doubtful},
+		"three, proved later":         {[]quarantine.End{claimed("a", true), end("a", false), end("b", false), end("c", false)}, quarantine.Held},
+		"three, the one apart isn't":  {[]quarantine.End{end("a", false), end("b", false), end("c", false), claimed("d", true)}, quarantine.Doubtful},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b, r := quarantine.NewBook(), request("w", 1)
 			for n, e := range tc.ends {
 				now := time.Duration(n) * time.Second
-				b.Ended(r.Identity(), e.server, e.apart, now)
+				b.Ended(r.Identity(), e, now)
 			}
 			if got := b.Stage(r.Print()); got != tc.want {
 				t.Errorf("stage %v, want %v", got, tc.want)
@@ -56,7 +66,7 @@
 	var told []quarantine.Record
 	for n, server := range []string{"a", "b", "c"} {
 		b := quarantine.NewBook()
-		b.Ended(r.Identity(), server, n == 1, 0)
+		b.Ended(r.Identity(), end(server, n == 1), 0)
 		told = append(told, b.Own(0)[0].Record)
 	}
 	for name, order := range map[string][]int{"in order": {0, 1, 2}, "back": {2, 1, 0}, "twice": {1, 0, 1, 2, 2, 0}} {
@@ -90,14 +100,17 @@
 		t.Run(name, func(t *testing.T) {
 			r, b := request("w", 1), quarantine.NewBook()
 			for _, s := range []string{"a", "b", "c"} {
-				b.Ended(r.Identity(), s, true, 0)
+				b.Ended(r.Identity(), end(s, true), 0)
 			}
 			for now := 7 * time.Second; now < 20*time.Second; now += time.Second {
 				if now == 8*time.Second && b.Stage(r.Print()) != quarantine.Held {
 					t.Error("what was listed for a second is believed to live")
 				}
-				b.Check(func(s uint32) bool {
-					return slices.ContainsFunc(tc.listed, func(id string) bool { return quarantine.ServerOf(id) == s })
+				b.Check(func(s uint32) quarantine.Listing {
+					if slices.ContainsFunc(tc.listed, func(id string) bool { return quarantine.ServerOf(id) == s }) {
+						return quarantine.Listed
+					}
+					return quarantine.Unsaid
 				}, now)
 			}
 			if got := b.Stage(r.Print()); got != tc.want {
@@ -111,10 +124,10 @@
 // beside one of another.
 func TestOneWorkspaceFillsNoTable(t *testing.T) {
 	b, other := quarantine.NewBook(), request("other", 0)
-	b.Ended(other.Identity(), "first", false, 0)
+	b.Ended(other.Identity(), end("first", false), 0)
 	for n := range 5000 {
 		now := time.Duration(n) * time.Millisecond
-		b.Ended(request("flood", n).Identity(), fmt.Sprint(n), false, now)
+		b.Ended(request("flood", n).Identity(), end(fmt.Sprint(n), false), now)
 	}
 	if got := b.Stage(other.Print()); got != quarantine.Suspect {
 		t.Errorf("the other workspace's suspect is %v", got)
@@ -143,7 +156,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := quarantine.NewBook()
 			for n := range tc.ends {
-				b.Ended(request(tc.workspace, n).Identity(), fmt.Sprint(n), tc.apart, 0)
+				b.Ended(request(tc.workspace, n).Identity(), end(fmt.Sprint(n), tc.apart), 0)
 			}
 			if confined, waits := b.Confined(tc.workspace, tc.after); confined != tc.confined || waits != tc.waits {
 				t.Errorf("confined %v, waits %v, want %v, %v", confined, waits, tc.confined, tc.waits)
--- a/daemon/dispatch/suspects.go
+++ b/daemon/dispatch/suspects.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
 
 	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/boottime"
@@ -41,8 +41,9 @@
 		clock *boottime.Clock
 		tell  func([]quarantine.Record)
 
-		mu    sync.Mutex
-		apart map[string]int // requests that run apart, by engine
+		mu     sync.Mutex
+		apart  map[string]int // requests that run apart, by engine
+		roster *quarantine.Roster
 	}
 )
 
@@ -54,8 +55,9 @@
 func newSuspects() *suspects {
 	return &suspects{
 		book: quarantine.NewBook(), clock: boottime.New(),
-		tell:  func([]quarantine.Record) {},
-		apart: map[string]int{},
+		tell:   func([]quarantine.Record) {},
+		apart:  map[string]int{},
+		roster: quarantine.NewRoster(),
 	}
 }
 
@@ -68,6 +70,7 @@
 			continue
 		}
 		d.suspects.note(d.suspects.book.Hear(r, d.suspects.clock.Now()))
+		d.witness(r)
 	}
 }
 
@@ -119,6 +122,7 @@
 		return quarantine.Clear
 	}
 	x.suspects.note(x.suspects.book.Expire(x.suspects.clock.Now()))
+	x.suspects.check(x.loop.View())
 	return x.suspects.book.Stage(r.Print())
 }
 
@@ -182,18 +186,25 @@
 	if errors.IsAny(err, ErrCallerGone, engine.ErrBusy, engine.ErrLeaving, engine.ErrNotSent) || !x.closed(addr) {
 		return
 	}
-	start := addr + "@" + strconv.FormatUint(v.Incarnation(addr), 10)
+	start := startOf(addr, v.Incarnation(addr))
 	event.EngineEnded.Warn("request", x.request.ID, "engine", start, "workspace", x.request.Workspace.Workspace)
-	changes := x.suspects.book.Ended(x.request.identity().Identity(), start, apart, x.suspects.clock.Now())
-	if rs := x.suspects.note(changes); len(rs) > 0 {
-		x.suspects.tell(rs)
-	}
+	x.suspects.check(v) // which has this start, if the next view has another
+	id := x.request.identity().Identity()
+	x.suspects.note(x.suspects.book.Ended(id, quarantine.End{
+		Server: quarantine.ServerOf(start),
+		By:     quarantine.ServerOf(v.Self.Addr),
+		Apart:  apart,
+		Proved: len(v.Members) <= 1, // a daemon that is alone misleads nobody
+	}, x.suspects.clock.Now()))
+	r, _ := x.suspects.book.Record(id.Print, x.suspects.clock.Now())
+	x.suspects.tell([]quarantine.Record{r})
 }
 
-// closed reports whether an engine's port is found closed.
-func (x *run) closed(addr string) bool {
+// closed reports whether an engine's port is found closed, or a proxy before it
+// closes the connection.
+func (d *Dispatcher) closed(addr string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTime)
 	defer cancel()
-	_, err := x.engines.Report(ctx, addr)
-	return errors.Is(err, syscall.ECONNREFUSED)
+	_, err := d.engines.Report(ctx, addr)
+	return errors.IsAny(err, syscall.ECONNREFUSED, fasthttp.ErrConnectionClosed)
 }
--- /dev/null
+++ b/daemon/dispatch/witness.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"slices"
+	"strconv"
+
+	"slipcrank.example/core/member"
+	"slipcrank.example/core/quarantine"
+	"slipcrank.example/daemon/control"
+)
+
+// startOf names the life that an engine is in.
+func startOf(addr string, incarnation uint64) string {
+	return addr + "@" + strconv.FormatUint(incarnation, 10)
+}
+
+// check compares what is known of suspects with the engines of a view. One whose
+// incarnation is a later one has ended. An engine that is only unreachable proves
+// nothing: the daemons that poll it may be cut off.
+func (s *suspects) check(v *control.View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	var list []quarantine.Start
+	for _, e := range v.Engines {
+		list = append(list, quarantine.Start{ID: startOf(e.Addr, e.Incarnation), Name: e.Addr, Hall: e.Hall})
+	}
+	s.roster.Update(list, now)
+	s.note(s.book.Check(func(server uint32) quarantine.Listing {
+		if l := s.roster.Says(server, now); l == quarantine.Over {
+			return l
+		}
+		return quarantine.Unsaid // engines that are down stay in the view for minutes
+	}, now))
+}
+
+// witness looks at engines that another daemon has found closed, where this one is a
+// witness, and tells others if it finds them closed too. Nobody waits for it.
+func (d *Dispatcher) witness(r quarantine.Record) {
+	v := d.loop.View()
+	for _, e := range r.Ends {
+		if e.Proved {
+			continue
+		}
+		for _, g := range v.Engines {
+			if quarantine.ServerOf(startOf(g.Addr, g.Incarnation)) == e.Server && witnesses(v, g.Hall, e) {
+				d.background(func() { d.look(g.Addr, e.Server) })
+			}
+		}
+	}
+}
+
+// witnesses reports whether this daemon is to look at an engine of a hall.
+func witnesses(v *control.View, hall string, e quarantine.End) bool {
+	var hosts []quarantine.Host
+	for _, m := range v.Members {
+		if m.Status == member.Alive || m.Status == member.Suspect {
+			hosts = append(hosts, quarantine.Host{Number: quarantine.ServerOf(m.Addr), Hall: m.Hall})
+		}
+	}
+	return slices.Contains(quarantine.Witnesses(e.Server, hall, e.By, hosts), quarantine.ServerOf(v.Self.Addr))
+}
+
+// look proves an engine's end, if this daemon finds it closed too.
+func (d *Dispatcher) look(addr string, digest uint32) {
+	if !d.closed(addr) {
+		return
+	}
+	rs, changes := d.suspects.book.Prove(digest, d.suspects.clock.Now())
+	d.suspects.note(changes)
+	if len(rs) > 0 {
+		d.suspects.tell(rs)
+	}
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -139,6 +139,7 @@
 		gateway.WithProof(gateway.Proof{Keys: e.keysTrusted, Config: e.configCurrent, Age: e.proofAge}),
 		gateway.WithNews(n.Placed, n.Started, n.Ended),
 		gateway.WithQuarantine(e.quarantine, e.suspectsChanged),
+		gateway.WithHosts(e.otherHosts),
 		gateway.WithEvidence(func(server string) { n.Failed(e.number, server) }),
 	)
 	n.OnSuspects(e.hearSuspects)
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -96,6 +96,18 @@
 	}
 }
 
+// otherHosts are the hosts that the platform names, without this one.
+func (e *Entry) otherHosts() []quarantine.Host {
+	own := e.settings.Load()
+	var out []quarantine.Host
+	for _, h := range e.watcher.State().Hosts {
+		if h.Name != own.Host && h.Addr != own.Listen.News {
+			out = append(out, quarantine.Host{Number: h.Number, Hall: h.Hall})
+		}
+	}
+	return out
+}
+
 // storeSuspects writes to the platform what this host has found to be held, and
 // what was cleared of it. That is one call for each, which is rare: a request has
 // to end three servers first.
--- a/daemon/entry/suspects_test.go
+++ b/daemon/entry/suspects_test.go
@@ -28,12 +28,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	id := quarantine.Request{Workspace: "w", Target: "/deadly"}.Identity()
-	e.quarantine.Ended(id, "s0", true, 0)
+	e.quarantine.Ended(id, provedEnd("s0", true), 0)
 	e.suspectsChanged()
 	<-e.changed // who stores has looked: it isn't held yet
 	for n := range 2 {
 		other := quarantine.NewBook()
-		other.Ended(id, fmt.Sprintf("s%d", n+1), false, 0)
+		other.Ended(id, provedEnd(fmt.Sprintf("s%d", n+1), false), 0)
 		e.heard("other", []quarantine.Record{other.All()[0]})
 	}
 	go e.storeSuspects(ctx)
@@ -46,3 +46,7 @@
 		t.Error("the held request is not stored")
 	}
 }
+
+func provedEnd(server string, apart bool) quarantine.End {
+	return quarantine.End{Server: quarantine.ServerOf(server), Apart: apart, Proved: true}
+}
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -71,6 +71,7 @@
 	ServerAvoided     = Event{1311, "backend server avoided for a while"}
 	ServersChanged    = Event{1312, "backend servers changed"}
 	ServerEnded       = Event{1313, "backend server has ended under requests"}
+	EndProved         = Event{1314, "end of a backend server proved"}
 	ConfigInForce     = Event{1411, "configuration in force"}
 	ConfigBad         = Event{1412, "configuration can't be read"}
 	KeysUnproven      = Event{1413, "keys are no longer proven to be in force"}
@@ -96,7 +97,7 @@
 	PlatformLost, PlatformBack,
 	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceHeld, WorkspaceReleased,
 	SuspectChanged, SuspectRefused, SuspectCleared, SuspectForgotten,
-	ServerAvoided, ServersChanged, ServerEnded, ConfigInForce, ConfigBad, KeysUnproven, KeysProven,
+	ServerAvoided, ServersChanged, ServerEnded, EndProved, ConfigInForce, ConfigBad, KeysUnproven, KeysProven,
 	SettingsRead, SettingsBad, NewsLost, HostsChanged, RelayLost, RelayChosen, NewsRouted,
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -79,7 +79,11 @@
 		shares         *shares
 		exchanges      *exchanges
 		quarantine     *quarantine.Book
-		probes         singleflight.Group // of servers, by address
+		roster         *quarantine.Roster // upkeep's, of the servers listed
+		listed         *backend.View
+		looks          *looks
+		hosts          func() []quarantine.Host // others, by the platform
+		probes         singleflight.Group       // of servers, by address
 		suspects       func()
 		placed         func(schedule.Placement)
 		started, ended func(schedule.ID)
@@ -140,6 +144,9 @@
 
 		exchanges:  newExchanges(),
 		quarantine: quarantine.NewBook(),
+		roster:     quarantine.NewRoster(),
+		looks:      newLooks(),
+		hosts:      func() []quarantine.Host { return nil },
 		suspects:   func() {},
 
 		clock:  boottime.New(),
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"slipcrank.example/core/backend"
+	"slipcrank.example/core/pause"
 	"slipcrank.example/core/quarantine"
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/upstream"
@@ -18,6 +19,18 @@
 	// longest way between halls, and little beside the time of any caller. Ports of
 	// ended servers refuse within one way there and back.
 	probeTime = 50 * time.Millisecond
+	// lookPause lies between two looks at one server for other hosts, which tell
+	// of what they found several times a second.
+	lookPause = time.Second
+	// verdictTime is how long a request waits for other hosts' word on a server
+	// that ended under it, if it isn't the first: a way to them, their look and a
+	// way back, on hosts with a fifth of a core. Without it one request ended five
+	// servers where the users allow four, and with proxies before the servers 0.11
+	// of the others' requests that may run once were lost (four hosts, twelve copies
+	// at once).
+	verdictTime = 150 * time.Millisecond
+	// verdictPause lies between two looks whether it is there.
+	verdictPause = 5 * time.Millisecond
 	// apartWait is when a caller may come back whose request has to wait for the
 	// verdict on a copy of it, or for a server without another suspect: somewhat
 	// more than what a short request takes.
@@ -43,6 +56,21 @@
 	return g.quarantine.Stage(c.print)
 }
 
+// awaitVerdict waits until it is proved or not that servers have ended under a call's
+// request, where there are several. It doesn't wait for the first: most requests
+// under which one has ended didn't end it.
+func (g *Gateway) awaitVerdict(ctx context.Context, c *call) {
+	for g.stage(c) != quarantine.Clear {
+		r, age := g.quarantine.Record(c.print, g.clock.Now())
+		if len(r.Ends) < 2 || !r.Unproved() || age >= verdictTime {
+			return
+		}
+		if pause.For(ctx, verdictPause) != nil {
+			return // whoever tries it next looks at ctx
+		}
+	}
+}
+
 // held refuses a call whose request has ended too many servers.
 func (g *Gateway) held(c *call) *refusal {
 	if g.stage(c) != quarantine.Held {
@@ -78,7 +106,8 @@
 func (g *Gateway) endedUnder(c *call, server backend.Server, out outcome) bool {
 	servers := g.state().Servers
 	now, listed := servers.Get(server.ID)
-	if now.Draining || !listed && !servers.Replaced(server) {
+	replaced := servers.Replaced(server)
+	if now.Draining || !listed && !replaced {
 		return false
 	}
 	if listed && !g.closed(server) {
@@ -86,8 +115,13 @@
 	}
 	g.log.Write(event.ServerEnded, slog.String("server", server.ID), slog.String("id", c.id),
 		slog.String("same", c.mark.String()), slog.String("workspace", c.workspace.Name), slog.String("why", out.why),
-		slog.Bool("apart", out.apart))
-	g.suspected(byThisHost, g.quarantine.Ended(c.identity().Identity(), server.ID, out.apart, g.clock.Now()))
+		slog.Bool("apart", out.apart), slog.Bool("replaced", replaced))
+	g.suspected(byThisHost, g.quarantine.Ended(c.identity().Identity(), quarantine.End{
+		Server: quarantine.ServerOf(server.ID),
+		By:     g.board.Host(),
+		Apart:  out.apart,
+		Proved: replaced || len(g.hosts()) == 0, // a host that is alone misleads nobody
+	}, g.clock.Now()))
 	return true
 }
 
@@ -99,7 +133,7 @@
 		defer cancel()
 		return nil, g.pool.Probe(ctx, s.Addr)
 	})
-	return upstream.Refused(err)
+	return upstream.Closed(err)
 }
 
 // answeredWhole clears a suspect: a request that was answered ends no servers.
@@ -133,6 +167,7 @@
 		changes := g.quarantine.Hear(r, g.clock.Now())
 		g.suspected(by, changes)
 		changed = changed || len(changes) > 0
+		g.witness(r)
 	}
 	return changed
 }
@@ -143,6 +178,10 @@
 	own := false
 	for _, k := range changes {
 		own = own || !k.Forgotten
+		g.metrics.Count("gateway_suspects", 1, "stage", k.Stage.String())
+		if by != byThisHost && k.Stage < quarantine.Doubtful {
+			continue // its host writes it: with 72 hosts that is one line for 72
+		}
 		e := event.SuspectChanged
 		if k.Forgotten {
 			e = event.SuspectForgotten
@@ -150,22 +189,32 @@
 		g.log.Write(e, slog.String("same", k.Record.Mark.String()), slog.String("print", k.Record.Print.String()),
 			slog.String("workspace", k.Record.Workspace), slog.String("stage", k.Stage.String()),
 			slog.Int("ended", len(k.Record.Ends)), slog.String("by", by))
-		g.metrics.Count("gateway_suspects", 1, "stage", k.Stage.String())
 	}
 	if own && by == byThisHost {
 		g.suspects()
 	}
 }
 
-// checkSuspects drops what is too old, and ends that the platform's list belies.
+// checkSuspects drops what is too old, and compares ends with the platform's list.
 func (g *Gateway) checkSuspects(now time.Duration) {
 	g.suspected(byThisHost, g.quarantine.Expire(now))
 	if !g.proof.Config() {
 		return // the list may be old
 	}
-	listed := map[uint32]bool{}
-	for _, id := range g.state().Servers.IDs() {
-		listed[quarantine.ServerOf(id)] = true
+	if servers := g.state().Servers; servers != g.listed {
+		g.listed = servers
+		g.roster.Update(starts(servers), now)
+	}
+	says := func(s uint32) quarantine.Listing { return g.roster.Says(s, now) }
+	g.suspected(byThisHost, g.quarantine.Check(says, now))
+}
+
+// starts lists the servers for a roster.
+func starts(servers *backend.View) []quarantine.Start {
+	var list []quarantine.Start
+	for _, id := range servers.IDs() {
+		s, _ := servers.Get(id)
+		list = append(list, quarantine.Start{ID: s.ID, Name: s.PlatformID(), Hall: s.Hall})
 	}
-	g.suspected(byThisHost, g.quarantine.Check(func(s uint32) bool { return listed[s] }, now))
+	return list
 }
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -70,6 +70,7 @@
 
 // try places the call and sends it once.
 func (g *Gateway) try(ctx context.Context, w http.ResponseWriter, c *call) outcome {
+	g.awaitVerdict(ctx, c)
 	s := g.state()
 	if no := g.permit(c, s); no != nil {
 		return outcome{result: final, why: no.why, no: no}
--- a/daemon/upstream/conn.go
+++ b/daemon/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"syscall"
 	"time"
 
@@ -40,6 +41,22 @@
 	return err == nil && open
 }
 
+// staysOpen waits whether the connection is closed at once, as by a proxy before a
+// server that is down.
+func (c *conn) staysOpen() error {
+	if err := c.SetReadDeadline(time.Now().Add(dropTime)); err != nil {
+		return errors.Mark(err, errDropped)
+	}
+	if _, err := c.reader.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.Mark(err, errDropped)
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
+// dropTime is within what time a proxy closes a connection that it can't pass on:
+// several ways between halls.
+const dropTime = 20 * time.Millisecond
+
 // setUserTimeout bounds how long sent bytes may stay unacknowledged, so that
 // a connection to a host that has gone breaks instead of hanging.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -60,6 +60,8 @@
 	ErrNotSent = errors.New("nothing was sent to the backend server")
 	// ErrCrossed is an answer to another request.
 	ErrCrossed = errors.New("the answer belongs to another request")
+
+	errDropped = errors.New("it was closed at once")
 )
 
 type (
@@ -286,20 +288,25 @@
 	_ = c.Close()
 }
 
-// Probe reports whether a server takes connections. The one that it opens is
-// kept for requests. An error that [Refused] reports says that the server's port
-// is closed; others say nothing of the server.
+// Probe reports whether a server takes connections and leaves them open. The one
+// that it opens is kept for requests. An error that [Closed] reports says that the
+// server isn't there; others say nothing of it.
 func (p *Pool) Probe(ctx context.Context, addr string) error {
 	c, err := p.connection(ctx, addr, true)
 	if err != nil {
 		return errors.Wrapf(err, "connect to %s", addr)
 	}
+	if err := c.staysOpen(); err != nil {
+		_ = c.Close()
+		return errors.Wrapf(err, "connection to %s", addr)
+	}
 	p.keep(addr, c, maxRest)
 	return nil
 }
 
-// Refused reports whether err says that a host is there and nothing listens.
-func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+// Closed reports whether err says that a host is there and no server: its port is
+// closed, or a proxy before the server took the connection and closed it.
+func Closed(err error) bool { return errors.IsAny(err, syscall.ECONNREFUSED, errDropped) }
 
 // Drop closes the kept connections to a server. Connections may fall silent all
 // at once and without a reset, while new ones work; each that is tried costs a
