Let the suspects of one workspace take a quarter of the servers at most

Cause: a workspace that sends several unlike deadly requests at once ends five of eight servers with their first tries, and the other three within 22 ms with the second ones, each of which runs apart from the others: for a second nobody is served. Change: who has to run apart finds at most a quarter of the servers with other such requests of its workspace, one at least; beyond that it joins these.

--- a/core/schedule/apart.go
+++ b/core/schedule/apart.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"slipcrank.example/core/backend"
@@ -48,6 +49,9 @@
 // request has to be single. If several copies of it have broken together, it is the
 // first of these in an order that all hosts know, so that the copies meet again.
 func (b *Board) apart(able []*backend.Server, r Request) []*backend.Server {
+	if used := b.usedApart(able, r.Workspace); len(used) >= max(int(mostApart*float64(len(able))), 1) {
+		able = used
+	}
 	fewest := -1
 	var free []*backend.Server
 	for _, s := range able {
@@ -80,6 +84,26 @@
 	return nil
 }
 
+// usedApart returns the servers on which requests of a workspace run that have to
+// run apart.
+func (b *Board) usedApart(able []*backend.Server, workspace uint32) []*backend.Server {
+	if workspace == 0 {
+		return nil
+	}
+	var used []*backend.Server
+	for _, s := range able {
+		if l := b.byServer[s.ID]; l != nil && slices.ContainsFunc(l.placements, func(p *Placement) bool { return p.Apart && p.Workspace == workspace }) {
+			used = append(used, s)
+		}
+	}
+	return used
+}
+
+// mostApart is the part of a service's servers on which requests of one workspace
+// run that have to run apart: whoever sends several that end servers at once would
+// end all of them with the second tries.
+const mostApart = 0.25
+
 // countApart counts the requests on a server that have to run apart.
 func (b *Board) countApart(server string) int {
 	n := 0
--- a/core/schedule/apart_test.go
+++ b/core/schedule/apart_test.go
@@ -72,3 +72,28 @@
 		t.Errorf("copies of a suspect at five hosts go to %v", met)
 	}
 }
+
+// TestSuspectsOfOneWorkspaceTakeFewServers places suspects of one workspace, and one
+// of another one, which finds a server without any.
+func TestSuspectsOfOneWorkspaceTakeFewServers(t *testing.T) {
+	for name, tc := range map[string]struct{ servers, want int }{
+		"three servers": {3, 1}, "eight": {8, 2}, "eighteen": {18, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, used := NewBoard(1), map[string]bool{}
+			for n := range 2 * tc.servers {
+				p, ok := b.Place(0, site.Service{Name: "plain"}, plainServers(tc.servers), Request{Mark: uint64(n) + 1, Workspace: 5, Apart: true})
+				if !ok {
+					t.Fatal("not placed")
+				}
+				used[p.Lead] = true
+			}
+			if len(used) != tc.want {
+				t.Errorf("%d suspects of a workspace run on %d servers, want %d", 2*tc.servers, len(used), tc.want)
+			}
+			if p, ok := b.Place(0, site.Service{Name: "plain"}, plainServers(tc.servers), Request{Mark: 99, Workspace: 6, Apart: true, Single: true}); !ok || used[p.Lead] {
+				t.Errorf("another workspace's is placed %v on %s", ok, p.Lead)
+			}
+		})
+	}
+}
