--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -41,7 +41,7 @@
 	// heardTime is for how long it is known when an address was heard.
 	heardTime = time.Minute
 	// suspectsPerMessage fits into a datagram: of each there are some 45 bytes,
-	// its workspace's name of up to 64, and 8 bytes for each of up to 8 ends.
+	// its workspace's name of up to 64, and 13 bytes for each of up to 8 ends.
 	suspectsPerMessage = 5
 )
 
--- a/daemon/upstream/upstream_test.go
+++ b/daemon/upstream/upstream_test.go
@@ -165,3 +165,43 @@
 		t.Errorf("%d connections were opened, want 2", n)
 	}
 }
+
+// TestProbeTellsWhoIsThere looks at a server, at a port that nobody listens on, and at
+// a proxy that takes connections and closes them.
+func TestProbeTellsWhoIsThere(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close()
+	proxy, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = proxy.Close() })
+	go func() {
+		for {
+			c, err := proxy.Accept()
+			if err != nil {
+				return
+			}
+			_ = c.Close()
+		}
+	}()
+	for name, tc := range map[string]struct {
+		addr   string
+		closed bool
+	}{
+		"a server":               {serve(t, func(int) string { return fine }), false},
+		"a closed port":          {closed.Addr().String(), true},
+		"a proxy without server": {proxy.Addr().String(), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := upstream.New()
+			err := p.Probe(t.Context(), tc.addr)
+			if upstream.Closed(err) != tc.closed || (err == nil) == tc.closed {
+				t.Errorf("found %v, want closed %v", err, tc.closed)
+			}
+		})
+	}
+}
