--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -187,6 +187,8 @@
 func TestOnlyWhatIsNewIsTold(t *testing.T) {
 	reader := watcher(t, func() int { return 3 })
 	eventually(t, "the configuration is in force", inForce(reader, 3))
+	// It is in force a moment before others are told of its digest.
+	eventually(t, "its rows have a digest", func() bool { return reader.Digests()["configs"] != 0 })
 	for name, tc := range map[string]struct {
 		knows map[string]uint64
 		rows  bool
