Tell others of each end at once, whatever stage it makes

By its log the third end was told 123 ms late, with the next upkeep: others were told only where the stage changed, and a doubtful request with three ends, of which two are proved, is doubtful still. So nobody looked at the third server. Change: a host tells of each end that it finds. Ruled out: slow witnesses, which proved the two ends that they were told of within 2 ms. Result: TestEachEndIsToldAtOnce fails without the change (told once of two ends).

--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -117,12 +117,16 @@
 	g.log.Write(event.ServerEnded, slog.String("server", server.ID), slog.String("id", c.id),
 		slog.String("same", c.mark.String()), slog.String("workspace", c.workspace.Name), slog.String("why", out.why),
 		slog.Bool("apart", out.apart), slog.Bool("replaced", replaced))
-	g.suspected(byThisHost, g.quarantine.Ended(c.identity().Identity(), quarantine.End{
+	changes := g.quarantine.Ended(c.identity().Identity(), quarantine.End{
 		Server: quarantine.ServerOf(server.ID),
 		By:     g.board.Host(),
 		Apart:  out.apart,
 		Proved: replaced || len(g.hosts()) == 0, // a host that is alone misleads nobody
-	}, g.clock.Now()))
+	}, g.clock.Now())
+	g.suspected(byThisHost, changes)
+	if len(changes) == 0 {
+		g.suspects() // others look at this server too, whatever stage that makes
+	}
 	return true
 }
 
--- a/daemon/gateway/suspects_test.go
+++ b/daemon/gateway/suspects_test.go
@@ -45,3 +45,23 @@
 		t.Errorf("%d suspects are known", n)
 	}
 }
+
+// TestEachEndIsToldAtOnce ends two servers under one request, by the word of this host
+// alone: the second end changes nothing in what becomes of the request, and others have
+// to know of it all the same, to look at that server too.
+func TestEachEndIsToldAtOnce(t *testing.T) {
+	book, told := quarantine.NewBook(), 0
+	var f *fixture
+	ends := func(n int) reply {
+		return func(*http.Request, io.Writer) bool {
+			_ = f.servers[n].listener.Close()
+			return false
+		}
+	}
+	others := func() []quarantine.Host { return []quarantine.Host{{Number: 9}} }
+	f = startWith(t, []gateway.Option{gateway.WithQuarantine(book, func() { told++ }), gateway.WithHosts(others)}, ends(0), ends(1))
+	f.ask("GET", "/safe/", "")
+	if r := book.All(); len(r) != 1 || len(r[0].Ends) != 2 || told != 2 {
+		t.Errorf("others were told %d times of %+v, want twice of two ends", told, r)
+	}
+}
