One rule for waiting for a verdict; look up a call's confinement once

The wait for other hosts' word, with its time, stood at both doors; telling others was a side effect of writing log lines, with an exception for ends that change no stage, and told twice where a witness changed one; on slipcrank's own interface the wait hashed the prompt's body and listed all engines anew every 5 ms; a call's confinement was asked for twice; who the other hosts are was worked out in two places; a list was returned that nobody reads. Change: quarantine.Book.Undecided decides for both; suspected only notes, and whoever learns something tells; the body is hashed once a request, engines are listed once a view; one lookup and one list of others.

--- a/core/quarantine/book.go
+++ b/core/quarantine/book.go
@@ -77,6 +77,14 @@
 	return Record{}, 0
 }
 
+// Undecided reports whether a request has to wait until it is proved or not that
+// servers have ended under it, where there are several. It doesn't wait for the first:
+// most requests under which one has ended didn't end it.
+func (b *Book) Undecided(p Print, now time.Duration) bool {
+	r, age := b.Record(p, now)
+	return len(r.Ends) >= doubtfulEnds && r.Unproved() && age < verdictTime
+}
+
 // Ended notes that a server has ended with a request's answer due. It returns the
 // stages that changed.
 func (b *Book) Ended(id Identity, e End, now time.Duration) []Change {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -77,6 +77,16 @@
 	mostOfOne = 128
 	// mostEnds bounds what is kept of the servers that ended under a request.
 	mostEnds = 8
+	// verdictTime is how long a request waits for other hosts' word on a server
+	// that ended under it, if it isn't the first: a way to them, their look and a
+	// way back, on hosts with a fifth of a core (154 ms on a machine with five times
+	// the work that it has processors for). Without it one request ended five
+	// servers where the users allow four, and with proxies before the servers 0.11
+	// of the others' requests that may run once were lost (four hosts, twelve copies
+	// at once).
+	verdictTime = 300 * time.Millisecond
+	// VerdictPause lies between two looks whether it is there.
+	VerdictPause = 5 * time.Millisecond
 	// maxName is the longest name of a workspace that others are believed.
 	maxName = 256
 )
--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -102,6 +102,7 @@
 		resumed      bool      // the resume that costs no budget has been used
 		outcome      Outcome
 		record       Record
+		digests      quarantine.Identity // worked out where they are needed
 	}
 )
 
@@ -273,7 +274,7 @@
 		x.excluded[o.Addr] = true
 		x.inquire(v, o.Addr, apart, err)
 	} else if apart {
-		x.suspects.book.Answered(x.request.identity().Print(), x.suspects.clock.Now())
+		x.suspects.book.Answered(x.identity().Print, x.suspects.clock.Now())
 	}
 	telemetry.End(span, err)
 	return err
--- a/daemon/dispatch/suspects.go
+++ b/daemon/dispatch/suspects.go
@@ -31,12 +31,6 @@
 	// others first. Without it a prompt that came to three daemons at once ended
 	// five engines in one run of three.
 	suspectPause = 100 * time.Millisecond
-	// verdictTime is how long a suspect under which several engines ended waits for
-	// other daemons' word on the last: without it a prompt ended five engines once on
-	// a machine with three times the work that it has processors for.
-	verdictTime = 300 * time.Millisecond
-	// verdictPause lies between two looks whether it is there.
-	verdictPause = 5 * time.Millisecond
 	// apartPause is the longest pause between two looks for a free engine.
 	apartPause = 50 * time.Millisecond
 )
@@ -52,6 +46,7 @@
 		mu     sync.Mutex
 		apart  map[string]int // requests that run apart, by engine
 		roster *quarantine.Roster
+		seen   *control.View // that the roster has
 	}
 )
 
@@ -82,18 +77,15 @@
 	}
 }
 
-// note writes what has changed, and returns the records of which more is known.
-func (s *suspects) note(changes []quarantine.Change) []quarantine.Record {
-	var rs []quarantine.Record
+// note writes what has changed.
+func (s *suspects) note(changes []quarantine.Change) {
 	for _, k := range changes {
 		if k.Forgotten {
 			event.SuspectForgotten.Info("print", k.Record.Print, "workspace", k.Record.Workspace)
 			continue
 		}
 		event.SuspectChanged.Warn("print", k.Record.Print, "workspace", k.Record.Workspace, "stage", k.Stage, "ended", len(k.Record.Ends))
-		rs = append(rs, k.Record)
 	}
-	return rs
 }
 
 // enter notes that a suspect runs on an engine. The returned function ends that.
@@ -122,27 +114,30 @@
 	return quarantine.Request{Workspace: r.Workspace.Workspace, Method: http.MethodPost, Target: r.Path, Body: r.Body}
 }
 
+// identity returns the request's digests. Its body is hashed once.
+func (x *run) identity() quarantine.Identity {
+	if x.digests.Print == (quarantine.Print{}) {
+		x.digests = x.request.identity().Identity()
+	}
+	return x.digests
+}
+
 // stage is what becomes of the request. Its body is hashed only if a suspect looks
 // like it.
 func (x *run) stage() quarantine.Stage {
-	r := x.request.identity()
-	if !x.suspects.book.Knows(r.Mark()) {
+	if !x.suspects.book.Knows(x.request.identity().Mark()) {
 		return quarantine.Clear
 	}
 	x.suspects.note(x.suspects.book.Expire(x.suspects.clock.Now()))
 	x.suspects.check(x.loop.View())
-	return x.suspects.book.Stage(r.Print())
+	return x.suspects.book.Stage(x.identity().Print)
 }
 
-// awaitVerdict waits until it is proved or not that engines have ended under the
-// request, where there are several.
+// awaitVerdict waits while it is undecided whether engines have ended under the
+// request.
 func (x *run) awaitVerdict(ctx context.Context) {
-	for x.stage() != quarantine.Clear {
-		r, age := x.suspects.book.Record(x.request.identity().Print(), x.suspects.clock.Now())
-		if len(r.Ends) < 2 || !r.Unproved() || age >= verdictTime {
-			return
-		}
-		if pause.For(ctx, verdictPause) != nil {
+	for x.stage() != quarantine.Clear && x.suspects.book.Undecided(x.identity().Print, x.suspects.clock.Now()) {
+		if pause.For(ctx, quarantine.VerdictPause) != nil {
 			return // placing looks at ctx
 		}
 	}
@@ -211,7 +206,7 @@
 	start := startOf(addr, v.Incarnation(addr))
 	event.EngineEnded.Warn("request", x.request.ID, "engine", start, "workspace", x.request.Workspace.Workspace)
 	x.suspects.check(v) // which has this start, if the next view has another
-	id := x.request.identity().Identity()
+	id := x.identity()
 	x.suspects.note(x.suspects.book.Ended(id, quarantine.End{
 		Server: quarantine.ServerOf(start),
 		By:     quarantine.ServerOf(v.Self.Addr),
--- a/daemon/dispatch/witness.go
+++ b/daemon/dispatch/witness.go
@@ -21,11 +21,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	var list []quarantine.Start
-	for _, e := range v.Engines {
-		list = append(list, quarantine.Start{ID: startOf(e.Addr, e.Incarnation), Name: e.Addr, Hall: e.Hall})
+	if v != s.seen {
+		s.seen = v
+		s.roster.Update(starts(v), now)
 	}
-	s.roster.Update(list, now)
 	s.note(s.book.Check(func(server uint32) quarantine.Listing {
 		if l := s.roster.Says(server, now); l == quarantine.Over {
 			return l
@@ -34,6 +33,15 @@
 	}, now))
 }
 
+// starts lists the engines for a roster.
+func starts(v *control.View) []quarantine.Start {
+	var list []quarantine.Start
+	for _, e := range v.Engines {
+		list = append(list, quarantine.Start{ID: startOf(e.Addr, e.Incarnation), Name: e.Addr, Hall: e.Hall})
+	}
+	return list
+}
+
 // witness looks at engines that another daemon has found closed, where this one is a
 // witness, and tells others if it finds them closed too. Nobody waits for it.
 func (d *Dispatcher) witness(r quarantine.Record) {
--- a/daemon/entry/neighbors.go
+++ b/daemon/entry/neighbors.go
@@ -65,12 +65,7 @@
 func (e *Entry) setHosts(hosts []watch.Host) {
 	e.hearStored(e.watcher.State().Suspects)
 	own := e.settings.Load()
-	var others []watch.Host
-	for _, h := range hosts {
-		if h.Name != own.Host && h.Addr != own.Listen.News {
-			others = append(others, h)
-		}
-	}
+	others := e.others(hosts)
 	old := e.neighbors.Load()
 	now := old.divide(own.Host, others, e.watcher.State().Servers)
 	now.cell = e.cellHosts(own, others, now.mates)
@@ -81,6 +76,18 @@
 	e.metrics.Set("other_hosts", int64(now.others))
 }
 
+// others returns the hosts without this one, also in an earlier start at its address.
+func (e *Entry) others(hosts []watch.Host) []watch.Host {
+	own := e.settings.Load()
+	var out []watch.Host
+	for _, h := range hosts {
+		if h.Name != own.Host && h.Addr != own.Listen.News {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // cellHosts are the hosts of the cell that can be told news.
 func (e *Entry) cellHosts(own *settings.Entry, others []watch.Host, mates map[string]bool) broadcast.Hosts {
 	var hosts []broadcast.Host
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -98,12 +98,9 @@
 
 // otherHosts are the hosts that the platform names, without this one.
 func (e *Entry) otherHosts() []quarantine.Host {
-	own := e.settings.Load()
 	var out []quarantine.Host
-	for _, h := range e.watcher.State().Hosts {
-		if h.Name != own.Host && h.Addr != own.Listen.News {
-			out = append(out, quarantine.Host{Number: h.Number, Hall: h.Hall})
-		}
+	for _, h := range e.others(e.watcher.State().Hosts) {
+		out = append(out, quarantine.Host{Number: h.Number, Hall: h.Hall})
 	}
 	return out
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -278,14 +278,14 @@
 	return s.Servers.Ready(service)
 }
 
-// place chooses servers for a call.
-func (g *Gateway) place(c *call, s State, stage quarantine.Stage) (schedule.Placement, site.Service, bool) {
+// place chooses servers for a call, of a workspace that is confined to one of them or
+// not.
+func (g *Gateway) place(c *call, s State, stage quarantine.Stage, confined bool) (schedule.Placement, site.Service, bool) {
 	service, ok := s.Config.Service(c.route.Pick(rand.Float64()))
 	if !ok {
 		return schedule.Placement{}, service, false
 	}
 	mark := uint64(c.mark)
-	confined, _ := g.quarantine.Confined(c.workspace.Name, g.clock.Now())
 	if confined && stage < quarantine.Doubtful {
 		mark = uint64(quarantine.WorkspaceMark(c.workspace.Name))
 	}
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,16 +23,6 @@
 	// lookPause lies between two looks at one server for other hosts, which tell
 	// of what they found several times a second.
 	lookPause = time.Second
-	// verdictTime is how long a request waits for other hosts' word on a server
-	// that ended under it, if it isn't the first: a way to them, their look and a
-	// way back, on hosts with a fifth of a core (154 ms on a machine with five times
-	// the work that it has processors for). Without it one request ended five
-	// servers where the users allow four, and with proxies before the servers 0.11
-	// of the others' requests that may run once were lost (four hosts, twelve copies
-	// at once).
-	verdictTime = 300 * time.Millisecond
-	// verdictPause lies between two looks whether it is there.
-	verdictPause = 5 * time.Millisecond
 	// apartWait is when a caller may come back whose request has to wait for the
 	// verdict on a copy of it, or for a server without another suspect: somewhat
 	// more than what a short request takes.
@@ -57,16 +48,11 @@
 	return g.quarantine.Stage(c.print)
 }
 
-// awaitVerdict waits until it is proved or not that servers have ended under a call's
-// request, where there are several. It doesn't wait for the first: most requests
-// under which one has ended didn't end it.
+// awaitVerdict waits while it is undecided whether servers have ended under a call's
+// request.
 func (g *Gateway) awaitVerdict(ctx context.Context, c *call) {
-	for g.stage(c) != quarantine.Clear {
-		r, age := g.quarantine.Record(c.print, g.clock.Now())
-		if len(r.Ends) < 2 || !r.Unproved() || age >= verdictTime {
-			return
-		}
-		if pause.For(ctx, verdictPause) != nil {
+	for g.stage(c) != quarantine.Clear && g.quarantine.Undecided(c.print, g.clock.Now()) {
+		if pause.For(ctx, quarantine.VerdictPause) != nil {
 			return // whoever tries it next looks at ctx
 		}
 	}
@@ -124,9 +110,7 @@
 		Proved: replaced || len(g.hosts()) == 0, // a host that is alone misleads nobody
 	}, g.clock.Now())
 	g.suspected(byThisHost, changes)
-	if len(changes) == 0 {
-		g.suspects() // others look at this server too, whatever stage that makes
-	}
+	g.suspects() // others look at this server too, whatever stage that makes
 	return true
 }
 
@@ -181,11 +165,9 @@
 }
 
 // suspected notes changes of what becomes of requests, with who saw the evidence
-// of them, and tells others of those that are this host's.
+// of them.
 func (g *Gateway) suspected(by string, changes []quarantine.Change) {
-	own := false
 	for _, k := range changes {
-		own = own || !k.Forgotten
 		g.metrics.Count("gateway_suspects", 1, "stage", k.Stage.String())
 		if by != byThisHost && k.Stage < quarantine.Doubtful {
 			continue // its host writes it: with 72 hosts that is one line for 72
@@ -198,9 +180,6 @@
 			slog.String("workspace", k.Record.Workspace), slog.String("stage", k.Stage.String()),
 			slog.Int("ended", len(k.Record.Ends)), slog.String("by", by))
 	}
-	if own && by == byThisHost {
-		g.suspects()
-	}
 }
 
 // checkSuspects drops what is too old, and compares ends with the platform's list.
@@ -214,7 +193,11 @@
 		g.roster.Update(starts(servers), now)
 	}
 	says := func(s uint32) quarantine.Listing { return g.roster.Says(s, now) }
-	g.suspected(byThisHost, g.quarantine.Check(says, now))
+	changes := g.quarantine.Check(says, now)
+	g.suspected(byThisHost, changes)
+	if slices.ContainsFunc(changes, func(k quarantine.Change) bool { return !k.Forgotten }) {
+		g.suspects()
+	}
 }
 
 // starts lists the servers for a roster.
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -80,10 +80,11 @@
 		no := g.held(c)
 		return outcome{result: final, why: no.why, no: no}
 	}
-	if _, waits := g.quarantine.Confined(c.workspace.Name, g.clock.Now()); waits {
+	confined, waits := g.quarantine.Confined(c.workspace.Name, g.clock.Now())
+	if waits {
 		return outcome{result: final, why: "workspace_ends_servers", no: refuse(http.StatusServiceUnavailable, "workspace_ends_servers", confinedWait)}
 	}
-	p, service, ok := g.place(c, s, stage)
+	p, service, ok := g.place(c, s, stage, confined)
 	if !ok && stage >= quarantine.Doubtful {
 		return outcome{result: final, why: "suspect_waits", no: refuse(http.StatusServiceUnavailable, "suspect_waits", apartWait)}
 	}
