Count in hosts' logs what was refused as a suspect

Cause: that nothing is held or refused where no request is deadly was counted by a loop over logs, which is nowhere. Change: slipcrank suspects count FILE..., which fails if anything was.

--- a/cmd/command/suspects.go
+++ b/cmd/command/suspects.go
@@ -5,12 +5,15 @@
 	"strconv"
 )
 
-const suspectsUsage = `suspects list | pardon PRINT
+const suspectsUsage = `suspects list | pardon PRINT | count FILE...
   Show the requests under which backend servers ended, as one entry host knows
-  them, or clear one: all hosts forget it, and it runs again.
+  them, or clear one: all hosts forget it, and it runs again. Or count what hosts'
+  logs say of them: it fails if any was held or refused, as a check of a day on
+  which no request ends servers.
 
   slipcrank suspects --addr 10.1.0.40:9464 list       (the host's metrics address)
-  slipcrank suspects --addr 10.1.0.40:9464 pardon 3f1c...`
+  slipcrank suspects --addr 10.1.0.40:9464 pardon 3f1c...
+  slipcrank suspects count host-*.log`
 
 type (
 	suspectStatus struct {
@@ -41,6 +44,8 @@
 			return listSuspects(ctx, e)
 		case verb == "pardon" && print != "":
 			return pardonSuspect(ctx, e, print)
+		case verb == "count" && print != "":
+			return countSuspects(e, args[1:])
 		default:
 			return usageError("the words after suspects are off", "see slipcrank help suspects")
 		}
