Log what backend servers name as their limits

Cause: no line of a host told what a server says of itself, so a limit that isn't read and one that each host keeps by itself could be told apart only by counting. The gateway now reads the header of each answer into core/notice (a version for each change, since answers overtake each other and hosts will tell each other) and writes SC1316 when that changes, SC1317 once for what can't be read. Nothing decides by it yet.

Tests: core/notice (reading, answers that overtake, news in either order).

--- /dev/null
+++ b/core/notice/notice.go
@@ -0,0 +1,192 @@
+// Package notice keeps what backend servers say of themselves in their answers.
+//
+// A server in need names a [Limit]: how many requests a second it takes from all
+// hosts together, for as long as it says so. Hosts learn of it from answers to their
+// own requests and from each other, in any order. What they know of one start of a
+// server therefore has a version, which rises with each change: of two versions the
+// higher one holds, and of equal ones the lower limit.
+//
+// Answers overtake each other. A lower limit holds at once. A higher one, or none,
+// holds only if the answer is to a request that left after this host knew of what it
+// replaces: the server has made that answer later.
+//
+// # Usage
+//
+//	b := notice.NewBook()
+//	l, err := notice.ReadLimit(header)
+//	if now, changed := b.Answered(server, l, sent, clock.Now()); changed { ... tell others }
+//	b.Hear(server, limit, clock.Now())
+//	b.Limit(server).Rate
+package notice
+
+import (
+	"cmp"
+	"math"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// keepTime is how long what a server has said is kept after it was last listed:
+	// entries lapse while the platform is away, and come back.
+	keepTime = 10 * time.Minute
+	// mostServers bounds the servers of which something is kept.
+	mostServers = 8192
+)
+
+type (
+	// Limit is how many requests a second a server takes from all hosts together.
+	// The zero value is no limit.
+	Limit struct {
+		// Version orders what is known of one start of a server.
+		Version uint64
+		// Named reports whether there is a limit, and Rate is it.
+		Named bool
+		Rate  float64
+	}
+
+	// Book is what servers have said. It is safe for use by many goroutines.
+	Book struct {
+		mu      sync.Mutex
+		servers map[string]*said // by ID of their start
+	}
+
+	// said is what is known of one start of a server.
+	said struct {
+		limit      Limit
+		since      time.Duration // when this host came to know of limit
+		listed     time.Duration // when the server was listed last
+		unreadable bool          // an answer could not be read, and that is logged
+	}
+)
+
+// NewBook returns an empty book.
+func NewBook() *Book { return &Book{servers: map[string]*said{}} }
+
+// ReadLimit reads a limit as a server names it: a decimal number of requests a
+// second, 0 or more. Without a text it names none.
+func ReadLimit(text string) (Limit, error) {
+	if text == "" {
+		return Limit{}, nil
+	}
+	r, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return Limit{}, errors.Wrapf(err, "limit %q is no number of requests a second", text)
+	}
+	if math.IsNaN(r) || math.IsInf(r, 0) || r < 0 {
+		return Limit{}, errors.Newf("limit %q is no number of requests a second, 0 or more", text)
+	}
+	return Limit{Named: true, Rate: r}, nil
+}
+
+// Answered takes in the limit that an answer names to a request that left at the time
+// sent. It returns what holds now, and whether that has changed.
+func (b *Book) Answered(server string, l Limit, sent, now time.Duration) (Limit, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	if s == nil && !l.Named {
+		return Limit{}, false
+	}
+	if s == nil {
+		s = b.add(server, now)
+	}
+	switch {
+	case s.limit.Named == l.Named && s.limit.Rate == l.Rate:
+		return s.limit, false
+	case !l.tighter(s.limit) && sent <= s.since:
+		return s.limit, false
+	}
+	l.Version = s.limit.Version + 1
+	s.limit, s.since = l, now
+	return l, true
+}
+
+// Hear takes in what another host knows of a server, and reports whether that
+// changed what is known here.
+func (b *Book) Hear(server string, l Limit, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	if s == nil && l.Version == 0 {
+		return false
+	}
+	if s == nil {
+		s = b.add(server, now)
+	}
+	if !l.newer(s.limit) {
+		return false
+	}
+	s.limit, s.since = l, now
+	return true
+}
+
+// Limit returns what is known of a server.
+func (b *Book) Limit(server string) Limit {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[server]; s != nil {
+		return s.limit
+	}
+	return Limit{}
+}
+
+// Unreadable notes that an answer of a server can't be read, and reports whether
+// that is the first one.
+func (b *Book) Unreadable(server string, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	if s == nil {
+		s = b.add(server, now)
+	}
+	first := !s.unreadable
+	s.unreadable = true
+	return first
+}
+
+// Forget drops what servers have said that are not listed any more.
+func (b *Book) Forget(listed func(server string) bool, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.servers {
+		switch {
+		case listed(id):
+			s.listed = now
+		case now-s.listed > keepTime:
+			delete(b.servers, id)
+		}
+	}
+}
+
+// add makes room for a server, at the cost of the one that was listed longest ago.
+func (b *Book) add(server string, now time.Duration) *said {
+	if len(b.servers) >= mostServers {
+		var oldest string
+		for id, s := range b.servers {
+			if oldest == "" || s.listed < b.servers[oldest].listed {
+				oldest = id
+			}
+		}
+		delete(b.servers, oldest)
+	}
+	s := &said{listed: now}
+	b.servers[server] = s
+	return s
+}
+
+// tighter reports whether a limit lets fewer requests through than another.
+func (l Limit) tighter(other Limit) bool {
+	return l.Named && (!other.Named || l.Rate < other.Rate)
+}
+
+// newer reports whether a limit takes the place of another one.
+func (l Limit) newer(other Limit) bool {
+	if c := cmp.Compare(l.Version, other.Version); c != 0 {
+		return c > 0
+	}
+	return l.tighter(other)
+}
--- /dev/null
+++ b/core/notice/notice_test.go
@@ -0,0 +1,98 @@
+package notice
+
+import (
+	"testing"
+	"time"
+)
+
+func TestReadLimit(t *testing.T) {
+	for name, tc := range map[string]struct {
+		text string
+		want Limit
+		bad  bool
+	}{
+		"none":             {"", Limit{}, false},
+		"whole":            {"3", Limit{Named: true, Rate: 3}, false},
+		"fraction":         {"1.7", Limit{Named: true, Rate: 1.7}, false},
+		"zero":             {"0", Limit{Named: true}, false},
+		"negative":         {"-1", Limit{}, true},
+		"not a number":     {"NaN", Limit{}, true},
+		"infinite":         {"Inf", Limit{}, true},
+		"beyond all range": {"1e999", Limit{}, true},
+		"text":             {"soon", Limit{}, true},
+	} {
+		got, err := ReadLimit(tc.text)
+		if got != tc.want || (err != nil) != tc.bad {
+			t.Errorf("%s: %+v, %v", name, got, err)
+		}
+	}
+}
+
+// TestLimitByAnswers plays answers that overtake each other.
+func TestLimitByAnswers(t *testing.T) {
+	type answer struct {
+		limit     Limit
+		sent, now time.Duration
+	}
+	one, two := Limit{Named: true, Rate: 1}, Limit{Named: true, Rate: 2}
+	for name, tc := range map[string]struct {
+		answers []answer
+		want    Limit
+	}{
+		"none is named":                    {[]answer{{Limit{}, 1, 2}}, Limit{}},
+		"one is named":                     {[]answer{{one, 1, 2}}, Limit{1, true, 1}},
+		"the same again":                   {[]answer{{one, 1, 2}, {one, 3, 4}}, Limit{1, true, 1}},
+		"a lower one holds at once":        {[]answer{{two, 1, 2}, {one, 0, 3}}, Limit{2, true, 1}},
+		"an earlier answer doesn't end it": {[]answer{{one, 1, 2}, {Limit{}, 1, 3}}, Limit{1, true, 1}},
+		"nor raise it":                     {[]answer{{one, 1, 2}, {two, 2, 3}}, Limit{1, true, 1}},
+		"a later answer ends it":           {[]answer{{one, 1, 2}, {Limit{}, 3, 4}}, Limit{Version: 2}},
+		"a later answer raises it":         {[]answer{{one, 1, 2}, {two, 3, 4}}, Limit{2, true, 2}},
+		"named again after its end":        {[]answer{{one, 1, 2}, {Limit{}, 3, 4}, {one, 3, 5}}, Limit{3, true, 1}},
+	} {
+		b := NewBook()
+		for _, a := range tc.answers {
+			b.Answered("i-1", a.limit, a.sent, a.now)
+		}
+		if got := b.Limit("i-1"); got != tc.want {
+			t.Errorf("%s: %+v, want %+v", name, got, tc.want)
+		}
+	}
+}
+
+// TestLimitByNews has two hosts tell each other of a server in either order.
+func TestLimitByNews(t *testing.T) {
+	named, lower, ended := Limit{1, true, 2}, Limit{1, true, 1}, Limit{Version: 2}
+	for name, tc := range map[string]struct {
+		told []Limit
+		want Limit
+	}{
+		"nothing is known":       {[]Limit{{}}, Limit{}},
+		"the newer holds":        {[]Limit{named, ended}, ended},
+		"in the other order too": {[]Limit{ended, named}, ended},
+		"of equals the lower":    {[]Limit{named, lower}, lower},
+		"and so the other way":   {[]Limit{lower, named}, lower},
+	} {
+		b := NewBook()
+		for _, l := range tc.told {
+			b.Hear("i-1", l, 1)
+		}
+		if got := b.Limit("i-1"); got != tc.want {
+			t.Errorf("%s: %+v, want %+v", name, got, tc.want)
+		}
+	}
+}
+
+func TestForget(t *testing.T) {
+	b := NewBook()
+	b.Answered("listed", Limit{Named: true, Rate: 1}, 0, 0)
+	b.Answered("gone", Limit{Named: true, Rate: 1}, 0, 0)
+	listed := func(id string) bool { return id == "listed" }
+	b.Forget(listed, keepTime)
+	if !b.Limit("gone").Named {
+		t.Error("forgotten while its entry may come back")
+	}
+	b.Forget(listed, 2*keepTime+1)
+	if b.Limit("gone").Named || !b.Limit("listed").Named {
+		t.Error("the wrong one was forgotten")
+	}
+}
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -33,6 +33,7 @@
 	due       time.Duration // the deadline on the clock that no suspension stops
 	lastEvent string        // of the caller, or the last that was passed on
 
+	sent     time.Duration   // when the last try left, on that clock
 	attempts int             // servers that it reached
 	unsent   int             // tries of which nothing left this host
 	tried    map[string]bool // servers that failed it
--- a/daemon/gateway/dialect.go
+++ b/daemon/gateway/dialect.go
@@ -32,6 +32,8 @@
 	AnswerHint string
 	// AtServer names the server at fault in answers of others.
 	AtServer string
+	// Limit is how many requests a second the server takes from all hosts together.
+	Limit string
 	// KeyScheme stands before the key in Authorization, with its blank.
 	KeyScheme string
 	// Private are headers of callers that are not passed on.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/boottime"
 	"slipcrank.example/core/limit"
+	"slipcrank.example/core/notice"
 	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/core/site"
@@ -82,6 +83,7 @@
 		shares         *shares
 		exchanges      *exchanges
 		quarantine     *quarantine.Book
+		notices        *notice.Book
 		roster         *quarantine.Roster // upkeep's, of the servers listed
 		listed         *backend.View
 		looks          *looks
@@ -148,6 +150,7 @@
 
 		exchanges:  newExchanges(),
 		quarantine: quarantine.NewBook(),
+		notices:    notice.NewBook(),
 		roster:     quarantine.NewRoster(),
 		looks:      newLooks(),
 		hosts:      func() []quarantine.Host { return nil },
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -58,7 +58,8 @@
 func (g *Gateway) allowed(c *call, p schedule.Placement) error {
 	g.clock.Refresh() // the machine may have been suspended since the call came
 	s := g.state()
-	if g.clock.Now() >= c.due || !s.Servers.Takes(p.Lead) || g.permit(c, s) != nil ||
+	c.sent = g.clock.Now()
+	if c.sent >= c.due || !s.Servers.Takes(p.Lead) || g.permit(c, s) != nil ||
 		g.stage(c) == quarantine.Held {
 		return errForbidden
 	}
--- a/daemon/gateway/shares.go
+++ b/daemon/gateway/shares.go
@@ -83,6 +83,7 @@
 		g.log.Write(event.WorkspaceReleased, slog.String("workspace", w))
 	}
 	g.checkSuspects(g.clock.Now())
+	g.forgetNotices(g.clock.Now())
 	for _, s := range g.exchanges.giveUp(g.state().Servers.Replaced, g.clock.Now()) {
 		g.pool.Drop(s.Addr) // connections of the start that is over
 	}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -213,6 +213,7 @@
 		return g.failure(c, err, "send")
 	}
 	defer a.Close()
+	g.notice(c, server, a)
 	c.attempts++
 	if a.Header.Get(g.dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
 		return g.notRun(a)
