Keep to the limit that a server names, over all hosts together

Callers saw nothing; servers in need got several times what they had asked for: 24 requests in 4 s where 15 are allowed, from eight hosts.

Cause: the limit was read nowhere. Read by each host for itself it would not hold either: a bucket for each host of N/H a second with room for one lets 4N + H through in 4 s, 299 at 295 hosts and N = 1, where 11 are allowed.

Now one host holds the only bucket of a limited server (core/grant): the first of the server's data hall in rendezvous order that answers. Others ask it for each request by a datagram (daemon/grants), at most three servers a try, and are told how long to wait; a server that takes nothing now isn't chosen. No answer, no request. Limited servers read no parts for others. A service whose servers are all used up refuses at once, with a Retry-After from the limits.

Hosts that don't answer for 0.6 s and two questions are passed over.

--- /dev/null
+++ b/core/grant/grant.go
@@ -0,0 +1,97 @@
+// Package grant hands out the requests that a rate-limited backend server takes from
+// all hosts together.
+//
+// Each host with a bucket of its own can't keep the sum: with a rate of 1 a second and
+// room for one request each, 295 hosts may send 299 requests in 4 s. So one host, the
+// holder, has the only bucket of a server, and others ask it before each request.
+// Who holds is no role and not agreed: each host works it out from the list of hosts
+// that the platform has, by [Order], leaving out those that don't answer it. Nobody
+// is asked by whom a server can't be reached: hosts of the server's own data hall come
+// first, so a hall that is cut off goes on using its servers within their limits.
+//
+// Hosts may disagree for a while on who holds, and each of two holders grants the
+// whole rate. A [Ledger] begins empty, so whoever takes over adds nothing at once.
+//
+// # Usage
+//
+//	for _, h := range grant.Order(server, hall, hosts) { ... the first that answers holds }
+//	l := grant.NewLedger()
+//	ok, wait := l.Take(server, rate, clock.Now())
+//	l.Drop(server)     // another host holds it
+package grant
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"slipcrank.example/core/route"
+)
+
+// leastRate is the least number of requests a second that is granted: one now and then
+// goes to a server that takes none, since only an answer tells that it takes some
+// again.
+const leastRate = 0.25
+
+type (
+	// Host may hold a server's bucket.
+	Host struct {
+		Name, Hall string
+	}
+
+	// Ledger has the buckets of the servers that this host holds. It is safe for use
+	// by many goroutines.
+	Ledger struct {
+		mu      sync.Mutex
+		buckets map[string]*rate.Limiter
+	}
+)
+
+// NewLedger returns a ledger without buckets.
+func NewLedger() *Ledger { return &Ledger{buckets: map[string]*rate.Limiter{}} }
+
+// Order returns the names of the hosts in the order in which they are to hold a
+// server's bucket: those of its hall first.
+func Order(server, hall string, hosts []Host) []string {
+	var near, far []string
+	for _, h := range hosts {
+		if h.Hall == hall {
+			near = append(near, h.Name)
+		} else {
+			far = append(far, h.Name)
+		}
+	}
+	return append(route.Rank(server, near), route.Rank(server, far)...)
+}
+
+// Rate is what is granted of a limit, in requests a second.
+func Rate(limit float64) float64 { return max(limit, leastRate) }
+
+// Take takes one request of a server that names a limit, in requests a second. If there
+// is none, it reports false and how long it takes until there is.
+func (l *Ledger) Take(server string, limit float64, now time.Duration) (bool, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, at := rate.Limit(Rate(limit)), time.Unix(0, int64(now))
+	b := l.buckets[server]
+	if b == nil {
+		b = rate.NewLimiter(r, 1)
+		b.AllowN(at, 1)
+		l.buckets[server] = b
+	}
+	if b.Limit() != r {
+		b.SetLimitAt(at, r)
+	}
+	if b.AllowN(at, 1) {
+		return true, 0
+	}
+	return false, time.Duration((1 - b.TokensAt(at)) / float64(r) * float64(time.Second))
+}
+
+// Drop forgets the bucket of a server that another host holds, or that has no limit.
+func (l *Ledger) Drop(server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.buckets, server)
+}
--- /dev/null
+++ b/core/grant/reach.go
@@ -0,0 +1,63 @@
+package grant
+
+import "time"
+
+const (
+	// silence is how long a host may leave questions unanswered, and silentAsks how
+	// many, before it counts as silent: on a link that loses packets one is lost now
+	// and then, and a busy host answers within some 10 ms.
+	silence    = 600 * time.Millisecond
+	silentAsks = 2
+)
+
+type (
+	// Reach is which hosts leave this one's questions unanswered. It is for use by one
+	// goroutine.
+	Reach struct {
+		asked map[string]unanswered
+	}
+
+	unanswered struct {
+		count        int
+		first, since time.Duration // when the first and the last of them was asked
+	}
+)
+
+// NewReach returns a reach of which nothing is known: all hosts count as there.
+func NewReach() *Reach { return &Reach{asked: map[string]unanswered{}} }
+
+// Asked notes a question to a host.
+func (r *Reach) Asked(host string, now time.Duration) {
+	u, known := r.asked[host]
+	if !known {
+		u.first = now
+	}
+	u.count++
+	u.since = now
+	r.asked[host] = u
+}
+
+// Answered notes that a host has said something.
+func (r *Reach) Answered(host string) { delete(r.asked, host) }
+
+// Silent reports whether a host has left questions unanswered for too long.
+func (r *Reach) Silent(host string, now time.Duration) bool {
+	u := r.asked[host]
+	return u.count >= silentAsks && now-u.first >= silence
+}
+
+// Since is how long ago a host was asked last that has not answered since, and whether
+// there is such a question.
+func (r *Reach) Since(host string, now time.Duration) (time.Duration, bool) {
+	u, known := r.asked[host]
+	return now - u.since, known
+}
+
+// Keep drops all hosts but those that are known.
+func (r *Reach) Keep(known func(host string) bool) {
+	for h := range r.asked {
+		if !known(h) {
+			delete(r.asked, h)
+		}
+	}
+}
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -27,6 +27,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/backend"
 )
 
 const (
@@ -58,6 +60,7 @@
 	said struct {
 		limit      Limit
 		since      time.Duration // when this host came to know of limit
+		closed     time.Duration // until then the server takes nothing more
 		listed     time.Duration // when the server was listed last
 		unreadable bool          // an answer could not be read, and that is logged
 	}
@@ -76,10 +79,19 @@
 	if err != nil {
 		return Limit{}, errors.Wrapf(err, "limit %q is no number of requests a second", text)
 	}
-	if math.IsNaN(r) || math.IsInf(r, 0) || r < 0 {
-		return Limit{}, errors.Newf("limit %q is no number of requests a second, 0 or more", text)
+	l := Limit{Named: true, Rate: r}
+	if err := l.Validate(); err != nil {
+		return Limit{}, err
+	}
+	return l, nil
+}
+
+// Validate reports a rate that no server can mean.
+func (l Limit) Validate() error {
+	if math.IsNaN(l.Rate) || math.IsInf(l.Rate, 0) || l.Rate < 0 {
+		return errors.Newf("a limit of %v requests a second; want 0 or more", l.Rate)
 	}
-	return Limit{Named: true, Rate: r}, nil
+	return nil
 }
 
 // Answered takes in the limit that an answer names to a request that left at the time
@@ -101,7 +113,7 @@
 		return s.limit, false
 	}
 	l.Version = s.limit.Version + 1
-	s.limit, s.since = l, now
+	s.set(l, now)
 	return l, true
 }
 
@@ -120,10 +132,70 @@
 	if !l.newer(s.limit) {
 		return false
 	}
-	s.limit, s.since = l, now
+	s.set(l, now)
 	return true
 }
 
+// set brings a limit into force. What is granted of it is not known yet.
+func (s *said) set(l Limit, now time.Duration) { s.limit, s.since, s.closed = l, now, 0 }
+
+// Close notes that a limited server takes nothing more until a time.
+func (b *Book) Close(server string, until time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s := b.servers[server]; s != nil && s.limit.Named {
+		s.closed = max(s.closed, until)
+	}
+}
+
+// Open returns those of some servers that may get a request now. Where there is none
+// since all are closed, it tells how long it takes until one isn't.
+func (b *Book) Open(servers []backend.Server, now time.Duration) ([]backend.Server, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.servers) == 0 {
+		return servers, 0
+	}
+	open, wait := servers[:0:0], time.Duration(0)
+	for _, server := range servers {
+		if left := b.left(server.ID, now); left <= 0 {
+			open = append(open, server)
+		} else if wait == 0 || left < wait {
+			wait = left
+		}
+	}
+	if len(open) > 0 {
+		wait = 0
+	}
+	return open, wait
+}
+
+// left is for how long a server takes nothing more.
+func (b *Book) left(server string, now time.Duration) time.Duration {
+	s := b.servers[server]
+	if s == nil {
+		return 0
+	}
+	return s.closed - now
+}
+
+// Limited returns those of some servers that name a limit, by ID; nil for none.
+func (b *Book) Limited(servers []backend.Server) map[string]bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var limited map[string]bool
+	for _, server := range servers {
+		if s := b.servers[server.ID]; s == nil || !s.limit.Named {
+			continue
+		}
+		if limited == nil {
+			limited = map[string]bool{}
+		}
+		limited[server.ID] = true
+	}
+	return limited
+}
+
 // Limit returns what is known of a server.
 func (b *Book) Limit(server string) Limit {
 	b.mu.Lock()
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -169,7 +169,7 @@
 func (c *choice) help(p *plan, k int, part time.Duration) {
 	ranks := c.scratch.ranks[:0]
 	for _, s := range c.states {
-		if s != p.lead && s.helping < s.server.Slots {
+		if s != p.lead && s.helping < s.server.Slots && !c.request.LeadOnly[s.server.ID] {
 			ranks = insert(ranks, rank{s.helpCost(c.engine, part, c.request, c.value), s}, k-1)
 		}
 	}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -54,6 +54,8 @@
 		Workspace uint32
 		// Avoid are servers that have failed it.
 		Avoid map[string]bool
+		// LeadOnly are servers that may lead it, and read nothing for others.
+		LeadOnly map[string]bool
 		// Mark is the same for copies of one request; zero for none.
 		Mark uint64
 		// Apart asks for a server on which no other such request runs, and Single
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -24,11 +24,13 @@
 	"slipcrank.example/core/broadcast"
 	"slipcrank.example/core/feed"
 	"slipcrank.example/core/limit"
+	"slipcrank.example/core/notice"
 	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/gateway"
+	"slipcrank.example/daemon/grants"
 	"slipcrank.example/daemon/memory"
 	"slipcrank.example/daemon/news"
 	"slipcrank.example/daemon/relay"
@@ -84,6 +86,8 @@
 		news     *news.News
 		// quarantine is what is known of requests under which servers ended.
 		quarantine *quarantine.Book
+		// grants hands out the requests that limited servers take from all hosts.
+		grants *grants.Keeper
 		// changed wakes who stores suspects.
 		changed  chan struct{}
 		relays   *relay.Client
@@ -131,6 +135,8 @@
 	e.watcher = watch.New(p.Source, p.Tables, p.Decoders, e.log, e.metrics, e.setHosts)
 	e.watcher.SetClock(e.clock)
 	e.relays, e.relay = relay.NewClient(e.watcher, e.log), relay.NewServer(e.watcher)
+	notices := notice.NewBook()
+	e.grants = grants.New(s.Host, s.Hall, notices, n.Ask, e.clock.Now)
 	budget := limit.NewWindow(s.Bounds.Retries.Span, s.Bounds.Retries.Share*retryPart, e.retrySlack)
 	e.gateway = gateway.New(p.Dialect, e.state, e.pool, e.board, budget, e.log, e.metrics,
 		gateway.WithHall(s.Hall),
@@ -141,8 +147,15 @@
 		gateway.WithQuarantine(e.quarantine, e.suspectsChanged),
 		gateway.WithHosts(e.otherHosts),
 		gateway.WithEvidence(func(server string) { n.Failed(e.number, server) }),
+		gateway.WithGrants(notices, gateway.Grants{
+			Take: e.grants.Take,
+			Tell: func(server string, l notice.Limit) { n.Limit(e.number, server, l) },
+		}),
 	)
 	n.OnSuspects(e.hearSuspects)
+	n.OnGrants(news.Grants{
+		Ask: e.grants.Answer, Reply: e.grants.Answered, Limit: e.hearLimit, Placed: e.gateway.HearPlaced,
+	})
 	return e, nil
 }
 
--- /dev/null
+++ b/daemon/entry/grants.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"cmp"
+	"log/slog"
+	"net/netip"
+	"slices"
+	"strconv"
+
+	"slipcrank.example/core/notice"
+	"slipcrank.example/daemon/event"
+	"slipcrank.example/daemon/grants"
+	"slipcrank.example/daemon/watch"
+)
+
+// setHolders sets the hosts that may hand out the requests of limited servers: all of
+// the fleet, since hosts of several cells use the servers of small services.
+func (e *Entry) setHolders(others []watch.Host) {
+	hosts := make([]grants.Host, 0, len(others))
+	for _, h := range others {
+		a, err := netip.ParseAddrPort(h.Addr)
+		if err != nil {
+			e.log.Write(event.NewsLost, slog.String("of", h.Name), slog.String("error", err.Error()))
+			continue
+		}
+		hosts = append(hosts, grants.Host{Name: h.Name, Hall: h.Hall, Addr: a, Number: h.Number})
+	}
+	slices.SortFunc(hosts, func(a, b grants.Host) int { return cmp.Compare(a.Name, b.Name) })
+	e.grants.SetHosts(hosts)
+}
+
+// hearLimit takes in what another host tells of a server's limit, if it is one that
+// the platform's table names.
+func (e *Entry) hearLimit(host uint32, server string, l notice.Limit) {
+	if !e.listed(host) {
+		e.metrics.Count("limits_of_unknown_hosts", 1)
+		return
+	}
+	e.gateway.HearLimit(strconv.FormatUint(uint64(host), 10), server, l)
+}
--- a/daemon/entry/neighbors.go
+++ b/daemon/entry/neighbors.go
@@ -70,6 +70,7 @@
 	now := old.divide(own.Host, others, e.watcher.State().Servers)
 	now.cell = e.cellHosts(own, others, now.mates)
 	e.neighbors.Store(now)
+	e.setHolders(others)
 	if now.others != old.others || now.cells != old.cells || len(now.mates) != len(old.mates) {
 		e.log.Write(event.HostsChanged, slog.Int("others", now.others), slog.Int("cells", now.cells), slog.Int("told", len(now.mates)))
 	}
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -78,14 +78,18 @@
 // hearSuspects takes in what another host tells of suspects, if it is one that the
 // platform's table names: others have no say in what is refused.
 func (e *Entry) hearSuspects(host uint32, rs []quarantine.Record) {
-	known := slices.ContainsFunc(e.watcher.State().Hosts, func(h watch.Host) bool { return h.Number == host })
-	if !known {
+	if !e.listed(host) {
 		e.metrics.Count("suspects_of_unknown_hosts", int64(len(rs)))
 		return
 	}
 	e.heard(strconv.FormatUint(uint64(host), 10), rs)
 }
 
+// listed reports whether the platform's table names a host.
+func (e *Entry) listed(number uint32) bool {
+	return slices.ContainsFunc(e.watcher.State().Hosts, func(h watch.Host) bool { return h.Number == number })
+}
+
 // hearStored takes in the suspects that the platform's table has. They reach
 // hosts of other cells, and those that start when no other host is left.
 func (e *Entry) hearStored(ss []watch.Suspect) {
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -34,6 +34,7 @@
 	lastEvent string        // of the caller, or the last that was passed on
 
 	sent     time.Duration   // when the last try left, on that clock
+	granted  string          // the limited server that the try may be sent to
 	attempts int             // servers that it reached
 	unsent   int             // tries of which nothing left this host
 	tried    map[string]bool // servers that failed it
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"slipcrank.example/core/admission"
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/boottime"
+	"slipcrank.example/core/grant"
 	"slipcrank.example/core/limit"
 	"slipcrank.example/core/notice"
 	"slipcrank.example/core/quarantine"
@@ -93,6 +94,16 @@
 		placed         func(schedule.Placement)
 		started, ended func(schedule.ID)
 		failed         func(server string)
+		grants         Grants
+	}
+
+	// Grants is who hands out the requests of servers that name a limit.
+	Grants struct {
+		// Take takes one request of a server. If it may not have one now, Take reports
+		// false and after how long it may.
+		Take func(ctx context.Context, s backend.Server) (bool, time.Duration)
+		// Tell tells others that a server names another limit.
+		Tell func(server string, l notice.Limit)
 	}
 
 	// stop is a planned stop.
@@ -126,6 +137,12 @@
 	return func(g *Gateway) { g.quarantine, g.suspects = b, changed }
 }
 
+// WithGrants sets what is known of limited servers, and who hands out their requests. A
+// gateway without them hands out all of them itself.
+func WithGrants(b *notice.Book, gs Grants) Option {
+	return func(g *Gateway) { g.notices, g.grants = b, gs }
+}
+
 // WithClock sets the clock by which all is timed that may not outlive a suspension
 // of the machine.
 func WithClock(c *boottime.Clock) Option { return func(g *Gateway) { g.clock = c } }
@@ -159,6 +176,13 @@
 		clock:  boottime.New(),
 		shares: newShares(),
 	}
+	alone := grant.NewLedger()
+	g.grants = Grants{
+		Take: func(_ context.Context, s backend.Server) (bool, time.Duration) {
+			return alone.Take(s.ID, g.notices.Limit(s.ID).Rate, g.clock.Now())
+		},
+		Tell: func(string, notice.Limit) {},
+	}
 	for _, o := range os {
 		o(g)
 	}
@@ -287,26 +311,38 @@
 
 // place chooses servers for a call, of a workspace that is confined to one of them or
 // not.
-func (g *Gateway) place(c *call, s State, stage quarantine.Stage, confined bool) (schedule.Placement, site.Service, bool) {
+func (g *Gateway) place(c *call, s State, stage quarantine.Stage, confined bool) (schedule.Placement, site.Service, *refusal) {
 	service, ok := s.Config.Service(c.route.Pick(rand.Float64()))
 	if !ok {
-		return schedule.Placement{}, service, false
+		return schedule.Placement{}, service, refuse(http.StatusServiceUnavailable, "no_server", busyWait)
 	}
 	mark := uint64(c.mark)
 	if confined && stage < quarantine.Doubtful {
 		mark = uint64(quarantine.WorkspaceMark(c.workspace.Name))
 	}
-	p, ok := g.board.Place(g.clock.Now(), service, s.ready(service.Name), schedule.Request{
+	ready := s.ready(service.Name)
+	open, wait := g.notices.Open(ready, g.clock.Now())
+	if wait > 0 {
+		return schedule.Placement{}, service, g.limitsUsed(ready, wait)
+	}
+	p, ok := g.board.Place(g.clock.Now(), service, open, schedule.Request{
 		Work:      c.work,
 		Objective: c.route.Objective - time.Since(c.arrived),
 		Gap:       c.route.Gap,
 		Workspace: schedule.WorkspaceOf(c.workspace.Name),
 		Hall:      g.hall,
 		Avoid:     c.tried,
+		LeadOnly:  g.notices.Limited(open),
 		Mark:      mark,
 		Apart:     confined || stage >= quarantine.Suspect,
 		Single:    stage >= quarantine.Doubtful,
 		Copied:    confined || c.copied,
 	})
-	return p, service, ok
+	switch {
+	case ok:
+		return p, service, nil
+	case stage >= quarantine.Doubtful:
+		return p, service, refuse(http.StatusServiceUnavailable, "suspect_waits", apartWait)
+	}
+	return p, service, refuse(http.StatusServiceUnavailable, "no_server", busyWait)
 }
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -1,12 +1,16 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"slipcrank.example/core/backend"
+	"slipcrank.example/core/grant"
 	"slipcrank.example/core/notice"
+	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/upstream"
 )
@@ -27,9 +31,72 @@
 	}
 	if l, changed := g.notices.Answered(server.ID, l, c.sent, now); changed {
 		g.logLimit(byThisHost, server.ID, l)
+		g.grants.Tell(server.ID, l)
 	}
 }
 
+// HearLimit takes in what another host tells of a server.
+func (g *Gateway) HearLimit(by, server string, l notice.Limit) {
+	if g.notices.Hear(server, l, g.clock.Now()) {
+		g.logLimit(by, server, l)
+	}
+}
+
+// HearPlaced takes in that another host has sent a request to a server: if that is
+// limited, it takes no more for a while, and it need not be asked for.
+func (g *Gateway) HearPlaced(server string) {
+	if l := g.notices.Limit(server); l.Named {
+		g.notices.Close(server, g.clock.Now()+interval(l))
+	}
+}
+
+// interval lies between two requests that a limited server takes.
+func interval(l notice.Limit) time.Duration {
+	return time.Duration(float64(time.Second) / grant.Rate(l.Rate))
+}
+
+// granted reports whether a call may be sent to the lead of its placement, by the limit
+// that this names. If it may not, it tells after how long one may.
+func (g *Gateway) granted(ctx context.Context, c *call, s State, p schedule.Placement) (time.Duration, bool) {
+	c.granted = ""
+	l := g.notices.Limit(p.Lead)
+	if !l.Named {
+		return 0, true
+	}
+	server, known := s.Servers.Get(p.Lead)
+	if !known {
+		return 0, true // nothing is sent to it
+	}
+	ok, wait := g.grants.Take(ctx, server)
+	if ok {
+		c.granted, wait = p.Lead, interval(l)
+	}
+	g.notices.Close(p.Lead, g.clock.Now()+wait)
+	g.metrics.Count("gateway_grants", 1, "granted", strconv.FormatBool(ok))
+	return wait, ok
+}
+
+// within reports whether a call may leave for the lead of its placement, by what this
+// has said since the call was placed.
+func (g *Gateway) within(c *call, p schedule.Placement) bool {
+	return c.granted == p.Lead || !g.notices.Limit(p.Lead).Named
+}
+
+// limitsUsed refuses a call since all servers have all the requests that they take. It
+// tells when one of them takes another, and the time in which all of them take one:
+// others wait too.
+func (g *Gateway) limitsUsed(servers []backend.Server, wait time.Duration) *refusal {
+	var all float64
+	for _, s := range servers {
+		all += grant.Rate(g.notices.Limit(s.ID).Rate)
+	}
+	return refuse(http.StatusServiceUnavailable, "server_limits", wait+time.Duration(float64(time.Second)/all))
+}
+
+// maxAsks is how many limited servers are asked for in one try of a call: each takes a
+// way there and back, and who is told that one takes nothing asks no more meanwhile.
+const maxAsks = 3
+
 // logLimit writes the limit that holds for a server now, with who saw it.
 func (g *Gateway) logLimit(by, server string, l notice.Limit) {
 	g.metrics.Count("gateway_server_limits", 1, "by", by)
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -84,22 +84,12 @@
 	if waits {
 		return outcome{result: final, why: "workspace_ends_servers", no: refuse(http.StatusServiceUnavailable, "workspace_ends_servers", confinedWait)}
 	}
-	p, service, ok := g.place(c, s, stage, confined)
-	if !ok && stage >= quarantine.Doubtful {
-		return outcome{result: final, why: "suspect_waits", no: refuse(http.StatusServiceUnavailable, "suspect_waits", apartWait)}
-	}
-	if !ok {
-		return outcome{result: final, why: "no_server", no: refuse(http.StatusServiceUnavailable, "no_server", busyWait)}
+	p, service, no := g.take(ctx, c, s, stage, confined)
+	if no != nil {
+		return outcome{result: final, why: no.why, server: p.Lead, no: no}
 	}
 	defer g.board.Ended(p.ID)
 	server, _ := s.Servers.Get(p.Lead)
-	g.logPlaced(c, s, p)
-	if !p.Fits && service.Engine != nil && c.work.Prompt > service.Engine.Memory {
-		return outcome{result: final, why: "no_memory", server: p.Lead, no: refuse(http.StatusServiceUnavailable, "no_memory", memoryWait)}
-	}
-	if no := g.admit(c, p); no != nil {
-		return outcome{result: final, why: no.why, server: p.Lead, no: no}
-	}
 	g.placed(p)
 	defer g.ended(p.ID)
 	hold, err := g.hold(ctx, s, p)
@@ -115,6 +105,41 @@
 	return out
 }
 
+// take places the call at a server that takes it now. Whoever holds the bucket of a
+// limited server decides that, and another server may be found in its place.
+func (g *Gateway) take(ctx context.Context, c *call, s State, stage quarantine.Stage, confined bool) (schedule.Placement, site.Service, *refusal) {
+	for n := 0; ; n++ {
+		p, service, no := g.place(c, s, stage, confined)
+		if no != nil {
+			return p, service, no
+		}
+		g.logPlaced(c, s, p)
+		if no = g.fits(c, p, service); no == nil {
+			no = g.admit(c, p)
+		}
+		if no != nil {
+			g.board.Ended(p.ID)
+			return p, service, no
+		}
+		wait, ok := g.granted(ctx, c, s, p)
+		if ok {
+			return p, service, nil
+		}
+		g.board.Ended(p.ID)
+		if n+1 >= maxAsks {
+			return p, service, refuse(http.StatusServiceUnavailable, "server_limits", wait)
+		}
+	}
+}
+
+// fits refuses a call that the engines of its service have no memory for.
+func (g *Gateway) fits(c *call, p schedule.Placement, service site.Service) *refusal {
+	if p.Fits || service.Engine == nil || c.work.Prompt <= service.Engine.Memory {
+		return nil
+	}
+	return refuse(http.StatusServiceUnavailable, "no_memory", memoryWait)
+}
+
 // hold sets memory aside on the helpers of a placement that need it.
 func (g *Gateway) hold(ctx context.Context, s State, p schedule.Placement) (*memory.Hold, error) {
 	if len(p.Shares) == 0 || g.memory == nil {
--- /dev/null
+++ b/daemon/grants/grants.go
@@ -0,0 +1,238 @@
+// Package grants asks the holder of a rate-limited backend server's bucket for each
+// request that is to go there, and answers those that ask this host. Package
+// [grant] says who holds it and why.
+//
+// A question is a datagram, and so is its answer. Without an answer in time nothing is
+// granted: what is lost costs a request to one server, never more than a limit allows.
+//
+// # Usage
+//
+//	k := grants.New(host, hall, notices, send, clock.Now)
+//	k.SetHosts(others)                                     // on each change
+//	ok, wait := k.Take(ctx, server)
+//	reply, ok := k.Answer(number, question)                // of another host
+//	k.Answered(number, reply)
+package grants
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/grant"
+	"slipcrank.example/core/notice"
+)
+
+const (
+	// askTime bounds the wait for an answer: hosts that get a fifth of a core answer
+	// within some 10 ms, and the request may go to another server meanwhile.
+	askTime = 100 * time.Millisecond
+	// otherWait is after how long a host may ask again that asked one which isn't the
+	// holder, or got no answer.
+	otherWait = 200 * time.Millisecond
+	// pingPause lies between two questions to a host that isn't asked for a request.
+	pingPause = 200 * time.Millisecond
+)
+
+type (
+	// Host is another host.
+	Host struct {
+		Name, Hall string
+		Addr       netip.AddrPort
+		// Number tells its starts apart.
+		Number uint32
+	}
+
+	// Keeper takes requests of limited servers, from its own ledger or another host's.
+	// It is safe for use by many goroutines.
+	Keeper struct {
+		self    grant.Host
+		notices *notice.Book
+		send    func(to netip.AddrPort, q grant.Question)
+		now     func() time.Duration
+		ledger  *grant.Ledger
+
+		mu      sync.Mutex
+		hosts   []Host
+		byName  map[string]Host
+		orders  map[string][]string // by server, of these hosts
+		reach   *grant.Reach
+		next    uint32
+		waiting map[uint32]chan grant.Reply
+	}
+)
+
+// New returns a keeper that knows no other hosts.
+func New(name, hall string, b *notice.Book, send func(to netip.AddrPort, q grant.Question), now func() time.Duration) *Keeper {
+	return &Keeper{
+		self: grant.Host{Name: name, Hall: hall}, notices: b, send: send, now: now,
+		ledger:  grant.NewLedger(),
+		byName:  map[string]Host{},
+		orders:  map[string][]string{},
+		reach:   grant.NewReach(),
+		waiting: map[uint32]chan grant.Reply{},
+	}
+}
+
+// SetHosts sets the other hosts, in an order that stays.
+func (k *Keeper) SetHosts(hosts []Host) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if slices.Equal(hosts, k.hosts) {
+		return
+	}
+	k.hosts = slices.Clone(hosts)
+	clear(k.orders)
+	clear(k.byName)
+	for _, h := range hosts {
+		k.byName[h.Name] = h
+	}
+	k.reach.Keep(func(name string) bool { _, ok := k.byName[name]; return ok })
+}
+
+// Take takes one request of a server. If it may not have one now, Take reports false
+// and after how long it may.
+func (k *Keeper) Take(ctx context.Context, s backend.Server) (bool, time.Duration) {
+	l := k.notices.Limit(s.ID)
+	if !l.Named {
+		return true, 0
+	}
+	holder, other := k.holder(s.ID, s.Hall)
+	if !other {
+		return k.ledger.Take(s.ID, l.Rate, k.now())
+	}
+	k.ledger.Drop(s.ID)
+	r, ok := k.ask(ctx, holder, grant.Question{Server: s.ID, Hall: s.Hall, Limit: l})
+	if !ok {
+		return false, otherWait
+	}
+	k.notices.Hear(s.ID, r.Limit, k.now())
+	return r.Granted, r.Wait
+}
+
+// Answer answers a question of another host. It reports false if that host isn't known.
+func (k *Keeper) Answer(host uint32, q grant.Question) (grant.Reply, bool) {
+	if !k.heard(host) {
+		return grant.Reply{}, false
+	}
+	r := grant.Reply{ID: q.ID, Server: q.Server, Wait: otherWait}
+	k.notices.Hear(q.Server, q.Limit, k.now())
+	if r.Limit = k.notices.Limit(q.Server); q.Ping {
+		return r, true
+	}
+	holder, other := k.holder(q.Server, q.Hall)
+	switch {
+	case other:
+		k.ledger.Drop(q.Server)
+		k.ping(holder) // it may be gone, and this host the next
+	case !r.Limit.Named:
+		r.Granted = true
+	default:
+		r.Granted, r.Wait = k.ledger.Take(q.Server, r.Limit.Rate, k.now())
+	}
+	return r, true
+}
+
+// Answered takes in an answer of another host.
+func (k *Keeper) Answered(host uint32, r grant.Reply) {
+	if !k.heard(host) {
+		return
+	}
+	k.mu.Lock()
+	c := k.waiting[r.ID]
+	delete(k.waiting, r.ID)
+	k.mu.Unlock()
+	if c != nil {
+		c <- r
+	}
+}
+
+// heard notes that a host has said something, and reports whether it is known.
+func (k *Keeper) heard(number uint32) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	i := slices.IndexFunc(k.hosts, func(h Host) bool { return h.Number == number })
+	if i < 0 {
+		return false
+	}
+	k.reach.Answered(k.hosts[i].Name)
+	return true
+}
+
+// holder returns the host that holds a server's bucket. It reports false if that is
+// this one. Hosts that are silent are asked whether they are back.
+func (k *Keeper) holder(server, hall string) (Host, bool) {
+	now := k.now()
+	k.mu.Lock()
+	order, known := k.orders[server]
+	if !known {
+		hosts := []grant.Host{k.self}
+		for _, h := range k.hosts {
+			hosts = append(hosts, grant.Host{Name: h.Name, Hall: h.Hall})
+		}
+		order = grant.Order(server, hall, hosts)
+		k.orders[server] = order
+	}
+	var holder Host
+	other := false
+	var silent []Host
+	for _, name := range order {
+		if name == k.self.Name {
+			break
+		}
+		if !k.reach.Silent(name, now) {
+			holder, other = k.byName[name], true
+			break
+		}
+		silent = append(silent, k.byName[name])
+	}
+	k.mu.Unlock()
+	for _, h := range silent {
+		k.ping(h)
+	}
+	return holder, other
+}
+
+// ask asks a host, and reports whether it has answered.
+func (k *Keeper) ask(ctx context.Context, h Host, q grant.Question) (grant.Reply, bool) {
+	c := make(chan grant.Reply, 1)
+	k.mu.Lock()
+	k.next++
+	q.ID = k.next
+	k.waiting[q.ID] = c
+	k.reach.Asked(h.Name, k.now())
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		delete(k.waiting, q.ID)
+	}()
+	k.send(h.Addr, q)
+	timeout := time.NewTimer(askTime)
+	defer timeout.Stop()
+	select {
+	case r := <-c:
+		return r, true
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return grant.Reply{}, false
+}
+
+// ping asks whether a host is there, unless it was asked a moment ago.
+func (k *Keeper) ping(h Host) {
+	now := k.now()
+	k.mu.Lock()
+	ago, open := k.reach.Since(h.Name, now)
+	again := !open || ago >= pingPause
+	if again {
+		k.reach.Asked(h.Name, now)
+	}
+	k.mu.Unlock()
+	if again {
+		k.send(h.Addr, grant.Question{Ping: true})
+	}
+}
--- /dev/null
+++ b/daemon/news/grant.go
@@ -0,0 +1,81 @@
+package news
+
+import (
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"slipcrank.example/core/grant"
+	"slipcrank.example/core/notice"
+	"slipcrank.example/daemon/event"
+)
+
+// Grants are who takes in what other hosts ask and tell of limited servers, with the
+// number of the host that does.
+type Grants struct {
+	// Ask answers a question; without an answer it reports false.
+	Ask func(host uint32, q grant.Question) (grant.Reply, bool)
+	// Reply takes in an answer.
+	Reply func(host uint32, r grant.Reply)
+	// Limit takes in that a server names another limit.
+	Limit func(host uint32, server string, l notice.Limit)
+	// Placed takes in that a host sends a request to a server.
+	Placed func(server string)
+}
+
+// OnGrants sets who takes part in grants. It is called before Run.
+func (n *News) OnGrants(g Grants) { n.grants = g }
+
+// Ask asks one host for a request to a limited server.
+func (n *News) Ask(to netip.AddrPort, q grant.Question) {
+	n.sendTo(to, message{Kind: asked, Number: q.ID, Lead: q.Server, Hall: q.Hall, Ping: q.Ping}.withLimit(q.Limit))
+}
+
+// Limit tells others that a server names another limit.
+func (n *News) Limit(host uint32, server string, l notice.Limit) {
+	n.send(message{Kind: limited, Host: host, Lead: server}.withLimit(l))
+}
+
+// takeGrant takes in a message about a limited server.
+func (n *News) takeGrant(m message, from netip.AddrPort) {
+	l := notice.Limit{Version: m.LimitVersion, Named: m.Limited, Rate: m.Rate}
+	if err := l.Validate(); err != nil {
+		n.log.Write(event.NewsLost, slog.String("from", from.String()), slog.String("error", err.Error()))
+		return
+	}
+	switch m.Kind {
+	case asked:
+		r, ok := n.grants.Ask(m.Host, grant.Question{ID: m.Number, Server: m.Lead, Hall: m.Hall, Limit: l, Ping: m.Ping})
+		if ok {
+			n.sendTo(from, message{
+				Kind: granted, Number: r.ID, Lead: r.Server, Granted: r.Granted, WaitMS: r.Wait.Milliseconds(),
+			}.withLimit(r.Limit))
+		}
+	case granted:
+		n.grants.Reply(m.Host, grant.Reply{
+			ID: m.Number, Server: m.Lead, Limit: l, Granted: m.Granted,
+			Wait: time.Duration(m.WaitMS) * time.Millisecond,
+		})
+	case limited:
+		n.grants.Limit(m.Host, m.Lead, l)
+	}
+}
+
+// withLimit returns the message with a server's limit.
+func (m message) withLimit(l notice.Limit) message {
+	m.LimitVersion, m.Limited, m.Rate = l.Version, l.Named, l.Rate
+	return m
+}
+
+// sendTo tells one host alone.
+func (n *News) sendTo(to netip.AddrPort, m message) {
+	m.Host = n.board.Host()
+	b, err := cbor.Marshal(m)
+	if err != nil {
+		n.log.Write(event.NewsLost, slog.String("error", err.Error()))
+		return
+	}
+	n.transmit(datagram{Reach: toNobody, Messages: []cbor.RawMessage{b}}, []netip.AddrPort{to})
+}
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -29,6 +29,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"slipcrank.example/core/broadcast"
+	"slipcrank.example/core/grant"
+	"slipcrank.example/core/notice"
 	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/decision"
@@ -53,6 +55,11 @@
 	alive   kind = 4
 	failed  kind = 5
 	suspect kind = 6
+	// A host asks another for a request to a limited server, which grants it or not;
+	// and it tells all that a server names another limit.
+	asked   kind = 7
+	granted kind = 8
+	limited kind = 9
 )
 
 type (
@@ -68,6 +75,7 @@
 		told     atomic.Int64 // when something was sent last
 		gathered gathered
 		suspects func(host uint32, rs []quarantine.Record)
+		grants   Grants
 
 		mu    sync.Mutex
 		heard map[netip.AddrPort]time.Duration
@@ -98,6 +106,14 @@
 		Apart       bool     `cbor:"15,keyasint,omitempty"`
 
 		Suspects []quarantine.Record `cbor:"16,keyasint,omitempty"`
+
+		Hall         string  `cbor:"17,keyasint,omitempty"`
+		Ping         bool    `cbor:"18,keyasint,omitempty"`
+		LimitVersion uint64  `cbor:"19,keyasint,omitempty"`
+		Limited      bool    `cbor:"20,keyasint,omitempty"`
+		Rate         float64 `cbor:"21,keyasint,omitempty"`
+		Granted      bool    `cbor:"22,keyasint,omitempty"`
+		WaitMS       int64   `cbor:"23,keyasint,omitempty"`
 	}
 )
 
@@ -120,6 +136,13 @@
 		conn: c, board: b, log: l, now: now,
 		heard:    map[netip.AddrPort]time.Duration{},
 		suspects: func(uint32, []quarantine.Record) {},
+		grants: Grants{
+			Ask:   func(uint32, grant.Question) (grant.Reply, bool) { return grant.Reply{}, false },
+			Reply: func(uint32, grant.Reply) {},
+			Limit: func(uint32, string, notice.Limit) {},
+
+			Placed: func(string) {},
+		},
 	}
 	n.routes.Store(&broadcast.Routes{})
 	return n
@@ -188,7 +211,7 @@
 		n.log.Write(event.NewsLost, slog.String("error", err.Error()))
 		return
 	}
-	d := datagram{Reach: toCell, Urgent: m.Kind == placed || m.Kind == suspect, Messages: []cbor.RawMessage{b}}
+	d := datagram{Reach: toCell, Urgent: m.Kind == placed || m.Kind == suspect || m.Kind == limited, Messages: []cbor.RawMessage{b}}
 	switch r := n.routes.Load(); {
 	case len(r.Direct) > 0:
 		d.Reach = toNobody
@@ -242,13 +265,13 @@
 			n.log.Write(event.NewsLost, slog.String("from", from.String()), slog.String("error", err.Error()))
 			continue
 		}
-		n.take(m)
+		n.take(m, from)
 	}
 }
 
 // take takes in a message, but for this host's own: forwarders pass those back
 // too, and its board has heard of them before.
-func (n *News) take(m message) {
+func (n *News) take(m message, from netip.AddrPort) {
 	if m.Host == n.board.Host() {
 		return
 	}
@@ -269,6 +292,7 @@
 			Begun:     n.now(),
 			Mark:      m.Mark, Apart: m.Apart,
 		})
+		n.grants.Placed(m.Lead)
 	case started:
 		n.board.Started(id, n.now())
 	case ended:
@@ -277,5 +301,7 @@
 		n.board.HeardFailed(m.Host, m.Lead, n.now())
 	case suspect:
 		n.suspects(m.Host, m.Suspects)
+	case asked, granted, limited:
+		n.takeGrant(m, from)
 	}
 }
