Orders that set memory aside count towards a server's limit

The same cause as the requests over a limit: orders to hold, renew and release memory are requests to a server too, and went by no limit. A server may name one while it holds memory for several prompts.

Each order now asks the holder of the server's bucket (memory.WithGate). A renewal waits for its turn as long as another can follow it; a reservation that can't be renewed or released lapses by itself after 3.5 s, within the 4 s in which memory has to be back. Each part is renewed by itself, so that one that waits holds up no other.

--- a/daemon/entry/grants.go
+++ b/daemon/entry/grants.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"context"
 	"log/slog"
 	"net/netip"
 	"slices"
 	"strconv"
+	"time"
 
 	"slipcrank.example/core/notice"
 	"slipcrank.example/daemon/event"
@@ -38,3 +40,12 @@
 	}
 	e.gateway.HearLimit(strconv.FormatUint(uint64(host), 10), server, l)
 }
+
+// takesOrder reports whether a server takes an order now, by the limit that it names.
+func (e *Entry) takesOrder(ctx context.Context, addr string) (bool, time.Duration) {
+	s, known := e.watcher.State().Servers.Find(addr)
+	if !known {
+		return true, 0
+	}
+	return e.grants.Take(ctx, s)
+}
--- a/daemon/memory/memory.go
+++ b/daemon/memory/memory.go
@@ -41,12 +41,18 @@
 	// carried out, and latePause lies between the releases meanwhile.
 	lateTime  = 13 * time.Second
 	latePause = 1500 * time.Millisecond
+	// leastWait lies between two questions whether a server takes an order.
+	leastWait = 10 * time.Millisecond
 	// tries bounds releases where no order is late.
 	tries = 3
 )
 
-// ErrNoRoom is a server that has not enough free memory.
-var ErrNoRoom = errors.New("the backend server has no room for the reservation")
+var (
+	// ErrNoRoom is a server that has not enough free memory.
+	ErrNoRoom = errors.New("the backend server has no room for the reservation")
+
+	errLimited = errors.New("the backend server takes no order now, by the limit that it names")
+)
 
 type (
 	// Orders are what backend servers can be told.
@@ -69,8 +75,12 @@
 	Keeper struct {
 		orders Orders
 		log    *decision.Log
+		gate   func(ctx context.Context, addr string) (bool, time.Duration)
 	}
 
+	// Option changes a keeper under construction.
+	Option func(*Keeper)
+
 	// Hold is a set of reservations with one ID.
 	Hold struct {
 		keeper *Keeper
@@ -84,8 +94,23 @@
 	}
 )
 
+// WithGate sets what is asked before each order whether a server takes it, and after
+// how long it does if not.
+func WithGate(f func(ctx context.Context, addr string) (bool, time.Duration)) Option {
+	return func(k *Keeper) { k.gate = f }
+}
+
 // New returns a keeper.
-func New(o Orders, l *decision.Log) *Keeper { return &Keeper{orders: o, log: l} }
+func New(o Orders, l *decision.Log, os ...Option) *Keeper {
+	k := &Keeper{
+		orders: o, log: l,
+		gate: func(context.Context, string) (bool, time.Duration) { return true, 0 },
+	}
+	for _, o := range os {
+		o(k)
+	}
+	return k
+}
 
 // Hold makes all reservations or none, and renews them until Release. The ID
 // must be used once only.
@@ -93,7 +118,7 @@
 	h := &Hold{keeper: k, id: id, parts: parts, late: map[string]bool{}}
 	var g errgroup.Group
 	for _, p := range parts {
-		g.Go(func() error { return h.reserve(ctx, p) })
+		g.Go(func() error { return h.reserve(ctx, p, 0) })
 	}
 	renewing, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h.cancel = cancel
@@ -101,12 +126,18 @@
 		h.Release()
 		return nil, err
 	}
-	h.done.Add(1)
-	go h.renew(renewing)
+	for _, p := range parts {
+		h.done.Go(func() { h.renew(renewing, p) })
+	}
 	return h, nil
 }
 
-func (h *Hold) reserve(ctx context.Context, p Part) error {
+// reserve makes or renews one reservation. It waits so long for a server that takes no
+// order now.
+func (h *Hold) reserve(ctx context.Context, p Part, wait time.Duration) error {
+	if !h.permitted(ctx, p, wait) {
+		return errLimited
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	err := h.keeper.orders.Reserve(ctx, p.Addr, h.id, p.Tokens, holdTime)
@@ -118,15 +149,25 @@
 	return err
 }
 
-// renew keeps the reservations alive.
-func (h *Hold) renew(ctx context.Context) {
-	defer h.done.Done()
+// permitted reports whether a server takes an order, if need be after a wait.
+func (h *Hold) permitted(ctx context.Context, p Part, most time.Duration) bool {
+	for begun := time.Now(); ; {
+		ok, wait := h.keeper.gate(ctx, p.Addr)
+		if ok {
+			return true
+		}
+		if time.Since(begun)+wait > most || pause.For(ctx, max(wait, leastWait)) != nil {
+			return false
+		}
+	}
+}
+
+// renew keeps one reservation alive.
+func (h *Hold) renew(ctx context.Context, p Part) {
 	for pause.For(ctx, renewal) == nil {
-		for _, p := range h.parts {
-			if err := h.reserve(ctx, p); err != nil && ctx.Err() == nil {
-				h.keeper.log.Write(event.OrderFailed, slog.String("doing", "renew"), slog.String("id", h.id),
-					slog.String("server", p.Addr), slog.String("error", err.Error()))
-			}
+		if err := h.reserve(ctx, p, renewal); err != nil && ctx.Err() == nil {
+			h.keeper.log.Write(event.OrderFailed, slog.String("doing", "renew"), slog.String("id", h.id),
+				slog.String("server", p.Addr), slog.String("error", err.Error()))
 		}
 	}
 }
@@ -143,15 +184,15 @@
 	}()
 }
 
+// release releases one reservation. One that a limited server can't be told of lapses by
+// itself.
 func (h *Hold) release(p Part) {
 	h.mu.Lock()
 	late := h.late[p.Addr]
 	h.mu.Unlock()
 	begun := time.Now()
 	for n := 1; ; n++ {
-		ctx, cancel := context.WithTimeout(context.Background(), orderTime)
-		err := h.keeper.orders.Release(ctx, p.Addr, h.id)
-		cancel()
+		err := h.sendRelease(p)
 		switch {
 		case late && time.Since(begun) > lateTime, !late && err == nil, !late && n >= tries:
 			if err != nil {
@@ -163,3 +204,12 @@
 		_ = pause.For(context.Background(), latePause) // never ends early
 	}
 }
+
+func (h *Hold) sendRelease(p Part) error {
+	if !h.permitted(context.Background(), p, latePause) {
+		return errLimited
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTime)
+	defer cancel()
+	return h.keeper.orders.Release(ctx, p.Addr, h.id)
+}
--- a/daemon/memory/memory_test.go
+++ b/daemon/memory/memory_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"slipcrank.example/core/grant"
 	"slipcrank.example/core/pause"
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/memory"
@@ -22,6 +25,7 @@
 	refuse bool
 	lose   int           // so many answers to reservations are lost
 	late   time.Duration // those are carried out so much later
+	orders []time.Time
 }
 
 var errLost = errors.New("no answer")
@@ -29,6 +33,7 @@
 func (s *server) reserve(hold time.Duration) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.orders = append(s.orders, time.Now())
 	if s.refuse {
 		return memory.ErrNoRoom
 	}
@@ -49,6 +54,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.until = time.Time{}
+	s.orders = append(s.orders, time.Now())
 }
 
 func (s *server) held() bool {
@@ -57,7 +63,7 @@
 	return time.Now().Before(s.until)
 }
 
-func keeper(servers map[string]*server, l *decision.Log) *memory.Keeper {
+func keeper(servers map[string]*server, l *decision.Log, os ...memory.Option) *memory.Keeper {
 	return memory.New(memory.Orders{
 		Reserve: func(_ context.Context, addr, _ string, _ int, hold time.Duration) error {
 			return servers[addr].reserve(hold)
@@ -66,7 +72,7 @@
 			servers[addr].release()
 			return nil
 		},
-	}, l)
+	}, l, os...)
 }
 
 func after(d time.Duration) {
@@ -117,3 +123,52 @@
 		})
 	}
 }
+
+// TestOrdersStayWithinALimit holds memory of one server for eight prompts, and has the
+// server name a limit meanwhile.
+func TestOrdersStayWithinALimit(t *testing.T) {
+	const (
+		span    = 4 * time.Second
+		limit   = 1
+		allowed = 11 // 1.5 times what the limit allows in that span, and 5
+	)
+	synctest.Test(t, func(t *testing.T) {
+		l := decision.New(io.Discard)
+		defer l.Close()
+		s, ledger, begun := &server{}, grant.NewLedger(), time.Now()
+		var limited atomic.Bool
+		k := keeper(map[string]*server{"a": s}, l, memory.WithGate(func(context.Context, string) (bool, time.Duration) {
+			if !limited.Load() {
+				return true, 0
+			}
+			return ledger.Take("a", limit, time.Since(begun))
+		}))
+		var holds []*memory.Hold
+		for n := range 8 {
+			h, err := k.Hold(t.Context(), fmt.Sprint(n), []memory.Part{{Addr: "a", Tokens: 1}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			holds = append(holds, h)
+		}
+		limited.Store(true)
+		from := time.Now()
+		after(2 * span)
+		for _, h := range holds {
+			h.Release()
+		}
+		after(2 * span)
+		for i, at := range s.orders {
+			n := 0
+			for n < len(s.orders)-i && s.orders[i+n].Before(at.Add(span)) {
+				n++
+			}
+			if at.After(from) && n > allowed {
+				t.Errorf("%d orders in %v, allowed %d", n, span, allowed)
+			}
+		}
+		if s.held() {
+			t.Error("memory is held after the end")
+		}
+	})
+}
