Log that a backend server says it leaves

Cause: no line of a host told that an answer said so, so a host that doesn't read it and one whose list undoes it looked alike. SC1318 is written at the first answer of each start of a server; nothing decides by it yet.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -62,6 +62,7 @@
 		since      time.Duration // when this host came to know of limit
 		closed     time.Duration // until then the server takes nothing more
 		listed     time.Duration // when the server was listed last
+		leaving    bool          // it has said so to this host
 		unreadable bool          // an answer could not be read, and that is logged
 	}
 )
@@ -117,6 +118,29 @@
 	return l, true
 }
 
+// ReadLeaving reads whether a server says that it leaves.
+func ReadLeaving(text string) (bool, error) {
+	if text == "" {
+		return false, nil
+	}
+	leaves, err := strconv.ParseBool(text)
+	return leaves, errors.Wrapf(err, "%q doesn't say whether the server leaves", text)
+}
+
+// Leaves takes in that a server has said to this host that it leaves, and reports
+// whether that is new. It stands until this start of the server has ended.
+func (b *Book) Leaves(server string, now time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	if s == nil {
+		s = b.add(server, now)
+	}
+	first := !s.leaving
+	s.leaving = true
+	return first
+}
+
 // Hear takes in what another host knows of a server, and reports whether that
 // changed what is known here.
 func (b *Book) Hear(server string, l Limit, now time.Duration) bool {
--- a/daemon/gateway/dialect.go
+++ b/daemon/gateway/dialect.go
@@ -34,6 +34,8 @@
 	AtServer string
 	// Limit is how many requests a second the server takes from all hosts together.
 	Limit string
+	// Leaving says that the server leaves.
+	Leaving string
 	// KeyScheme stands before the key in Authorization, with its blank.
 	KeyScheme string
 	// Private are headers of callers that are not passed on.
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -18,15 +18,18 @@
 // notice takes in what an answer says of the server that made it. One of another
 // server, at the address of the one that was meant, says nothing of that one.
 func (g *Gateway) notice(c *call, server backend.Server, a *upstream.Answer) {
-	if a.Status == http.StatusMisdirectedRequest || g.dialect.Limit == "" {
+	if a.Status == http.StatusMisdirectedRequest {
 		return
 	}
+	g.noticeLimit(c, server, a.Header)
+	g.noticeLeaving(c, server, a.Header)
+}
+
+func (g *Gateway) noticeLimit(c *call, server backend.Server, h http.Header) {
 	now := g.clock.Now()
-	l, err := notice.ReadLimit(a.Header.Get(g.dialect.Limit))
+	l, err := notice.ReadLimit(h.Get(g.dialect.Limit))
 	if err != nil {
-		if g.notices.Unreadable(server.ID, now) {
-			g.log.Write(event.ServerUnreadable, slog.String("id", c.id), slog.String("server", server.ID), slog.String("error", err.Error()))
-		}
+		g.unreadable(c, server, err)
 		return
 	}
 	if l, changed := g.notices.Answered(server.ID, l, c.sent, now); changed {
@@ -35,6 +38,25 @@
 	}
 }
 
+func (g *Gateway) noticeLeaving(c *call, server backend.Server, h http.Header) {
+	leaves, err := notice.ReadLeaving(h.Get(g.dialect.Leaving))
+	if err != nil {
+		g.unreadable(c, server, err)
+		return
+	}
+	if leaves && g.notices.Leaves(server.ID, g.clock.Now()) {
+		g.log.Write(event.ServerSaysLeaving, slog.String("id", c.id), slog.String("server", server.ID), slog.String("by", byThisHost))
+	}
+}
+
+// unreadable notes that an answer says something of its server that can't be read. What
+// it said before holds on.
+func (g *Gateway) unreadable(c *call, server backend.Server, err error) {
+	if g.notices.Unreadable(server.ID, g.clock.Now()) {
+		g.log.Write(event.ServerUnreadable, slog.String("id", c.id), slog.String("server", server.ID), slog.String("error", err.Error()))
+	}
+}
+
 // HearLimit takes in what another host tells of a server.
 func (g *Gateway) HearLimit(by, server string, l notice.Limit) {
 	if g.notices.Hear(server, l, g.clock.Now()) {
