TestSurplusBytesReachNobody: each request has an ID of its own

Seen once: the caller got 'wrong', the surplus answer of an earlier request. Cause: the test sent three requests with one ID, so a surplus answer that arrives after the look at a kept connection can't be told from the due one; callers name each attempt anew. The check is as strict as it was.

--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -361,8 +361,8 @@
 		plain(200, "right")(r, w)
 		return plain(200, "wrong")(r, w)
 	})
-	for range 3 {
-		if a := f.ask("POST", "/once/", "b"); a.status != 200 || a.body != "right" {
+	for n := range 3 {
+		if a := f.ask("POST", "/once/", "b", "Try", fmt.Sprintf("t%d", n)); a.status != 200 || a.body != "right" {
 			t.Errorf("got %d %q", a.status, a.body)
 		}
 	}
