A server whose answers say that it leaves gets nothing more

Callers would have been cut off by their end.

Cause: the header was read nowhere; only the platform's list decided.

Now core/notice keeps that this start of a server leaves. Such a server isn't chosen, neither to lead nor to read parts, and it is looked once more before the first byte of a request leaves, so what was placed or waited is tried elsewhere. No row undoes it; another start has another ID. That its end comes isn't held against the request on it, as with one whose row drains. Others are told: their word keeps a server free for 30 s, unless all of a service are said to leave, since nobody vouches for it.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -6,6 +6,10 @@
 // server therefore has a version, which rises with each change: of two versions the
 // higher one holds, and of equal ones the lower limit.
 //
+// A server that leaves says so too. To the host that got the answer that stands for as
+// long as this start of the server lasts, whatever its entry in the platform's list says;
+// another start has another ID.
+//
 // Answers overtake each other. A lower limit holds at once. A higher one, or none,
 // holds only if the answer is to a request that left after this host knew of what it
 // replaces: the server has made that answer later.
@@ -37,6 +41,9 @@
 	keepTime = 10 * time.Minute
 	// mostServers bounds the servers of which something is kept.
 	mostServers = 8192
+	// doubtTime is for how long another host's word holds that a server leaves: longer
+	// than most servers serve on after that.
+	doubtTime = 30 * time.Second
 )
 
 type (
@@ -63,6 +70,7 @@
 		closed     time.Duration // until then the server takes nothing more
 		listed     time.Duration // when the server was listed last
 		leaving    bool          // it has said so to this host
+		doubted    time.Duration // until then another host's word holds that it leaves
 		unreadable bool          // an answer could not be read, and that is logged
 	}
 )
@@ -141,6 +149,27 @@
 	return first
 }
 
+// HearLeaves takes in that a server has said so to another host. Nobody vouches for
+// that word, so it holds for a while, and not where all servers of a service are said to
+// leave: then this host asks them itself.
+func (b *Book) HearLeaves(server string, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	if s == nil {
+		s = b.add(server, now)
+	}
+	s.doubted = now + doubtTime
+}
+
+// Leaving reports whether a server has said to this host that it leaves.
+func (b *Book) Leaving(server string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	return s != nil && s.leaving
+}
+
 // Hear takes in what another host knows of a server, and reports whether that
 // changed what is known here.
 func (b *Book) Hear(server string, l Limit, now time.Duration) bool {
@@ -180,28 +209,29 @@
 	if len(b.servers) == 0 {
 		return servers, 0
 	}
-	open, wait := servers[:0:0], time.Duration(0)
+	open, doubted, wait := servers[:0:0], servers[:0:0], time.Duration(0)
 	for _, server := range servers {
-		if left := b.left(server.ID, now); left <= 0 {
+		s := b.servers[server.ID]
+		switch {
+		case s == nil || s.open(now) && now >= s.doubted:
 			open = append(open, server)
-		} else if wait == 0 || left < wait {
-			wait = left
+		case s.open(now):
+			doubted = append(doubted, server)
+		case !s.leaving && (wait == 0 || s.closed-now < wait):
+			wait = s.closed - now
 		}
 	}
-	if len(open) > 0 {
-		wait = 0
+	switch {
+	case len(open) > 0:
+		return open, 0
+	case len(doubted) > 0:
+		return doubted, 0
 	}
-	return open, wait
+	return nil, wait
 }
 
-// left is for how long a server takes nothing more.
-func (b *Book) left(server string, now time.Duration) time.Duration {
-	s := b.servers[server]
-	if s == nil {
-		return 0
-	}
-	return s.closed - now
-}
+// open reports whether a server may get a request now, by what it has said to this host.
+func (s *said) open(now time.Duration) bool { return !s.leaving && now >= s.closed }
 
 // Limited returns those of some servers that name a limit, by ID; nil for none.
 func (b *Book) Limited(servers []backend.Server) map[string]bool {
--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -1,8 +1,11 @@
 package notice
 
 import (
+	"slices"
 	"testing"
 	"time"
+
+	"slipcrank.example/core/backend"
 )
 
 func TestReadLimit(t *testing.T) {
@@ -96,3 +99,60 @@
 		t.Error("the wrong one was forgotten")
 	}
 }
+
+// TestOpen has servers say things, and looks which may get a request a second later.
+func TestOpen(t *testing.T) {
+	const now = time.Minute
+	servers := []backend.Server{{ID: "i-1"}, {ID: "i-2"}}
+	limit := Limit{Named: true, Rate: 1}
+	for name, tc := range map[string]struct {
+		said func(b *Book)
+		want []string
+		wait time.Duration
+	}{
+		"nothing": {func(*Book) {}, []string{"i-1", "i-2"}, 0},
+		"one leaves": {func(b *Book) {
+			b.Leaves("i-1", now)
+			b.Answered("i-1", limit, now, now)
+		}, []string{"i-2"}, 0},
+		"both leave": {func(b *Book) {
+			b.Leaves("i-1", now)
+			b.Leaves("i-2", now)
+		}, nil, 0},
+		"one leaves, by another's word": {func(b *Book) { b.HearLeaves("i-1", now) }, []string{"i-2"}, 0},
+		"both leave, by another's word": {func(b *Book) {
+			b.HearLeaves("i-1", now)
+			b.HearLeaves("i-2", now)
+		}, []string{"i-1", "i-2"}, 0},
+		"one leaves, the other is said to": {func(b *Book) {
+			b.Leaves("i-1", now)
+			b.HearLeaves("i-2", now)
+		}, []string{"i-2"}, 0},
+		"one has all its requests": {func(b *Book) {
+			b.Answered("i-1", limit, 0, now)
+			b.Close("i-1", now+3*time.Second)
+		}, []string{"i-2"}, 0},
+		"both have": {func(b *Book) {
+			for n, s := range servers {
+				b.Answered(s.ID, limit, 0, now)
+				b.Close(s.ID, now+time.Duration(n+3)*time.Second)
+			}
+		}, nil, 2 * time.Second},
+		"one had, until its limit ended": {func(b *Book) {
+			b.Answered("i-1", limit, 0, now)
+			b.Close("i-1", now+time.Hour)
+			b.Answered("i-1", Limit{}, now+1, now+1)
+		}, []string{"i-1", "i-2"}, 0},
+	} {
+		b := NewBook()
+		tc.said(b)
+		open, wait := b.Open(servers, now+time.Second)
+		var got []string
+		for _, s := range open {
+			got = append(got, s.ID)
+		}
+		if !slices.Equal(got, tc.want) || wait != tc.wait {
+			t.Errorf("%s: open are %v, wait %v; want %v, %v", name, got, wait, tc.want, tc.wait)
+		}
+	}
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -150,11 +150,14 @@
 		gateway.WithGrants(notices, gateway.Grants{
 			Take: e.grants.Take,
 			Tell: func(server string, l notice.Limit) { n.Limit(e.number, server, l) },
+
+			TellLeaving: func(server string) { n.Leaves(e.number, server) },
 		}),
 	)
 	n.OnSuspects(e.hearSuspects)
 	n.OnGrants(news.Grants{
-		Ask: e.grants.Answer, Reply: e.grants.Answered, Limit: e.hearLimit, Placed: e.gateway.HearPlaced,
+		Ask: e.grants.Answer, Reply: e.grants.Answered, Limit: e.hearLimit, Leaves: e.hearLeaving,
+		Placed: e.gateway.HearPlaced,
 	})
 	return e, nil
 }
--- a/daemon/entry/grants.go
+++ b/daemon/entry/grants.go
@@ -35,12 +35,22 @@
 // the platform's table names.
 func (e *Entry) hearLimit(host uint32, server string, l notice.Limit) {
 	if !e.listed(host) {
-		e.metrics.Count("limits_of_unknown_hosts", 1)
+		e.metrics.Count("notices_of_unknown_hosts", 1)
 		return
 	}
 	e.gateway.HearLimit(strconv.FormatUint(uint64(host), 10), server, l)
 }
 
+// hearLeaving takes in what another host tells of a server that leaves, if it is one
+// that the platform's table names.
+func (e *Entry) hearLeaving(host uint32, server string) {
+	if !e.listed(host) {
+		e.metrics.Count("notices_of_unknown_hosts", 1)
+		return
+	}
+	e.gateway.HearLeaving(strconv.FormatUint(uint64(host), 10), server)
+}
+
 // takesOrder reports whether a server takes an order now, by the limit that it names.
 func (e *Entry) takesOrder(ctx context.Context, addr string) (bool, time.Duration) {
 	s, known := e.watcher.State().Servers.Find(addr)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -102,8 +102,10 @@
 		// Take takes one request of a server. If it may not have one now, Take reports
 		// false and after how long it may.
 		Take func(ctx context.Context, s backend.Server) (bool, time.Duration)
-		// Tell tells others that a server names another limit.
-		Tell func(server string, l notice.Limit)
+		// Tell tells others that a server names another limit, and TellLeaving that one
+		// says it leaves.
+		Tell        func(server string, l notice.Limit)
+		TellLeaving func(server string)
 	}
 
 	// stop is a planned stop.
@@ -137,7 +139,8 @@
 	return func(g *Gateway) { g.quarantine, g.suspects = b, changed }
 }
 
-// WithGrants sets what is known of limited servers, and who hands out their requests. A
+// WithGrants sets what servers have said of themselves, and who hands out the requests of
+// those that name a limit. A
 // gateway without them hands out all of them itself.
 func WithGrants(b *notice.Book, gs Grants) Option {
 	return func(g *Gateway) { g.notices, g.grants = b, gs }
@@ -181,7 +184,8 @@
 		Take: func(_ context.Context, s backend.Server) (bool, time.Duration) {
 			return alone.Take(s.ID, g.notices.Limit(s.ID).Rate, g.clock.Now())
 		},
-		Tell: func(string, notice.Limit) {},
+		Tell:        func(string, notice.Limit) {},
+		TellLeaving: func(string) {},
 	}
 	for _, o := range os {
 		o(g)
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -46,9 +46,16 @@
 	}
 	if leaves && g.notices.Leaves(server.ID, g.clock.Now()) {
 		g.log.Write(event.ServerSaysLeaving, slog.String("id", c.id), slog.String("server", server.ID), slog.String("by", byThisHost))
+		g.grants.TellLeaving(server.ID)
 	}
 }
 
+// HearLeaving takes in that a server has said to another host that it leaves.
+func (g *Gateway) HearLeaving(by, server string) {
+	g.notices.HearLeaves(server, g.clock.Now())
+	g.log.Write(event.ServerSaysLeaving, slog.String("server", server), slog.String("by", by))
+}
+
 // unreadable notes that an answer says something of its server that can't be read. What
 // it said before holds on.
 func (g *Gateway) unreadable(c *call, server backend.Server, err error) {
@@ -98,10 +105,10 @@
 	return wait, ok
 }
 
-// within reports whether a call may leave for the lead of its placement, by what this
+// willing reports whether a call may leave for the lead of its placement, by what this
 // has said since the call was placed.
-func (g *Gateway) within(c *call, p schedule.Placement) bool {
-	return c.granted == p.Lead || !g.notices.Limit(p.Lead).Named
+func (g *Gateway) willing(c *call, p schedule.Placement) bool {
+	return !g.notices.Leaving(p.Lead) && (c.granted == p.Lead || !g.notices.Limit(p.Lead).Named)
 }
 
 // limitsUsed refuses a call since all servers have all the requests that they take. It
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -94,7 +94,7 @@
 	servers := g.state().Servers
 	now, listed := servers.Get(server.ID)
 	replaced := servers.Replaced(server)
-	if now.Draining || !listed && !replaced {
+	if now.Draining || g.notices.Leaving(server.ID) || !listed && !replaced {
 		return false
 	}
 	if listed && !g.closed(server) {
--- a/daemon/news/grant.go
+++ b/daemon/news/grant.go
@@ -21,6 +21,8 @@
 	Reply func(host uint32, r grant.Reply)
 	// Limit takes in that a server names another limit.
 	Limit func(host uint32, server string, l notice.Limit)
+	// Leaves takes in that a server says it leaves.
+	Leaves func(host uint32, server string)
 	// Placed takes in that a host sends a request to a server.
 	Placed func(server string)
 }
@@ -38,7 +40,12 @@
 	n.send(message{Kind: limited, Host: host, Lead: server}.withLimit(l))
 }
 
-// takeGrant takes in a message about a limited server.
+// Leaves tells others that a server says it leaves.
+func (n *News) Leaves(host uint32, server string) {
+	n.send(message{Kind: leaves, Host: host, Lead: server})
+}
+
+// takeGrant takes in a message about what a server has said.
 func (n *News) takeGrant(m message, from netip.AddrPort) {
 	l := notice.Limit{Version: m.LimitVersion, Named: m.Limited, Rate: m.Rate}
 	if err := l.Validate(); err != nil {
@@ -60,6 +67,8 @@
 		})
 	case limited:
 		n.grants.Limit(m.Host, m.Lead, l)
+	case leaves:
+		n.grants.Leaves(m.Host, m.Lead)
 	}
 }
 
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -56,10 +56,11 @@
 	failed  kind = 5
 	suspect kind = 6
 	// A host asks another for a request to a limited server, which grants it or not;
-	// and it tells all that a server names another limit.
+	// and it tells all that a server names another limit, or says that it leaves.
 	asked   kind = 7
 	granted kind = 8
 	limited kind = 9
+	leaves  kind = 10
 )
 
 type (
@@ -141,6 +142,7 @@
 			Reply: func(uint32, grant.Reply) {},
 			Limit: func(uint32, string, notice.Limit) {},
 
+			Leaves: func(uint32, string) {},
 			Placed: func(string) {},
 		},
 	}
@@ -211,7 +213,7 @@
 		n.log.Write(event.NewsLost, slog.String("error", err.Error()))
 		return
 	}
-	d := datagram{Reach: toCell, Urgent: m.Kind == placed || m.Kind == suspect || m.Kind == limited, Messages: []cbor.RawMessage{b}}
+	d := datagram{Reach: toCell, Urgent: m.Kind == placed || m.Kind == suspect || m.Kind == limited || m.Kind == leaves, Messages: []cbor.RawMessage{b}}
 	switch r := n.routes.Load(); {
 	case len(r.Direct) > 0:
 		d.Reach = toNobody
@@ -301,7 +303,7 @@
 		n.board.HeardFailed(m.Host, m.Lead, n.now())
 	case suspect:
 		n.suspects(m.Host, m.Suspects)
-	case asked, granted, limited:
+	case asked, granted, limited, leaves:
 		n.takeGrant(m, from)
 	}
 }
