Log that a backend server asks for rest

Cause: no line told for how long a server that turned a request away wanted nothing, beside the rest that the host itself had chosen (SC1311). SC1319 is written with each such answer; nothing decides by it yet.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -41,6 +41,8 @@
 	keepTime = 10 * time.Minute
 	// mostServers bounds the servers of which something is kept.
 	mostServers = 8192
+	// longestRest is the longest rest that a server can mean.
+	longestRest = time.Hour
 	// doubtTime is for how long another host's word holds that a server leaves: longer
 	// than most servers serve on after that.
 	doubtTime = 30 * time.Second
@@ -135,6 +137,21 @@
 	return leaves, errors.Wrapf(err, "%q doesn't say whether the server leaves", text)
 }
 
+// ReadRest reads for how many seconds a server wants rest. Without a text it wants none.
+func ReadRest(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return 0, errors.Wrapf(err, "a rest of %q is no number of seconds", text)
+	}
+	if math.IsNaN(s) || s < 0 || s > longestRest.Seconds() {
+		return 0, errors.Newf("a rest of %q seconds; want 0 to %v", text, longestRest.Seconds())
+	}
+	return time.Duration(s * float64(time.Second)), nil
+}
+
 // Leaves takes in that a server has said to this host that it leaves, and reports
 // whether that is new. It stands until this start of the server has ended.
 func (b *Book) Leaves(server string, now time.Duration) bool {
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -75,6 +75,7 @@
 	ServerLeaving     = Event{1315, "backend server leaves or is back"}
 	ServerLimit       = Event{1316, "backend server names another limit"}
 	ServerSaysLeaving = Event{1318, "backend server says that it leaves"}
+	ServerWantsRest   = Event{1319, "backend server asks for rest"}
 	ServerUnreadable  = Event{1317, "what a backend server says of itself can't be read"}
 	PlatformReturned  = Event{1803, "platform was away, entries that are missing may have lapsed"}
 	ConfigInForce     = Event{1411, "configuration in force"}
@@ -102,7 +103,7 @@
 	PlatformLost, PlatformBack,
 	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceHeld, WorkspaceReleased,
 	SuspectChanged, SuspectRefused, SuspectCleared, SuspectForgotten,
-	ServerAvoided, ServersChanged, ServerEnded, EndProved, ServerLeaving, ServerLimit, ServerUnreadable, ServerSaysLeaving, PlatformReturned, ConfigInForce, ConfigBad, KeysUnproven, KeysProven,
+	ServerAvoided, ServersChanged, ServerEnded, EndProved, ServerLeaving, ServerLimit, ServerUnreadable, ServerSaysLeaving, ServerWantsRest, PlatformReturned, ConfigInForce, ConfigBad, KeysUnproven, KeysProven,
 	SettingsRead, SettingsBad, NewsLost, HostsChanged, RelayLost, RelayChosen, NewsRouted,
 }
 
--- a/daemon/gateway/dialect.go
+++ b/daemon/gateway/dialect.go
@@ -36,6 +36,9 @@
 	Limit string
 	// Leaving says that the server leaves.
 	Leaving string
+	// Rest is for how many seconds a server that turns a request away wants nothing from
+	// this host.
+	Rest string
 	// KeyScheme stands before the key in Authorization, with its blank.
 	KeyScheme string
 	// Private are headers of callers that are not passed on.
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -23,6 +23,9 @@
 	}
 	g.noticeLimit(c, server, a.Header)
 	g.noticeLeaving(c, server, a.Header)
+	if a.Status == http.StatusServiceUnavailable {
+		g.noticeRest(c, server, a.Header)
+	}
 }
 
 func (g *Gateway) noticeLimit(c *call, server backend.Server, h http.Header) {
@@ -50,6 +53,17 @@
 	}
 }
 
+func (g *Gateway) noticeRest(c *call, server backend.Server, h http.Header) {
+	rest, err := notice.ReadRest(h.Get(g.dialect.Rest))
+	if err != nil {
+		g.unreadable(c, server, err)
+		return
+	}
+	if rest > 0 {
+		g.log.Write(event.ServerWantsRest, slog.String("id", c.id), slog.String("server", server.ID), slog.Duration("rest", rest))
+	}
+}
+
 // HearLeaving takes in that a server has said to another host that it leaves.
 func (g *Gateway) HearLeaving(by, server string) {
 	g.notices.HearLeaves(server, g.clock.Now())
