A server that asks for rest gets nothing from this host until its end

Servers that had turned a request away and asked for 3 s of rest got the next one after 0.5 s, and more within the host's own rest. Callers saw nothing: a request that is turned away is tried elsewhere, at the cost of the retry budget, and with all servers at rest they were refused only after each had been tried.

Cause: the time that servers ask for was read nowhere. The host's own rest is a guess, ended by any good answer (of a stream that had begun before) and by more than half of a service resting.

Now core/notice keeps the end of the rest, which only time ends. A resting server isn't chosen, it is looked once more before a request leaves, and no order to set memory aside goes there. If all servers of a service rest or have all the requests that they take, callers are refused at once with the earliest end.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -10,6 +10,9 @@
 // long as this start of the server lasts, whatever its entry in the platform's list says;
 // another start has another ID.
 //
+// A server that turns a request away may ask the host that sent it for rest, which lasts
+// until its end and binds nobody else.
+//
 // Answers overtake each other. A lower limit holds at once. A higher one, or none,
 // holds only if the answer is to a request that left after this host knew of what it
 // replaces: the server has made that answer later.
@@ -71,6 +74,7 @@
 		since      time.Duration // when this host came to know of limit
 		closed     time.Duration // until then the server takes nothing more
 		listed     time.Duration // when the server was listed last
+		rest       time.Duration // until then it wants nothing from this host
 		leaving    bool          // it has said so to this host
 		doubted    time.Duration // until then another host's word holds that it leaves
 		unreadable bool          // an answer could not be read, and that is logged
@@ -152,6 +156,29 @@
 	return time.Duration(s * float64(time.Second)), nil
 }
 
+// Rests takes in that a server wants nothing from this host until a time. No answer that
+// says something else ends that earlier.
+func (b *Book) Rests(server string, until, now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	if s == nil {
+		s = b.add(server, now)
+	}
+	s.rest = max(s.rest, until)
+}
+
+// Resting is for how long a server wants nothing from this host; 0 if it takes requests.
+func (b *Book) Resting(server string, now time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.servers[server]
+	if s == nil {
+		return 0
+	}
+	return max(s.rest-now, 0)
+}
+
 // Leaves takes in that a server has said to this host that it leaves, and reports
 // whether that is new. It stands until this start of the server has ended.
 func (b *Book) Leaves(server string, now time.Duration) bool {
@@ -234,8 +261,8 @@
 			open = append(open, server)
 		case s.open(now):
 			doubted = append(doubted, server)
-		case !s.leaving && (wait == 0 || s.closed-now < wait):
-			wait = s.closed - now
+		case !s.leaving && (wait == 0 || s.until()-now < wait):
+			wait = s.until() - now
 		}
 	}
 	switch {
@@ -248,7 +275,10 @@
 }
 
 // open reports whether a server may get a request now, by what it has said to this host.
-func (s *said) open(now time.Duration) bool { return !s.leaving && now >= s.closed }
+func (s *said) open(now time.Duration) bool { return !s.leaving && now >= s.until() }
+
+// until is when a server that doesn't leave may get a request.
+func (s *said) until() time.Duration { return max(s.closed, s.rest) }
 
 // Limited returns those of some servers that name a limit, by ID; nil for none.
 func (b *Book) Limited(servers []backend.Server) map[string]bool {
--- a/core/notice/notice_test.go
+++ b/core/notice/notice_test.go
@@ -85,6 +85,27 @@
 	}
 }
 
+func TestReadRest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		text string
+		want time.Duration
+		bad  bool
+	}{
+		"none":     {"", 0, false},
+		"whole":    {"3", 3 * time.Second, false},
+		"fraction": {"0.25", 250 * time.Millisecond, false},
+		"negative": {"-1", 0, true},
+		"NaN":      {"NaN", 0, true},
+		"too long": {"1e12", 0, true},
+		"a date":   {"Thu, 03 Dec 2026 09:00:00 GMT", 0, true},
+	} {
+		got, err := ReadRest(tc.text)
+		if got != tc.want || (err != nil) != tc.bad {
+			t.Errorf("%s: %v, %v", name, got, err)
+		}
+	}
+}
+
 func TestForget(t *testing.T) {
 	b := NewBook()
 	b.Answered("listed", Limit{Named: true, Rate: 1}, 0, 0)
@@ -138,6 +159,21 @@
 				b.Close(s.ID, now+time.Duration(n+3)*time.Second)
 			}
 		}, nil, 2 * time.Second},
+		"one rests": {func(b *Book) { b.Rests("i-1", now+3*time.Second, now) }, []string{"i-2"}, 0},
+		"a shorter rest doesn't end it": {func(b *Book) {
+			b.Rests("i-1", now+3*time.Second, now)
+			b.Rests("i-1", now+time.Millisecond, now)
+		}, []string{"i-2"}, 0},
+		"nor does an answer without": {func(b *Book) {
+			b.Rests("i-1", now+3*time.Second, now)
+			b.Answered("i-1", Limit{}, now+1, now+1)
+		}, []string{"i-2"}, 0},
+		"one has rested": {func(b *Book) { b.Rests("i-1", now+time.Second, now) }, []string{"i-1", "i-2"}, 0},
+		"one rests, the other has all its requests": {func(b *Book) {
+			b.Rests("i-1", now+3*time.Second, now)
+			b.Answered("i-2", limit, 0, now)
+			b.Close("i-2", now+5*time.Second)
+		}, nil, 2 * time.Second},
 		"one had, until its limit ended": {func(b *Book) {
 			b.Answered("i-1", limit, 0, now)
 			b.Close("i-1", now+time.Hour)
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -86,6 +86,8 @@
 		news     *news.News
 		// quarantine is what is known of requests under which servers ended.
 		quarantine *quarantine.Book
+		// notices are what servers have said of themselves.
+		notices *notice.Book
 		// grants hands out the requests that limited servers take from all hosts.
 		grants *grants.Keeper
 		// changed wakes who stores suspects.
@@ -115,6 +117,7 @@
 		clock:    boottime.New(),
 
 		quarantine: quarantine.NewBook(),
+		notices:    notice.NewBook(),
 		changed:    make(chan struct{}, 1),
 	}
 	e.neighbors.Store(&neighbors{cells: 1})
@@ -135,8 +138,7 @@
 	e.watcher = watch.New(p.Source, p.Tables, p.Decoders, e.log, e.metrics, e.setHosts)
 	e.watcher.SetClock(e.clock)
 	e.relays, e.relay = relay.NewClient(e.watcher, e.log), relay.NewServer(e.watcher)
-	notices := notice.NewBook()
-	e.grants = grants.New(s.Host, s.Hall, notices, n.Ask, e.clock.Now)
+	e.grants = grants.New(s.Host, s.Hall, e.notices, n.Ask, e.clock.Now)
 	budget := limit.NewWindow(s.Bounds.Retries.Span, s.Bounds.Retries.Share*retryPart, e.retrySlack)
 	e.gateway = gateway.New(p.Dialect, e.state, e.pool, e.board, budget, e.log, e.metrics,
 		gateway.WithHall(s.Hall),
@@ -147,7 +149,7 @@
 		gateway.WithQuarantine(e.quarantine, e.suspectsChanged),
 		gateway.WithHosts(e.otherHosts),
 		gateway.WithEvidence(func(server string) { n.Failed(e.number, server) }),
-		gateway.WithGrants(notices, gateway.Grants{
+		gateway.WithGrants(e.notices, gateway.Grants{
 			Take: e.grants.Take,
 			Tell: func(server string, l notice.Limit) { n.Limit(e.number, server, l) },
 
--- a/daemon/entry/grants.go
+++ b/daemon/entry/grants.go
@@ -51,11 +51,15 @@
 	e.gateway.HearLeaving(strconv.FormatUint(uint64(host), 10), server)
 }
 
-// takesOrder reports whether a server takes an order now, by the limit that it names.
+// takesOrder reports whether a server takes an order now, by what it has said, and after
+// how long it does if not.
 func (e *Entry) takesOrder(ctx context.Context, addr string) (bool, time.Duration) {
 	s, known := e.watcher.State().Servers.Find(addr)
 	if !known {
 		return true, 0
 	}
+	if rest := e.notices.Resting(s.ID, e.clock.Now()); rest > 0 {
+		return false, rest
+	}
 	return e.grants.Take(ctx, s)
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -327,7 +327,7 @@
 	ready := s.ready(service.Name)
 	open, wait := g.notices.Open(ready, g.clock.Now())
 	if wait > 0 {
-		return schedule.Placement{}, service, g.limitsUsed(ready, wait)
+		return schedule.Placement{}, service, g.shut(ready, wait)
 	}
 	p, ok := g.board.Place(g.clock.Now(), service, open, schedule.Request{
 		Work:      c.work,
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -59,7 +59,8 @@
 		g.unreadable(c, server, err)
 		return
 	}
-	if rest > 0 {
+	if now := g.clock.Now(); rest > 0 {
+		g.notices.Rests(server.ID, now+rest, now)
 		g.log.Write(event.ServerWantsRest, slog.String("id", c.id), slog.String("server", server.ID), slog.Duration("rest", rest))
 	}
 }
@@ -122,16 +123,20 @@
 // willing reports whether a call may leave for the lead of its placement, by what this
 // has said since the call was placed.
 func (g *Gateway) willing(c *call, p schedule.Placement) bool {
-	return !g.notices.Leaving(p.Lead) && (c.granted == p.Lead || !g.notices.Limit(p.Lead).Named)
+	return !g.notices.Leaving(p.Lead) && g.notices.Resting(p.Lead, g.clock.Now()) == 0 && (c.granted == p.Lead || !g.notices.Limit(p.Lead).Named)
 }
 
-// limitsUsed refuses a call since all servers have all the requests that they take. It
-// tells when one of them takes another, and the time in which all of them take one:
-// others wait too.
-func (g *Gateway) limitsUsed(servers []backend.Server, wait time.Duration) *refusal {
+// shut refuses a call since no server of its service takes one for a time, by what they
+// have said: they have all the requests that they take, or want rest. Where limits are the
+// cause, others wait too: the caller is told the time in which all servers take one more.
+func (g *Gateway) shut(servers []backend.Server, wait time.Duration) *refusal {
+	limited := g.notices.Limited(servers)
+	if len(limited) == 0 {
+		return refuse(http.StatusServiceUnavailable, "servers_rest", wait)
+	}
 	var all float64
-	for _, s := range servers {
-		all += grant.Rate(g.notices.Limit(s.ID).Rate)
+	for id := range limited {
+		all += grant.Rate(g.notices.Limit(id).Rate)
 	}
 	return refuse(http.StatusServiceUnavailable, "server_limits", wait+time.Duration(float64(time.Second)/all))
 }
