Answer hosts that aren't known yet, and forget buckets of servers that are gone

A host that has just started is asked for nothing by others until their list has it, and took those that didn't answer it for silent: within some seconds it would have granted itself the whole rate of each limited server. It is answered now, and granted nothing. Buckets and orders of hosts are dropped with their servers. Choosing among servers of which none is spared allocates nothing.

--- a/core/grant/grant.go
+++ b/core/grant/grant.go
@@ -89,7 +89,18 @@
 	return false, time.Duration((1 - b.TokensAt(at)) / float64(r) * float64(time.Second))
 }
 
-// Drop forgets the bucket of a server that another host holds, or that has no limit.
+// Keep drops the buckets of servers that aren't listed any more.
+func (l *Ledger) Keep(listed func(server string) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for server := range l.buckets {
+		if !listed(server) {
+			delete(l.buckets, server)
+		}
+	}
+}
+
+// Drop forgets the bucket of a server that another host holds.
 func (l *Ledger) Drop(server string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -29,6 +29,7 @@
 import (
 	"cmp"
 	"math"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -250,14 +251,14 @@
 func (b *Book) Open(servers []backend.Server, now time.Duration) ([]backend.Server, time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.servers) == 0 {
+	if !slices.ContainsFunc(servers, func(s backend.Server) bool { return b.spared(s.ID, now) }) {
 		return servers, 0
 	}
 	open, doubted, wait := servers[:0:0], servers[:0:0], time.Duration(0)
 	for _, server := range servers {
 		s := b.servers[server.ID]
 		switch {
-		case s == nil || s.open(now) && now >= s.doubted:
+		case !b.spared(server.ID, now):
 			open = append(open, server)
 		case s.open(now):
 			doubted = append(doubted, server)
@@ -274,6 +275,13 @@
 	return nil, wait
 }
 
+// spared reports whether a server had better get no request now, by what it has said to
+// this host or another.
+func (b *Book) spared(server string, now time.Duration) bool {
+	s := b.servers[server]
+	return s != nil && (!s.open(now) || now < s.doubted)
+}
+
 // open reports whether a server may get a request now, by what it has said to this host.
 func (s *said) open(now time.Duration) bool { return !s.leaving && now >= s.until() }
 
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -288,7 +288,9 @@
 			e.news.Alive(e.number)
 			e.tellSuspects(n)
 			if n++; n%sweepEvery == 0 {
-				e.pool.Sweep(e.watcher.State().Servers.Serves)
+				servers := e.watcher.State().Servers
+				e.pool.Sweep(servers.Serves)
+				e.grants.Keep(func(server string) bool { _, ok := servers.Get(server); return ok })
 			}
 		}
 	}
--- a/daemon/grants/grants.go
+++ b/daemon/grants/grants.go
@@ -10,7 +10,7 @@
 //	k := grants.New(host, hall, notices, send, clock.Now)
 //	k.SetHosts(others)                                     // on each change
 //	ok, wait := k.Take(ctx, server)
-//	reply, ok := k.Answer(number, question)                // of another host
+//	reply := k.Answer(number, question)                    // of another host
 //	k.Answered(number, reply)
 package grants
 
@@ -113,15 +113,17 @@
 	return r.Granted, r.Wait
 }
 
-// Answer answers a question of another host. It reports false if that host isn't known.
-func (k *Keeper) Answer(host uint32, q grant.Question) (grant.Reply, bool) {
+// Answer answers a question of another host. One that isn't known yet is granted
+// nothing, but sees that this host is there.
+func (k *Keeper) Answer(host uint32, q grant.Question) grant.Reply {
+	r := grant.Reply{ID: q.ID, Server: q.Server, Wait: otherWait}
 	if !k.heard(host) {
-		return grant.Reply{}, false
+		r.Limit = k.notices.Limit(q.Server)
+		return r
 	}
-	r := grant.Reply{ID: q.ID, Server: q.Server, Wait: otherWait}
 	k.notices.Hear(q.Server, q.Limit, k.now())
 	if r.Limit = k.notices.Limit(q.Server); q.Ping {
-		return r, true
+		return r
 	}
 	holder, other := k.holder(q.Server, q.Hall)
 	switch {
@@ -133,7 +135,19 @@
 	default:
 		r.Granted, r.Wait = k.ledger.Take(q.Server, r.Limit.Rate, k.now())
 	}
-	return r, true
+	return r
+}
+
+// Keep drops what is kept of servers that aren't listed any more.
+func (k *Keeper) Keep(listed func(server string) bool) {
+	k.ledger.Keep(listed)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for server := range k.orders {
+		if !listed(server) {
+			delete(k.orders, server)
+		}
+	}
 }
 
 // Answered takes in an answer of another host.
--- a/daemon/grants/grants_test.go
+++ b/daemon/grants/grants_test.go
@@ -101,8 +101,8 @@
 		if pause.For(context.Background(), way) != nil || !f.passes(from, f.hosts[i]) {
 			return
 		}
-		r, ok := f.hosts[i].keeper.Answer(from.Number, q)
-		if ok && pause.For(context.Background(), way) == nil && f.passes(f.hosts[i], from) {
+		r := f.hosts[i].keeper.Answer(from.Number, q)
+		if pause.For(context.Background(), way) == nil && f.passes(f.hosts[i], from) {
 			from.keeper.Answered(f.hosts[i].Number, r)
 		}
 	})
--- a/daemon/news/grant.go
+++ b/daemon/news/grant.go
@@ -15,8 +15,8 @@
 // Grants are who takes in what other hosts ask and tell of limited servers, with the
 // number of the host that does.
 type Grants struct {
-	// Ask answers a question; without an answer it reports false.
-	Ask func(host uint32, q grant.Question) (grant.Reply, bool)
+	// Ask answers a question.
+	Ask func(host uint32, q grant.Question) grant.Reply
 	// Reply takes in an answer.
 	Reply func(host uint32, r grant.Reply)
 	// Limit takes in that a server names another limit.
@@ -54,12 +54,10 @@
 	}
 	switch m.Kind {
 	case asked:
-		r, ok := n.grants.Ask(m.Host, grant.Question{ID: m.Number, Server: m.Lead, Hall: m.Hall, Limit: l, Ping: m.Ping})
-		if ok {
-			n.sendTo(from, message{
-				Kind: granted, Number: r.ID, Lead: r.Server, Granted: r.Granted, WaitMS: r.Wait.Milliseconds(),
-			}.withLimit(r.Limit))
-		}
+		r := n.grants.Ask(m.Host, grant.Question{ID: m.Number, Server: m.Lead, Hall: m.Hall, Limit: l, Ping: m.Ping})
+		n.sendTo(from, message{
+			Kind: granted, Number: r.ID, Lead: r.Server, Granted: r.Granted, WaitMS: r.Wait.Milliseconds(),
+		}.withLimit(r.Limit))
 	case granted:
 		n.grants.Reply(m.Host, grant.Reply{
 			ID: m.Number, Server: m.Lead, Limit: l, Granted: m.Granted,
