Soak: servers name limits, say that they leave and ask for rest

From outside it is checked that no host sends a server something later than allowed after passing on that it leaves, that a rest is kept by the host that was asked for it, and that a limit is kept by all hosts together, but for hosts that stood still or started and ways that were harmed.

--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -139,8 +139,7 @@
 	if s.http == nil {
 		return // it is being replaced
 	}
-	old, id, ended := s.http, s.id, s.ended
-	s.http = nil
+	id := s.id
 	leave := time.Duration(0)
 	switch w.rnd.IntN(3) {
 	case 0:
@@ -153,6 +152,14 @@
 	if leave > 0 {
 		w.left(id)
 	}
+	w.replace(ctx, s, leave, d)
+}
+
+// replace ends the server of a slot after a time, and starts another one some time
+// after that. The slot is locked.
+func (w *world) replace(ctx context.Context, s *slot, leave, d time.Duration) {
+	old, id, ended := s.http, s.id, s.ended
+	s.http = nil
 	go func() {
 		_ = pause.For(ctx, leave) // it ends in any case
 		_ = old.Close()           // its listener is what counts
--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -52,6 +52,7 @@
 	paused bool
 	struck time.Time // when something was last done to it
 	harms  harms     // while it doesn't run, or was just told to stop
+	gaps   harms     // while it doesn't run
 }
 
 // newHost writes the settings of a host.
@@ -87,6 +88,8 @@
 	h.cmd, h.struck = c, time.Now()
 	h.harms.set(false)
 	h.harms.note()
+	h.gaps.set(false)
+	h.gaps.note()
 	go func() {
 		_ = c.Wait() // how it ended is in its log
 		h.mu.Lock()
@@ -94,6 +97,7 @@
 		if h.cmd == c {
 			h.cmd, h.paused, h.struck = nil, false, time.Now()
 			h.harms.set(true)
+			h.gaps.set(true)
 		}
 	}()
 	return nil
@@ -111,9 +115,11 @@
 	case syscall.SIGSTOP:
 		h.paused = true
 		h.harms.set(true)
+		h.gaps.set(true)
 	case syscall.SIGCONT:
 		h.paused = false
 		h.harms.set(false)
+		h.gaps.set(false)
 	default:
 		h.harms.note()
 	}
@@ -128,6 +134,14 @@
 	return h.cmd != nil && !h.paused, time.Since(h.struck)
 }
 
+// stoodStill reports whether the process was paused, or ended or started, at any time of
+// a span.
+func (h *host) stoodStill(from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gaps.within(from, to)
+}
+
 // harmed reports whether something was done to the host, or to its way to the
 // platform, at any time of a span.
 func (h *host) harmed(from, to time.Time) bool {
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -124,12 +124,14 @@
 		all.Go(func() { w.call(ctx, r) })
 	}
 	all.Go(func() { w.strike(ctx) })
+	all.Go(func() { w.speak(ctx, rand.New(rand.NewPCG(o.Seed, speakStream))) })
 	all.Wait()
 	w.calm()
 	if err := w.serving(recoverTime); err != nil {
 		w.fail("after all faults had ended: %v", err)
 	}
 	w.checkRuns()
+	w.checkNotices()
 	return w.failures, nil
 }
 
