Ask the next host at once when the holder of a bucket doesn't answer

Cause: each host found out for itself, by two questions of its own, that the holder had gone.

Who gets no answer now asks the next host, which is asked by all and so knows soon.

--- a/daemon/grants/grants.go
+++ b/daemon/grants/grants.go
@@ -100,17 +100,19 @@
 	if !l.Named {
 		return true, 0
 	}
-	holder, other := k.holder(s.ID, s.Hall)
-	if !other {
+	hosts := k.holders(s.ID, s.Hall)
+	if len(hosts) == 0 {
 		return k.ledger.Take(s.ID, l.Rate, k.now())
 	}
 	k.ledger.Drop(s.ID)
-	r, ok := k.ask(ctx, holder, grant.Question{Server: s.ID, Hall: s.Hall, Limit: l})
-	if !ok {
-		return false, otherWait
+	// The next one knows whether the first has gone, sooner than hosts that ask seldom.
+	for _, h := range hosts {
+		if r, ok := k.ask(ctx, h, grant.Question{Server: s.ID, Hall: s.Hall, Limit: l}); ok {
+			k.notices.Hear(s.ID, r.Limit, k.now())
+			return r.Granted, r.Wait
+		}
 	}
-	k.notices.Hear(s.ID, r.Limit, k.now())
-	return r.Granted, r.Wait
+	return false, otherWait
 }
 
 // Answer answers a question of another host. One that isn't known yet is granted
@@ -125,11 +127,11 @@
 	if r.Limit = k.notices.Limit(q.Server); q.Ping {
 		return r
 	}
-	holder, other := k.holder(q.Server, q.Hall)
+	hosts := k.holders(q.Server, q.Hall)
 	switch {
-	case other:
+	case len(hosts) > 0:
 		k.ledger.Drop(q.Server)
-		k.ping(holder) // it may be gone, and this host the next
+		k.ping(hosts[0]) // it may be gone, and this host the next
 	case !r.Limit.Named:
 		r.Granted = true
 	default:
@@ -176,38 +178,42 @@
 	return true
 }
 
-// holder returns the host that holds a server's bucket. It reports false if that is
-// this one. Hosts that are silent are asked whether they are back.
-func (k *Keeper) holder(server, hall string) (Host, bool) {
+// holders returns the host that holds a server's bucket and the next one, of those
+// before this host; none if this one holds it. Hosts that are silent are asked whether
+// they are back.
+func (k *Keeper) holders(server, hall string) []Host {
 	now := k.now()
+	var holders, silent []Host
 	k.mu.Lock()
-	order, known := k.orders[server]
-	if !known {
-		hosts := []grant.Host{k.self}
-		for _, h := range k.hosts {
-			hosts = append(hosts, grant.Host{Name: h.Name, Hall: h.Hall})
-		}
-		order = grant.Order(server, hall, hosts)
-		k.orders[server] = order
-	}
-	var holder Host
-	other := false
-	var silent []Host
-	for _, name := range order {
-		if name == k.self.Name {
+	for _, name := range k.order(server, hall) {
+		if name == k.self.Name || len(holders) == 2 {
 			break
 		}
-		if !k.reach.Silent(name, now) {
-			holder, other = k.byName[name], true
-			break
+		if k.reach.Silent(name, now) {
+			silent = append(silent, k.byName[name])
+		} else {
+			holders = append(holders, k.byName[name])
 		}
-		silent = append(silent, k.byName[name])
 	}
 	k.mu.Unlock()
 	for _, h := range silent {
 		k.ping(h)
 	}
-	return holder, other
+	return holders
+}
+
+// order returns the names of all hosts in the order in which they hold a server's bucket.
+// The keeper is locked.
+func (k *Keeper) order(server, hall string) []string {
+	if order, known := k.orders[server]; known {
+		return order
+	}
+	hosts := []grant.Host{k.self}
+	for _, h := range k.hosts {
+		hosts = append(hosts, grant.Host{Name: h.Name, Hall: h.Hall})
+	}
+	k.orders[server] = grant.Order(server, hall, hosts)
+	return k.orders[server]
 }
 
 // ask asks a host, and reports whether it has answered.
