Hosts of a small fleet read anew who has started five times a second

Cause: in its first 5 s a host gathers changes of each table for 1 s, so that hundreds of hosts that start at once don't ask all the time. Nine hosts that had just started so knew each other a second late, told each other nothing, and one deadly request ended 11 or 12 of 12 servers (TestFewServersEndAsHostsStart, three runs today).

--- a/daemon/watch/follow.go
+++ b/daemon/watch/follow.go
@@ -109,7 +109,7 @@
 		}
 		listed, revision = true, b.Revision
 		if len(b.Rows) > 0 {
-			_ = pause.For(ctx, w.gathering()) // ctx is looked at above
+			_ = pause.For(ctx, w.gathering(table)) // ctx is looked at above
 		}
 	}
 }
@@ -130,11 +130,14 @@
 }
 
 // gathering is how long to wait for more changes before the next question.
-func (w *Watcher) gathering() time.Duration {
-	if w.Now() < startTime {
-		return firstGather
+func (w *Watcher) gathering(table string) time.Duration {
+	switch {
+	case w.Now() >= startTime:
+		return gather
+	case table == w.tables.Hosts:
+		return min(max(time.Duration(len(w.State().Hosts))*gatherPerHost, gather), firstGather)
 	}
-	return gather
+	return firstGather
 }
 
 // ask lists a table, or asks for its changes. A list may take several calls, of
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -60,6 +60,10 @@
 	// it doesn't know the others yet.
 	firstGather = time.Second
 	startTime   = 5 * time.Second
+	// gatherPerHost is for the table of hosts in that time, up to firstGather: until hosts
+	// know each other they tell each other nothing, and all of them ask the platform at
+	// most 100 times a second.
+	gatherPerHost = 10 * time.Millisecond
 	// firstPause lies between questions that fail, and doubles with each up
 	// to the longest that is set.
 	firstPause = 100 * time.Millisecond
