Wait for the word of others before a request is tried again under which a server ended

Cause: three callers sent copies of one deadly request to three hosts at the same moment. Each host lost a server, took that for the first and tried the next one within a millisecond, before the word of the others had come: 6 servers ended of 12 where 4 may. A try after an end now waits 30 ms; by then each host knows the other ends, waits for their proof, and copies run one at a time. Only requests whose server has ended wait.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -40,6 +40,7 @@
 	tried    map[string]bool // servers that failed it
 	may      bool            // it may have run, or may be running
 	copied   bool            // several copies of it broke together
+	ended    bool            // a server has just ended under it
 	silent   bool            // a server fell silent on it: connections may have
 	begun    bool            // the head of an answer went to the caller
 	pause    time.Duration   // the longest between two events
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"slipcrank.example/core/backend"
@@ -20,6 +21,9 @@
 	// longest way between halls, and little beside the time of any caller. Ports of
 	// ended servers refuse within one way there and back.
 	probeTime = 50 * time.Millisecond
+	// wordTime is for the word of other hosts to come: some ways between halls, and the
+	// time in which hosts with a fifth of a core take it in.
+	wordTime = 30 * time.Millisecond
 	// lookPause lies between two looks at one server for other hosts, which tell
 	// of what they found several times a second.
 	lookPause = time.Second
@@ -49,8 +53,13 @@
 }
 
 // awaitVerdict waits while it is undecided whether servers have ended under a call's
-// request.
+// request. Right after one has, it waits for the word of hosts that lost a copy of the
+// request at the same moment: else each of them would try another server.
 func (g *Gateway) awaitVerdict(ctx context.Context, c *call) {
+	if c.ended && pause.For(ctx, wordTime) != nil {
+		return // whoever tries it next looks at ctx
+	}
+	c.ended = false
 	for g.stage(c) != quarantine.Clear && g.quarantine.Undecided(c.print, g.clock.Now()) {
 		if pause.For(ctx, quarantine.VerdictPause) != nil {
 			return // whoever tries it next looks at ctx
@@ -75,17 +84,23 @@
 // says something of the request. The lead's answer breaks also when a server has
 // ended that read a part of the prompt for it.
 func (g *Gateway) inquire(c *call, lead backend.Server, helpers []string, out outcome) {
-	if g.endedUnder(c, lead, out) || len(helpers) == 0 {
+	if c.ended = g.endedUnder(c, lead, out); c.ended || len(helpers) == 0 {
 		return
 	}
 	servers := g.state().Servers
 	var all sync.WaitGroup
+	var ended atomic.Bool
 	for _, id := range helpers {
 		if h, ok := servers.Get(id); ok {
-			all.Go(func() { g.endedUnder(c, h, out) })
+			all.Go(func() {
+				if g.endedUnder(c, h, out) {
+					ended.Store(true)
+				}
+			})
 		}
 	}
 	all.Wait()
+	c.ended = ended.Load()
 }
 
 // endedUnder notes what a call says of a server on which it broke, and reports whether
