News reach hosts as soon as these are known

Cause: whom news go to was worked out four times a second only, so for up to 250 ms after a host knew others it told them nothing. Routes follow each change of the hosts now, and what is known of suspects is told then.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -90,8 +90,10 @@
 		notices *notice.Book
 		// grants hands out the requests that limited servers take from all hosts.
 		grants *grants.Keeper
-		// changed wakes who stores suspects.
+		// changed wakes who stores suspects, and known who routes news, since other hosts
+		// have changed.
 		changed  chan struct{}
+		known    chan struct{}
 		relays   *relay.Client
 		relay    *relay.Server
 		callers  *http.Server
@@ -119,6 +121,7 @@
 		quarantine: quarantine.NewBook(),
 		notices:    notice.NewBook(),
 		changed:    make(chan struct{}, 1),
+		known:      make(chan struct{}, 1),
 	}
 	e.neighbors.Store(&neighbors{cells: 1})
 	pool := []upstream.Option{upstream.WithMaxIdle(e.maxIdle)}
@@ -278,6 +281,9 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-e.known:
+			routes = e.routeNews(chooser, routes)
+			e.tellSuspects(0)
 		case <-tick.C:
 			e.noteSuspension()
 			e.board.Forget(e.clock.Now())
--- a/daemon/entry/neighbors.go
+++ b/daemon/entry/neighbors.go
@@ -73,6 +73,7 @@
 	e.setHolders(others)
 	if now.others != old.others || now.cells != old.cells || len(now.mates) != len(old.mates) {
 		e.log.Write(event.HostsChanged, slog.Int("others", now.others), slog.Int("cells", now.cells), slog.Int("told", len(now.mates)))
+		wake(e.known)
 	}
 	e.metrics.Set("other_hosts", int64(now.others))
 }
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -35,9 +35,12 @@
 	e.wakeStoring()
 }
 
-func (e *Entry) wakeStoring() {
+func (e *Entry) wakeStoring() { wake(e.changed) }
+
+// wake wakes who waits on c, which holds one word.
+func wake(c chan struct{}) {
 	select {
-	case e.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default: // it is to wake up already
 	}
 }
