Soak: a host that was killed and is started at once is back

Cause, the soak's own: a killed process was still there when the host was started, so nothing was started. TestHostIsBackAfterAKill fails for that each time without the change.

--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -49,6 +49,8 @@
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
+	killed bool          // the process has been told to end at once
+	ended  chan struct{} // closed when it has ended
 	paused bool
 	struck time.Time // when something was last done to it
 	harms  harms     // while it doesn't run, or was just told to stop
@@ -70,8 +72,14 @@
 
 func (h *host) addr() string { return fmt.Sprintf("%s:%d", h.ip, callersPort) }
 
-// start runs the daemon, if it doesn't run.
+// start runs the daemon, if it doesn't run. It waits for the end of one that was killed.
 func (h *host) start() error {
+	h.mu.Lock()
+	killed, ended := h.killed, h.ended
+	h.mu.Unlock()
+	if killed {
+		<-ended
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.cmd != nil {
@@ -85,13 +93,15 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
-	h.cmd, h.struck = c, time.Now()
+	ended := make(chan struct{})
+	h.cmd, h.killed, h.ended, h.struck = c, false, ended, time.Now()
 	h.harms.set(false)
 	h.harms.note()
 	h.gaps.set(false)
 	h.gaps.note()
 	go func() {
 		_ = c.Wait() // how it ended is in its log
+		defer close(ended)
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		if h.cmd == c {
@@ -123,6 +133,7 @@
 	default:
 		h.harms.note()
 	}
+	h.killed = h.killed || s == syscall.SIGKILL
 	_ = h.cmd.Process.Signal(s) // it may have ended just now
 }
 
--- /dev/null
+++ b/cmd/soak/host_test.go
@@ -0,0 +1,44 @@
+package soak
+
+import (
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"slipcrank.example/platform/standin"
+)
+
+// TestHostIsBackAfterAKill: a host that was killed and started at once stayed down, since
+// its process had not yet ended.
+func TestHostIsBackAfterAKill(t *testing.T) {
+	const base = "127.1.79."
+	l, err := net.Listen("tcp", base+"250:7000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() { _ = http.Serve(l, standin.NewStore()) }() // ends with the listener
+	h, err := newHost(t.TempDir(), buildDaemon(t), "host-0", "hall-0", base+"1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.store, err = newProxy(base+"1:7104", base+"250:7000"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { h.signal(syscall.SIGKILL) })
+	answers := func(h *host) bool {
+		a, err := http.Get("http://" + h.addr() + "/")
+		if err != nil {
+			return false
+		}
+		return a.Body.Close() == nil
+	}
+	for range 3 {
+		if err := h.start(); err != nil {
+			t.Fatal(err)
+		}
+		await(t, []*host{h}, "answer", answers)
+		h.signal(syscall.SIGKILL)
+	}
+}
--- a/cmd/soak/soak_test.go
+++ b/cmd/soak/soak_test.go
@@ -23,6 +23,7 @@
 // failed are seeds that failed once, with the cause.
 var failed = []uint64{
 	122, // the soak's own: a server was closed before it served, and its address was still in use
+	23,  // the soak's own: a host that was killed and started at once stayed down
 }
 
 func TestSoak(t *testing.T) {
