--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -93,7 +93,7 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
-	ended := make(chan struct{})
+	ended = make(chan struct{})
 	h.cmd, h.killed, h.ended, h.struck = c, false, ended, time.Now()
 	h.harms.set(false)
 	h.harms.note()
