Limits and rests: when to come back where the open servers have failed a call

Found by reading the change. A call whose only open servers had failed it was told busyWait instead of what the others' limits and rests say; who was refused after three questions could be told 0 s, which is no time to come back. Waits are told in whole milliseconds, rounded up now. A host wrote SC1318 for each host that told it of the same server; once in 30 s now. The metric of limits named each host's number as a label.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -23,7 +23,9 @@
 //	l, err := notice.ReadLimit(header)
 //	if now, changed := b.Answered(server, l, sent, clock.Now()); changed { ... tell others }
 //	b.Hear(server, limit, clock.Now())
-//	b.Limit(server).Rate
+//	b.Leaves(server, clock.Now())
+//	b.Rests(server, clock.Now()+rest, clock.Now())
+//	open, wait := b.Open(servers, clock.Now())    // those that may get a request
 package notice
 
 import (
@@ -196,15 +198,17 @@
 
 // HearLeaves takes in that a server has said so to another host. Nobody vouches for
 // that word, so it holds for a while, and not where all servers of a service are said to
-// leave: then this host asks them itself.
-func (b *Book) HearLeaves(server string, now time.Duration) {
+// leave: then this host asks them itself. It reports whether it didn't hold before.
+func (b *Book) HearLeaves(server string, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.servers[server]
 	if s == nil {
 		s = b.add(server, now)
 	}
+	first := now >= s.doubted
 	s.doubted = now + doubtTime
+	return first
 }
 
 // Leaving reports whether a server has said to this host that it leaves.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -140,8 +141,7 @@
 }
 
 // WithGrants sets what servers have said of themselves, and who hands out the requests of
-// those that name a limit. A
-// gateway without them hands out all of them itself.
+// those that name a limit. A gateway without it hands out all of them itself.
 func WithGrants(b *notice.Book, gs Grants) Option {
 	return func(g *Gateway) { g.notices, g.grants = b, gs }
 }
@@ -325,10 +325,7 @@
 		mark = uint64(quarantine.WorkspaceMark(c.workspace.Name))
 	}
 	ready := s.ready(service.Name)
-	open, wait := g.notices.Open(ready, g.clock.Now())
-	if wait > 0 {
-		return schedule.Placement{}, service, g.shut(ready, wait)
-	}
+	open, _ := g.notices.Open(ready, g.clock.Now())
 	p, ok := g.board.Place(g.clock.Now(), service, open, schedule.Request{
 		Work:      c.work,
 		Objective: c.route.Objective - time.Since(c.arrived),
@@ -342,11 +339,23 @@
 		Single:    stage >= quarantine.Doubtful,
 		Copied:    confined || c.copied,
 	})
-	switch {
-	case ok:
+	if ok {
 		return p, service, nil
-	case stage >= quarantine.Doubtful:
+	}
+	ready = untried(ready, c.tried)
+	if _, wait := g.notices.Open(ready, g.clock.Now()); wait > 0 {
+		return p, service, g.shut(ready, wait)
+	}
+	if stage >= quarantine.Doubtful {
 		return p, service, refuse(http.StatusServiceUnavailable, "suspect_waits", apartWait)
 	}
 	return p, service, refuse(http.StatusServiceUnavailable, "no_server", busyWait)
 }
+
+// untried returns the servers that have not failed a call.
+func untried(servers []backend.Server, tried map[string]bool) []backend.Server {
+	if len(tried) == 0 {
+		return servers
+	}
+	return slices.DeleteFunc(slices.Clone(servers), func(s backend.Server) bool { return tried[s.ID] })
+}
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -67,7 +67,9 @@
 
 // HearLeaving takes in that a server has said to another host that it leaves.
 func (g *Gateway) HearLeaving(by, server string) {
-	g.notices.HearLeaves(server, g.clock.Now())
+	if !g.notices.HearLeaves(server, g.clock.Now()) {
+		return // each host that has such an answer tells of it
+	}
 	g.log.Write(event.ServerSaysLeaving, slog.String("server", server), slog.String("by", by))
 }
 
@@ -147,7 +149,7 @@
 
 // logLimit writes the limit that holds for a server now, with who saw it.
 func (g *Gateway) logLimit(by, server string, l notice.Limit) {
-	g.metrics.Count("gateway_server_limits", 1, "by", by)
+	g.metrics.Count("gateway_server_limits", 1, "own", strconv.FormatBool(by == byThisHost))
 	g.log.Write(event.ServerLimit, slog.String("server", server), slog.Bool("limited", l.Named),
 		slog.Float64("rate", l.Rate), slog.Uint64("version", l.Version), slog.String("by", by))
 }
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -127,7 +127,7 @@
 		}
 		g.board.Ended(p.ID)
 		if n+1 >= maxAsks {
-			return p, service, refuse(http.StatusServiceUnavailable, "server_limits", wait)
+			return p, service, refuse(http.StatusServiceUnavailable, "server_limits", max(wait, staleWait))
 		}
 	}
 }
--- a/daemon/news/grant.go
+++ b/daemon/news/grant.go
@@ -56,7 +56,7 @@
 	case asked:
 		r := n.grants.Ask(m.Host, grant.Question{ID: m.Number, Server: m.Lead, Hall: m.Hall, Limit: l, Ping: m.Ping})
 		n.sendTo(from, message{
-			Kind: granted, Number: r.ID, Lead: r.Server, Granted: r.Granted, WaitMS: r.Wait.Milliseconds(),
+			Kind: granted, Number: r.ID, Lead: r.Server, Granted: r.Granted, WaitMS: (r.Wait + time.Millisecond - 1).Milliseconds(),
 		}.withLimit(r.Limit))
 	case granted:
 		n.grants.Reply(m.Host, grant.Reply{
