The list of servers of a host that has just started doesn't grow old while it gathers

Cause: in its first 5 s a host gathers changes for 1 s before it asks anew; if connections fall silent meanwhile, the next question hangs for 2.5 s, so the list is 3.5 s old. The pause grows with the hosts for all tables now, 200 ms at nine, as for the table of hosts.

--- a/daemon/watch/follow.go
+++ b/daemon/watch/follow.go
@@ -131,13 +131,14 @@
 
 // gathering is how long to wait for more changes before the next question.
 func (w *Watcher) gathering(table string) time.Duration {
+	hosts := len(w.State().Hosts)
 	switch {
 	case w.Now() >= startTime:
 		return gather
-	case table == w.tables.Hosts:
-		return min(max(time.Duration(len(w.State().Hosts))*gatherPerHost, gather), firstGather)
+	case hosts == 0 && table != w.tables.Hosts:
+		return firstGather
 	}
-	return firstGather
+	return min(max(time.Duration(hosts)*gatherPerHost, gather), firstGather)
 }
 
 // ask lists a table, or asks for its changes. A list may take several calls, of
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -60,9 +60,9 @@
 	// it doesn't know the others yet.
 	firstGather = time.Second
 	startTime   = 5 * time.Second
-	// gatherPerHost is for the table of hosts in that time, up to firstGather: until hosts
-	// know each other they tell each other nothing, and all of them ask the platform at
-	// most 100 times a second.
+	// gatherPerHost is for each other host that is known in that time, up to firstGather: all
+	// hosts ask for a table at most 100 times a second. Until they know each other they tell
+	// each other nothing, and while one gathers, its list grows old.
 	gatherPerHost = 10 * time.Millisecond
 	// firstPause lies between questions that fail, and doubles with each up
 	// to the longest that is set.
