Name what tells of servers' words apart from what grants requests

Read as a newcomer: gateway.Grants told others that a server leaves, and news.Grants took in placements. gateway.WithGrants grants, gateway.Tell and news.Notices tell.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -152,15 +152,14 @@
 		gateway.WithQuarantine(e.quarantine, e.suspectsChanged),
 		gateway.WithHosts(e.otherHosts),
 		gateway.WithEvidence(func(server string) { n.Failed(e.number, server) }),
-		gateway.WithGrants(e.notices, gateway.Grants{
-			Take: e.grants.Take,
-			Tell: func(server string, l notice.Limit) { n.Limit(e.number, server, l) },
-
-			TellLeaving: func(server string) { n.Leaves(e.number, server) },
+		gateway.WithGrants(e.grants.Take),
+		gateway.WithNotices(e.notices, gateway.Tell{
+			Limit:   func(server string, l notice.Limit) { n.Limit(e.number, server, l) },
+			Leaving: func(server string) { n.Leaves(e.number, server) },
 		}),
 	)
 	n.OnSuspects(e.hearSuspects)
-	n.OnGrants(news.Grants{
+	n.OnNotices(news.Notices{
 		Ask: e.grants.Answer, Reply: e.grants.Answered, Limit: e.hearLimit, Leaves: e.hearLeaving,
 		Placed: e.gateway.HearPlaced,
 	})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -95,18 +95,16 @@
 		placed         func(schedule.Placement)
 		started, ended func(schedule.ID)
 		failed         func(server string)
-		grants         Grants
+		tell           Tell
+		grant          func(ctx context.Context, s backend.Server) (bool, time.Duration)
 	}
 
-	// Grants is who hands out the requests of servers that name a limit.
-	Grants struct {
-		// Take takes one request of a server. If it may not have one now, Take reports
-		// false and after how long it may.
-		Take func(ctx context.Context, s backend.Server) (bool, time.Duration)
-		// Tell tells others that a server names another limit, and TellLeaving that one
-		// says it leaves.
-		Tell        func(server string, l notice.Limit)
-		TellLeaving func(server string)
+	// Tell tells other hosts what servers have said to this one.
+	Tell struct {
+		// Limit tells that a server names another limit, and Leaving that one says it
+		// leaves.
+		Limit   func(server string, l notice.Limit)
+		Leaving func(server string)
 	}
 
 	// stop is a planned stop.
@@ -140,10 +138,16 @@
 	return func(g *Gateway) { g.quarantine, g.suspects = b, changed }
 }
 
-// WithGrants sets what servers have said of themselves, and who hands out the requests of
-// those that name a limit. A gateway without it hands out all of them itself.
-func WithGrants(b *notice.Book, gs Grants) Option {
-	return func(g *Gateway) { g.notices, g.grants = b, gs }
+// WithNotices sets what servers have said of themselves, and who tells others.
+func WithNotices(b *notice.Book, t Tell) Option {
+	return func(g *Gateway) { g.notices, g.tell = b, t }
+}
+
+// WithGrants sets who grants the requests of servers that name a limit. If a server takes
+// none now, it reports false and after how long the server does. A gateway without it
+// grants all of them itself.
+func WithGrants(f func(ctx context.Context, s backend.Server) (bool, time.Duration)) Option {
+	return func(g *Gateway) { g.grant = f }
 }
 
 // WithClock sets the clock by which all is timed that may not outlive a suspension
@@ -180,13 +184,10 @@
 		shares: newShares(),
 	}
 	alone := grant.NewLedger()
-	g.grants = Grants{
-		Take: func(_ context.Context, s backend.Server) (bool, time.Duration) {
-			return alone.Take(s.ID, g.notices.Limit(s.ID).Rate, g.clock.Now())
-		},
-		Tell:        func(string, notice.Limit) {},
-		TellLeaving: func(string) {},
+	g.grant = func(_ context.Context, s backend.Server) (bool, time.Duration) {
+		return alone.Take(s.ID, g.notices.Limit(s.ID).Rate, g.clock.Now())
 	}
+	g.tell = Tell{Limit: func(string, notice.Limit) {}, Leaving: func(string) {}}
 	for _, o := range os {
 		o(g)
 	}
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -37,7 +37,7 @@
 	}
 	if l, changed := g.notices.Answered(server.ID, l, c.sent, now); changed {
 		g.logLimit(byThisHost, server.ID, l)
-		g.grants.Tell(server.ID, l)
+		g.tell.Limit(server.ID, l)
 	}
 }
 
@@ -49,7 +49,7 @@
 	}
 	if leaves && g.notices.Leaves(server.ID, g.clock.Now()) {
 		g.log.Write(event.ServerSaysLeaving, slog.String("id", c.id), slog.String("server", server.ID), slog.String("by", byThisHost))
-		g.grants.TellLeaving(server.ID)
+		g.tell.Leaving(server.ID)
 	}
 }
 
@@ -108,7 +108,7 @@
 	if !known {
 		return 0, true // nothing is sent to it
 	}
-	ok, wait := g.grants.Take(ctx, server)
+	ok, wait := g.grant(ctx, server)
 	if ok {
 		c.granted, wait = p.Lead, grant.Pause(l.Rate)
 	}
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -76,7 +76,7 @@
 		told     atomic.Int64 // when something was sent last
 		gathered gathered
 		suspects func(host uint32, rs []quarantine.Record)
-		grants   Grants
+		notices  Notices
 
 		mu    sync.Mutex
 		heard map[netip.AddrPort]time.Duration
@@ -137,7 +137,7 @@
 		conn: c, board: b, log: l, now: now,
 		heard:    map[netip.AddrPort]time.Duration{},
 		suspects: func(uint32, []quarantine.Record) {},
-		grants: Grants{
+		notices: Notices{
 			Ask:   func(uint32, grant.Question) grant.Reply { return grant.Reply{} },
 			Reply: func(uint32, grant.Reply) {},
 			Limit: func(uint32, string, notice.Limit) {},
@@ -294,7 +294,7 @@
 			Begun:     n.now(),
 			Mark:      m.Mark, Apart: m.Apart,
 		})
-		n.grants.Placed(m.Lead)
+		n.notices.Placed(m.Lead)
 	case started:
 		n.board.Started(id, n.now())
 	case ended:
@@ -304,6 +304,6 @@
 	case suspect:
 		n.suspects(m.Host, m.Suspects)
 	case asked, granted, limited, leaves:
-		n.takeGrant(m, from)
+		n.takeNotice(m, from)
 	}
 }
--- a/daemon/news/grant.go
+++ b/daemon/news/notice.go
@@ -12,9 +12,9 @@
 	"slipcrank.example/daemon/event"
 )
 
-// Grants are who takes in what other hosts ask and tell of limited servers, with the
-// number of the host that does.
-type Grants struct {
+// Notices are who takes in what other hosts ask and tell of what servers have said, with
+// the number of the host that does.
+type Notices struct {
 	// Ask answers a question.
 	Ask func(host uint32, q grant.Question) grant.Reply
 	// Reply takes in an answer.
@@ -27,8 +27,8 @@
 	Placed func(server string)
 }
 
-// OnGrants sets who takes part in grants. It is called before Run.
-func (n *News) OnGrants(g Grants) { n.grants = g }
+// OnNotices sets who takes that in. It is called before Run.
+func (n *News) OnNotices(t Notices) { n.notices = t }
 
 // Ask asks one host for a request to a limited server.
 func (n *News) Ask(to netip.AddrPort, q grant.Question) {
@@ -45,8 +45,8 @@
 	n.send(message{Kind: leaves, Host: host, Lead: server})
 }
 
-// takeGrant takes in a message about what a server has said.
-func (n *News) takeGrant(m message, from netip.AddrPort) {
+// takeNotice takes in a message about what a server has said.
+func (n *News) takeNotice(m message, from netip.AddrPort) {
 	l := notice.Limit{Version: m.LimitVersion, Named: m.Limited, Rate: m.Rate}
 	if err := l.Validate(); err != nil {
 		n.log.Write(event.NewsLost, slog.String("from", from.String()), slog.String("error", err.Error()))
@@ -54,19 +54,19 @@
 	}
 	switch m.Kind {
 	case asked:
-		r := n.grants.Ask(m.Host, grant.Question{ID: m.Number, Server: m.Lead, Hall: m.Hall, Limit: l, Ping: m.Ping})
+		r := n.notices.Ask(m.Host, grant.Question{ID: m.Number, Server: m.Lead, Hall: m.Hall, Limit: l, Ping: m.Ping})
 		n.sendTo(from, message{
 			Kind: granted, Number: r.ID, Lead: r.Server, Granted: r.Granted, WaitMS: (r.Wait + time.Millisecond - 1).Milliseconds(),
 		}.withLimit(r.Limit))
 	case granted:
-		n.grants.Reply(m.Host, grant.Reply{
+		n.notices.Reply(m.Host, grant.Reply{
 			ID: m.Number, Server: m.Lead, Limit: l, Granted: m.Granted,
 			Wait: time.Duration(m.WaitMS) * time.Millisecond,
 		})
 	case limited:
-		n.grants.Limit(m.Host, m.Lead, l)
+		n.notices.Limit(m.Host, m.Lead, l)
 	case leaves:
-		n.grants.Leaves(m.Host, m.Lead)
+		n.notices.Leaves(m.Host, m.Lead)
 	}
 }
 
