--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -121,9 +121,7 @@
 	if s == nil && !l.Named {
 		return Limit{}, false
 	}
-	if s == nil {
-		s = b.add(server, now)
-	}
+	s = b.of(server, now)
 	switch {
 	case s.limit.Named == l.Named && s.limit.Rate == l.Rate:
 		return s.limit, false
@@ -164,10 +162,7 @@
 func (b *Book) Rests(server string, until, now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.servers[server]
-	if s == nil {
-		s = b.add(server, now)
-	}
+	s := b.of(server, now)
 	s.rest = max(s.rest, until)
 }
 
@@ -187,10 +182,7 @@
 func (b *Book) Leaves(server string, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.servers[server]
-	if s == nil {
-		s = b.add(server, now)
-	}
+	s := b.of(server, now)
 	first := !s.leaving
 	s.leaving = true
 	return first
@@ -202,10 +194,7 @@
 func (b *Book) HearLeaves(server string, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.servers[server]
-	if s == nil {
-		s = b.add(server, now)
-	}
+	s := b.of(server, now)
 	first := now >= s.doubted
 	s.doubted = now + doubtTime
 	return first
@@ -228,9 +217,7 @@
 	if s == nil && l.Version == 0 {
 		return false
 	}
-	if s == nil {
-		s = b.add(server, now)
-	}
+	s = b.of(server, now)
 	if !l.newer(s.limit) {
 		return false
 	}
@@ -324,10 +311,7 @@
 func (b *Book) Unreadable(server string, now time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.servers[server]
-	if s == nil {
-		s = b.add(server, now)
-	}
+	s := b.of(server, now)
 	first := !s.unreadable
 	s.unreadable = true
 	return first
@@ -347,8 +331,12 @@
 	}
 }
 
-// add makes room for a server, at the cost of the one that was listed longest ago.
-func (b *Book) add(server string, now time.Duration) *said {
+// of returns what is known of a server. A new one takes the place of the one that was
+// listed longest ago, if there are too many.
+func (b *Book) of(server string, now time.Duration) *said {
+	if s := b.servers[server]; s != nil {
+		return s
+	}
 	if len(b.servers) >= mostServers {
 		var oldest string
 		for id, s := range b.servers {
