--- a/core/emulate/emulate.go
+++ b/core/emulate/emulate.go
@@ -20,6 +20,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -34,6 +35,14 @@
 // their mean, a range that holds half of the prompts of the deployments.
 const minSize, sizeRange = 0.3, 1.4
 
+// largestFraction and largeFraction are the fractions of a load's requests that
+// [BySize] counts apart: the largest, and those next below them.
+const largestFraction, largeFraction = 0.1, 0.2
+
+// lateValue is the fraction of its value that a late answer delivers, and maxValue the
+// highest value of a request, as given by the scoring rules of the deployments.
+const lateValue, maxValue = 0.25, 4
+
 type (
 	// Load describes requests of one kind.
 	Load struct {
@@ -48,6 +57,11 @@
 		// Prompt and Answer are mean sizes in tokens.
 		Prompt int `yaml:"prompt" validate:"gt=0"`
 		Answer int `yaml:"answer" validate:"gt=0"`
+		// Spread is the standard deviation of the logarithm of prompt sizes, which
+		// are lognormal and at most MaxPrompt; with 0 they are spread evenly over
+		// 0.3 to 1.7 times the mean.
+		Spread    float64 `yaml:"spread" validate:"gte=0,lte=2"`
+		MaxPrompt int     `yaml:"max_prompt" validate:"required_with=Spread,gte=0"`
 		// Objective is the longest time to the first token, Gap the longest pause
 		// of the stream, that are in time.
 		Objective time.Duration `yaml:"objective" validate:"gt=0s"`
@@ -75,10 +89,17 @@
 	// Count counts the requests of one kind by outcome.
 	Count struct {
 		Asked, InTime, Late, Refused int
+		// Value is the summed value of the requests, relative to one of the mean size
+		// of its load, and Earned the part of it that was delivered.
+		Value, Earned float64
 	}
 
 	// Results counts all requests by outcome, by the names of their loads.
 	Results map[string]Count
+
+	// BySize counts the requests of one load: all of them, the largest tenth by
+	// prompt, and the fifth next below that tenth.
+	BySize struct{ All, LargestTenth, NextFifth Count }
 )
 
 // Surge returns a scenario of long prompts that need four fifths of 18 engines,
@@ -119,7 +140,20 @@
 
 // Run simulates a scenario under a rule. Callers that are refused retry once, after
 // the time that the refusal names.
-func Run(s Scenario, rule Rule, seed uint64) Results {
+func Run(s Scenario, rule Rule, seed uint64) Results { return count(simulate(s, rule, seed)) }
+
+// RunBySize does what [Run] does, and counts the requests of one load by size.
+func RunBySize(s Scenario, rule Rule, seed uint64, load string) BySize {
+	rs := simulate(s, rule, seed)
+	rs = slices.DeleteFunc(rs, func(r *request) bool { return r.load.Name != load })
+	slices.SortStableFunc(rs, func(a, b *request) int { return cmp.Compare(b.work.Prompt, a.work.Prompt) })
+	largest := int(largestFraction * float64(len(rs)))
+	next := largest + int(largeFraction*float64(len(rs)))
+	return BySize{All: count(rs)[load], LargestTenth: count(rs[:largest])[load], NextFifth: count(rs[largest:next])[load]}
+}
+
+// simulate runs a scenario to its end and returns its requests in order of arrival.
+func simulate(s Scenario, rule Rule, seed uint64) []*request {
 	random := rand.New(rand.NewPCG(seed, 2))
 	f := newFleet(s.Engine, schedule.New(1, schedule.WithRandom(random.Float64)))
 	servers := f.servers(s.Engines)
@@ -137,7 +171,7 @@
 		}
 	}
 	f.run(servers, f.now+2*s.Wait)
-	return count(requests)
+	return requests
 }
 
 // admit chooses servers for a request and starts it on them, unless the rule refuses
@@ -168,6 +202,9 @@
 	for _, l := range s.Loads {
 		for at := l.From; at < l.Until; at += time.Duration(random.ExpFloat64() / l.Rate * float64(time.Second)) {
 			w := schedule.Work{Prompt: size(l.Prompt), Answer: size(l.Answer)}
+			if l.Spread > 0 {
+				w.Prompt = l.lognormalPrompt(random)
+			}
 			rs = append(rs, &request{load: l, workspace: l.workspace(len(rs)), work: w, arrived: at, attempt: at})
 		}
 	}
@@ -175,6 +212,12 @@
 	return rs
 }
 
+// lognormalPrompt returns a random prompt size of a load with a spread.
+func (l Load) lognormalPrompt(random *rand.Rand) int {
+	size := float64(l.Prompt) * math.Exp(l.Spread*random.NormFloat64()-l.Spread*l.Spread/2)
+	return min(int(size), l.MaxPrompt)
+}
+
 // workspace returns the name of the workspace of the n-th request of a load.
 func (l Load) workspace(n int) string {
 	return fmt.Sprintf("%s-%d", l.Group, n%max(l.Workspaces, 1))
@@ -186,22 +229,43 @@
 	for _, r := range rs {
 		c := results[r.load.Name]
 		c.Asked++
+		c.Value += r.value()
 		switch {
 		case r.placement.Lead == "":
 			c.Refused++
 		case r.done && !r.late:
 			c.InTime++
+			c.Earned += r.value()
 		default:
 			c.Late++
+			c.Earned += lateValue * r.value()
 		}
 		results[r.load.Name] = c
 	}
 	return results
 }
 
+// value returns the value of a request, relative to one of the mean size of its load.
+func (r *request) value() float64 {
+	mean := site.Engine{UsualPrompt: r.load.Prompt, UsualAnswer: r.load.Answer}
+	return min(schedule.Value(&mean, r.work), maxValue)
+}
+
 // Add returns the sum of two counts, by outcome.
 func (c Count) Add(o Count) Count {
-	return Count{c.Asked + o.Asked, c.InTime + o.InTime, c.Late + o.Late, c.Refused + o.Refused}
+	return Count{
+		c.Asked + o.Asked, c.InTime + o.InTime, c.Late + o.Late, c.Refused + o.Refused,
+		c.Value + o.Value, c.Earned + o.Earned,
+	}
+}
+
+// EarnedFraction returns the fraction of the requests' value that was delivered, or 0
+// without any.
+func (c Count) EarnedFraction() float64 {
+	if c.Value == 0 {
+		return 0
+	}
+	return c.Earned / c.Value
 }
 
 // InTimeFraction returns the fraction of the requests that were served in time, or 0
@@ -213,6 +277,15 @@
 	return float64(c.InTime) / float64(c.Asked)
 }
 
+// ServedFraction returns the fraction of the requests that were served at all, or 0
+// without any.
+func (c Count) ServedFraction() float64 {
+	if c.Asked == 0 {
+		return 0
+	}
+	return float64(c.InTime+c.Late) / float64(c.Asked)
+}
+
 // String returns the counts as text, by outcome.
 func (c Count) String() string {
 	return fmt.Sprintf("%d asked, %d in time, %d late, %d refused", c.Asked, c.InTime, c.Late, c.Refused)
--- a/daemon/gateway/admit.go
+++ b/daemon/gateway/admit.go
@@ -28,6 +28,7 @@
 		OverShare:       p.Share.OverShare,
 		SlotScarcity:    p.SlotScarcity,
 	})
+	g.countAdmission(p, decision)
 	if !refused {
 		return nil
 	}
@@ -37,3 +38,30 @@
 	g.metrics.Count("gateway_postponed", 1, "route", c.route.Name)
 	return refuse(http.StatusServiceUnavailable, string(decision.Reason), decision.RetryAfter)
 }
+
+// countAdmission counts a decision by how much of the engines' memory the prompt fills,
+// so that a policy which serves prompts of some sizes less often than others shows.
+func (g *Gateway) countAdmission(p schedule.Placement, decision admission.Refusal) {
+	if p.EnginesFilled == 0 {
+		return // not an engine
+	}
+	result := "admitted"
+	if decision.Reason != "" {
+		result = string(decision.Reason)
+	}
+	g.metrics.Count("gateway_admissions", 1, "engines_filled", filledRange(p.EnginesFilled), "result", result)
+}
+
+// filledRange returns the range in which the number of engines lies whose memory a
+// prompt fills.
+func filledRange(engines float64) string {
+	switch {
+	case engines <= 0.5:
+		return "0-0.5"
+	case engines <= 1:
+		return "0.5-1"
+	case engines <= 1.5:
+		return "1-1.5"
+	}
+	return "1.5+"
+}
--- a/daemon/gateway/admit_test.go
+++ b/daemon/gateway/admit_test.go
@@ -132,3 +132,16 @@
 		})
 	}
 }
+
+// TestAdmissionsAreCountedBySize sends a prompt that is served, and one of another size
+// that can't be served within its caller's time.
+func TestAdmissionsAreCountedBySize(t *testing.T) {
+	f := start(t, streamFrom(eventCount), streamFrom(eventCount))
+	f.do("POST", "/late/", "b", "Size", "10000,10", "Wait-Ms", "5000")
+	f.do("POST", "/late/", "b", "Size", "90000,10", "Wait-Ms", "100")
+	for filled, result := range map[string]string{"0-0.5": "admitted", "0.5-1": "no_time"} {
+		if n := f.metrics.CounterValue("gateway_admissions", "engines_filled", filled, "result", result); n != 1 {
+			t.Errorf("%d decisions %q on prompts that fill %s engines, want 1", n, result, filled)
+		}
+	}
+}
