--- a/core/emulate/wide_test.go
+++ b/core/emulate/wide_test.go
@@ -36,3 +36,33 @@
 		}
 	}
 }
+
+// auditWave returns a wave of long prompts of very unlike sizes that alone needs nearly
+// all of the prefill time of 75 engines, together with shorter ones.
+func auditWave() emulate.Scenario {
+	s := wide()
+	const end = 10 * time.Second
+	s.Loads = []emulate.Load{
+		{Name: "long", Until: end, Rate: 16.5, Prompt: 190_000, Spread: 0.55, MaxPrompt: 600_000, Answer: 750, Objective: 3 * time.Second, Gap: time.Second},
+		{Name: "middle", Until: end, Rate: 16, Prompt: 45_000, Answer: 900, Objective: 1500 * time.Millisecond, Gap: 600 * time.Millisecond},
+		{Name: "short", Until: end, Rate: 60, Prompt: 4_960, Answer: 1_500, Objective: 400 * time.Millisecond, Gap: 250 * time.Millisecond},
+	}
+	return s
+}
+
+func TestLargestPromptsAreServedHalfAsOftenAsAll(t *testing.T) {
+	const runs = 8
+	var sum emulate.BySize
+	for seed := range uint64(runs) {
+		c := emulate.RunBySize(auditWave(), emulate.FromPolicy(admission.Default()), seed, "long")
+		sum = emulate.BySize{
+			All: sum.All.Add(c.All), LargestTenth: sum.LargestTenth.Add(c.LargestTenth), NextFifth: sum.NextFifth.Add(c.NextFifth),
+		}
+	}
+	t.Logf("all: %v; largest tenth: %v; next fifth: %v", sum.All, sum.LargestTenth, sum.NextFifth)
+	for name, part := range map[string]emulate.Count{"largest tenth": sum.LargestTenth, "next fifth": sum.NextFifth} {
+		if part.ServedFraction() < sum.All.ServedFraction()/2 {
+			t.Errorf("of the %s %.2f were served, of all %.2f", name, part.ServedFraction(), sum.All.ServedFraction())
+		}
+	}
+}
