Don't ask servers again that refused to reserve memory for a call

Callers saw: prompts that need the memory of several engines refused or late after up to five tries, 1 s each where the server was cut off; only the largest prompts reserve memory, so only they were lost by it. Cause: a failed reservation left no trace in the call. The next try made the same choice, since the server that refuses still looked least loaded here. Change: memory.Reserve names the servers that did not reserve, and the call avoids them like those on which it failed.

--- a/daemon/gateway/admit_test.go
+++ b/daemon/gateway/admit_test.go
@@ -98,6 +98,24 @@
 	}
 }
 
+// TestServerThatRefusedMemoryIsNotAskedAgain lets all engines but two refuse to reserve
+// memory, and keeps these two busier than the others.
+func TestServerThatRefusedMemoryIsNotAskedAgain(t *testing.T) {
+	f := start(t, streamFrom(eventCount), streamFrom(eventCount), streamFrom(eventCount), streamFrom(eventCount))
+	f.hasMemory = map[string]bool{}
+	for n := range 2 {
+		f.hasMemory[f.servers[n].addr] = true
+		f.scheduler.AddRemote(schedule.Placement{
+			ID: schedule.ID{Host: 2, Number: uint32(n)}, Service: "engine", Lead: "e" + strconv.Itoa(n),
+			Work: schedule.Work{Prompt: 5_000, Answer: 10}, Gap: time.Minute, FirstToken: time.Minute,
+		})
+	}
+	a := f.do("POST", "/late/", "b", "Size", "150000,10", "Wait-Ms", "4500")
+	if a.status != 200 || f.requestCount() != 1 {
+		t.Errorf("status %d after %d runs and %d reservations, want 200 after one run", a.status, f.requestCount(), f.reserved.Load())
+	}
+}
+
 // TestWorkspaceOverItsShareIsRefused keeps the engines busy with the prompts of one
 // workspace. A call of this workspace is refused; the call of a workspace without
 // running requests is served.
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -65,8 +65,10 @@
 		view          *backend.View
 		config        *site.Config
 		configCurrent bool
-		// reserved counts memory reservations, all of which fail.
-		reserved atomic.Int64
+		// reserved counts memory reservations. They fail, except on the servers whose
+		// addresses are in hasMemory.
+		reserved  atomic.Int64
+		hasMemory map[string]bool
 	}
 )
 
@@ -181,8 +183,11 @@
 			ServersAge:    func() time.Duration { return 0 },
 		}),
 		gateway.WithMemory(memory.New(memory.Orders{
-			Reserve: func(context.Context, string, string, int, time.Duration) error {
+			Reserve: func(_ context.Context, addr, _ string, _ int, _ time.Duration) error {
 				f.reserved.Add(1)
+				if f.hasMemory[addr] {
+					return nil
+				}
 				return memory.ErrInsufficientMemory
 			},
 			Release: func(context.Context, string, string) error { return nil },
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -95,6 +96,7 @@
 	defer g.onEnded(p.ID)
 	reservation, err := g.reserveMemory(ctx, s, p)
 	if err != nil {
+		c.avoidRefusing(s, p, err)
 		return outcome{result: unsent, reason: "memory_not_held", server: p.Lead, service: service.Name}
 	}
 	if reservation != nil {
@@ -155,6 +157,20 @@
 	return g.memory.Reserve(ctx, reservationID(p.ID), shares)
 }
 
+// avoidRefusing keeps servers that did not reserve memory from further tries of the call.
+// They may look less loaded than those that would.
+func (c *call) avoidRefusing(s State, p schedule.Placement, err error) {
+	var refused *memory.RefusedError
+	if !errors.As(err, &refused) {
+		return
+	}
+	for _, share := range p.MemoryShares {
+		if server, ok := s.Servers.Get(share.Server); ok && slices.Contains(refused.Addrs, server.Addr) {
+			c.failedServers[share.Server] = true
+		}
+	}
+}
+
 // reservationID returns the ID of a placement's memory reservations.
 func reservationID(id schedule.ID) string { return fmt.Sprintf("%x-%x", id.Host, id.Number) }
 
--- a/daemon/memory/memory.go
+++ b/daemon/memory/memory.go
@@ -17,11 +17,11 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"slipcrank.example/core/pause"
 	"slipcrank.example/daemon/decision"
@@ -68,6 +68,13 @@
 		Release func(ctx context.Context, addr, id string) error
 	}
 
+	// RefusedError means that servers did not reserve the memory asked of them.
+	RefusedError struct {
+		// Addrs are the addresses of these servers.
+		Addrs []string
+		cause error
+	}
+
 	// Share is the memory to reserve on one server.
 	Share struct {
 		Addr   string
@@ -116,19 +123,29 @@
 	return r
 }
 
+// Error returns the message of the error.
+func (e *RefusedError) Error() string {
+	return "memory not reserved on " + strings.Join(e.Addrs, ", ") + ": " + e.cause.Error()
+}
+
+// Unwrap returns why one of the servers did not reserve it.
+func (e *RefusedError) Unwrap() error { return e.cause }
+
 // Reserve makes all reservations or none, and renews them until Release is called. An
-// ID must not be used again.
+// ID must not be used again. Its error is a [RefusedError].
 func (r *Reserver) Reserve(ctx context.Context, id string, shares []Share) (*Reservation, error) {
 	res := &Reservation{reserver: r, id: id, shares: shares, unanswered: map[string]bool{}}
-	var g errgroup.Group
-	for _, share := range shares {
-		g.Go(func() error { return res.reserve(ctx, share, 0) })
+	errs := make([]error, len(shares))
+	var g sync.WaitGroup
+	for i, share := range shares {
+		g.Go(func() { errs[i] = res.reserve(ctx, share, 0) })
 	}
+	g.Wait()
 	renewing, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	res.cancel = cancel
-	if err := g.Wait(); err != nil {
+	if refused := refusedError(shares, errs); refused != nil {
 		res.Release()
-		return nil, err
+		return nil, refused
 	}
 	for _, share := range shares {
 		res.renewals.Go(func() { res.renew(renewing, share) })
@@ -136,6 +153,25 @@
 	return res, nil
 }
 
+// refusedError returns the error for the shares whose reservations failed, or nil if
+// none did. Errs are in the order of the shares.
+func refusedError(shares []Share, errs []error) error {
+	var refused *RefusedError
+	for i, err := range errs {
+		if err == nil {
+			continue
+		}
+		if refused == nil {
+			refused = &RefusedError{cause: err}
+		}
+		refused.Addrs = append(refused.Addrs, shares[i].Addr)
+	}
+	if refused == nil {
+		return nil
+	}
+	return refused
+}
+
 // reserve makes or renews the reservation of one share. If the server accepts no order
 // now, reserve waits for at most maxWait.
 func (res *Reservation) reserve(ctx context.Context, share Share, maxWait time.Duration) error {
