Count an engine that a deadly prompt ends once

Cause: by reading, Fleet.killOnDeadly counted each start of the prompt, so an engine that started two copies before it ended counted twice. The bound is on engines, and stays. That the failure came by this is not shown.

--- a/cmd/devel/devel.go
+++ b/cmd/devel/devel.go
@@ -14,6 +14,7 @@
 	"encoding/hex"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -209,18 +210,18 @@
 // killOnDeadly returns a function that calls kill and returns true if a prompt
 // contains DeadlyText.
 func (f *Fleet) killOnDeadly(kill func()) func(prompt string) bool {
+	var once sync.Once // the engine may start several such prompts before it ends
 	return func(prompt string) bool {
 		if !strings.Contains(prompt, DeadlyText) {
 			return false
 		}
 		kill()
-		f.endedEngines.Add(1)
+		once.Do(func() { f.endedEngines.Add(1) })
 		return true
 	}
 }
 
-// EndedEngines returns how often a deadly prompt has ended an engine. An engine
-// that starts several deadly prompts before it ends is counted for each of them.
+// EndedEngines returns how many engines were ended by a deadly prompt.
 func (f *Fleet) EndedEngines() int { return int(f.endedEngines.Load()) }
 
 // KillEngine ends engine i at once, without notice: its connections break.
