Round Retry-After up, so that it is never 0

Callers saw: a refusal that says to come back after 0.000 s. Cause: a wait under half a millisecond, the end of a server's rest, was rounded down to 0. Change: the time is rounded up to whole milliseconds.

--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -52,8 +53,7 @@
 // writeRefusal sends and logs a refusal. c may be nil if the request could not be read.
 func (g *Gateway) writeRefusal(w http.ResponseWriter, c *call, refusal *refusalResponse) {
 	if refusal.retryAfter > 0 {
-		s := refusal.retryAfter.Seconds() * (1 + retryAfterJitter*rand.Float64())
-		w.Header().Set("Retry-After", strconv.FormatFloat(s, 'f', 3, 64))
+		w.Header().Set("Retry-After", formatRetryAfter(refusal.retryAfter, rand.Float64()))
 	}
 	b, err := json.Marshal(refusalBody{refusalError{refusal.reason}})
 	if err != nil {
@@ -80,6 +80,13 @@
 	g.log.Write(event.RequestRefused, attrs...)
 }
 
+// formatRetryAfter returns a Retry-After time in seconds, extended by a part of the jitter
+// from 0 to 1. It is rounded up to milliseconds, since 0 would mean at once.
+func formatRetryAfter(after time.Duration, jitter float64) string {
+	ms := math.Ceil(1000 * after.Seconds() * (1 + retryAfterJitter*jitter))
+	return strconv.FormatFloat(ms/1000, 'f', 3, 64)
+}
+
 // finishFailed answers a call that no server has answered. A status that means that the
 // request was not run is used only if that is certain.
 func (g *Gateway) finishFailed(w http.ResponseWriter, c *call, out outcome) {
