Order what the store holds by its era, too

Callers saw: a key that was taken away, and a route that was added, not in force until later configurations: requests with the key ran 2.4 s after the acknowledgement, on all hosts. Cause: the store comes back from a copy, its counter goes back, and numbers are given out again. Rows at or below the last known number were ignored, of the configuration and of servers, and polls went on from a number of another time. The class: a number that orders only within one life of its source is used as if it ordered for ever. What was in force stays: the operator's version orders configurations, and an older one from the copy isn't relayed either; a start of a server that has said that it leaves doesn't take that back; one whose entry was gone is used again when it is written again, or when it outlives three heartbeats in the copy; entries that are lost count as lapsed; hosts whose rows are lost stay known. SC1804 tells of a new era.

--- a/clients/web/client.go
+++ b/clients/web/client.go
@@ -212,6 +212,13 @@
 // the response into out unless that is nil. A status other than 200 is returned as
 // a [*StatusError]. A ctx without a deadline gets a timeout of 5 s.
 func (c *Client) JSON(ctx context.Context, method, addr, path string, in, out any) error {
+	_, err := c.JSONHeader(ctx, method, addr, path, in, out, "")
+	return err
+}
+
+// JSONHeader does what [Client.JSON] does, and also returns the value of a header of the
+// response, empty if it has none.
+func (c *Client) JSONHeader(ctx context.Context, method, addr, path string, in, out any, header string) (string, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, defaultTimeout)
@@ -225,25 +232,26 @@
 	if in != nil {
 		b, err := json.Marshal(in)
 		if err != nil {
-			return errors.Wrap(err, "encode request")
+			return "", errors.Wrap(err, "encode request")
 		}
 		r.Header.SetContentType("application/json")
 		r.SetBodyRaw(b)
 	}
 	if err := c.Do(ctx, r, a); err != nil {
-		return errors.Wrapf(err, "%s %s", method, path)
+		return "", errors.Wrapf(err, "%s %s", method, path)
 	}
+	value := string(a.Header.Peek(header))
 	b, err := ReadBody(a)
 	if err != nil {
-		return err
+		return value, err
 	}
 	if a.StatusCode() != fasthttp.StatusOK {
-		return &StatusError{Status: a.StatusCode(), Body: string(b)}
+		return value, &StatusError{Status: a.StatusCode(), Body: string(b)}
 	}
 	if out == nil {
-		return nil
+		return value, nil
 	}
-	return errors.Wrapf(json.Unmarshal(b, out), "decode response to %s %s", method, path)
+	return value, errors.Wrapf(json.Unmarshal(b, out), "decode response to %s %s", method, path)
 }
 
 // Get implements [propagation.TextMapCarrier].
--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -20,12 +20,19 @@
 	"maps"
 	"slices"
 	"time"
+
+	"slipcrank.example/core/feed"
 )
 
 // lapseGrace is how long after the platform's return a missing entry may still be
 // restored. The user documentation says about two seconds.
 const lapseGrace = 2200 * time.Millisecond
 
+// copyGrace is how long after the platform's return from a copy a server gets no work
+// whose entry was gone before and is in the copy. If the server has ended, the platform
+// removes the entry after three missed heartbeats.
+const copyGrace = 6 * time.Second
+
 // Kinds of changes of a server.
 const (
 	// Draining means that the server is leaving, and Unreadable that its entry can't
@@ -84,6 +91,14 @@
 		// lapsed; 0 for others. Later reports of the same return of the platform don't
 		// move it: each would prolong the grace of a server that has left.
 		graceEnd time.Duration
+		// leaving reports that the server has said that it leaves. A start never takes
+		// that back: a row that says so is older.
+		leaving bool
+		// present is the revision of the last row that was not gone.
+		present int64
+		// restoreAt is when an entry that is gone is restored unless it is removed again;
+		// 0 for others.
+		restoreAt time.Duration
 	}
 
 	// View is an immutable snapshot of all servers.
@@ -113,14 +128,30 @@
 	if ok && (old.revision >= revision || s.StartedMillis < old.server.StartedMillis) {
 		return false
 	}
-	r.entries[s.PlatformID()] = entry{server: s, revision: revision}
+	e := entry{server: s, revision: revision, leaving: s.Draining, present: revision}
+	if ok && old.server.ID == s.ID {
+		if old.inCopy(revision) {
+			old.revision, old.restoreAt = revision, r.returned+copyGrace
+			r.entries[s.PlatformID()] = old
+			return false
+		}
+		e.leaving = e.leaving || old.leaving
+		e.server.Draining = e.leaving
+	}
+	r.entries[s.PlatformID()] = e
 	switch {
-	case ok && !old.gone && s.Draining && !old.server.Draining:
+	case ok && !old.gone && e.server.Draining && !old.server.Draining:
 		r.addChange(s, Draining)
-	case ok && old.gone && !s.Draining:
+	case ok && old.gone && !e.server.Draining:
 		r.addChange(s, Restored)
 	}
-	return !ok || old.gone || old.server != s
+	return !ok || old.gone || old.server != e.server
+}
+
+// inCopy reports whether the entry is gone and a row of the same start at the given
+// revision is the one from before, in a copy of the platform's data.
+func (e entry) inCopy(revision int64) bool {
+	return e.gone && feed.Era(revision) > feed.Era(e.revision) && feed.Counter(revision) <= feed.Counter(e.present)
 }
 
 // addChange records a change for the log.
@@ -152,7 +183,14 @@
 // Remove records that an entry is gone, and reports whether that changed the registry.
 func (r *Registry) Remove(id string, revision int64, now time.Duration) bool {
 	old, ok := r.entries[id]
-	if !ok || old.gone || old.revision > revision {
+	if !ok || old.revision > revision {
+		return false
+	}
+	if old.gone {
+		if old.restoreAt > 0 {
+			old.revision, old.restoreAt = revision, 0
+			r.entries[id] = old
+		}
 		return false
 	}
 	old.revision, old.gone = revision, true
@@ -177,10 +215,11 @@
 	return changed
 }
 
-// HasRetained reports whether any server is retained whose entry may have lapsed.
+// HasRetained reports whether the view changes with time alone: whether any server is
+// retained whose entry may have lapsed, or is not used yet whose entry is in a copy.
 func (r *Registry) HasRetained() bool {
 	for _, e := range r.entries {
-		if e.graceEnd > 0 {
+		if e.graceEnd > 0 || e.restoreAt > 0 {
 			return true
 		}
 	}
@@ -199,6 +238,11 @@
 			e.graceEnd = 0
 			r.entries[id] = e
 		}
+		if e.restoreAt > 0 && now >= e.restoreAt {
+			e.gone, e.restoreAt, e.present = false, 0, e.revision
+			r.entries[id] = e
+			r.addChange(e.server, Restored)
+		}
 		if e.gone && e.graceEnd == 0 {
 			continue
 		}
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -16,7 +16,8 @@
 )
 
 // ErrHistoryGone means that the platform no longer has the changes since the
-// given revision; the table has to be listed again.
+// given revision, or that it has come back from a copy of its data since; the
+// table has to be listed again.
 var ErrHistoryGone = errors.New("the platform no longer has the changes since this revision")
 
 type (
@@ -24,7 +25,8 @@
 	Row struct {
 		Key   string
 		Value []byte
-		// Revision is the platform's revision at which the row was last changed.
+		// Revision is the platform's revision at which the row was last changed, by
+		// [NewRevision]. For a row read in a list it has the era of the list.
 		Revision int64
 		// Gone reports that the row was deleted.
 		Gone bool
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -82,6 +82,7 @@
 	ServerNoticeUnreadable  = Event{1317, "notice from a backend server can't be read"}
 	PlatformReturned        = Event{1803, "platform is back after an outage, missing entries may have lapsed"}
 	ConfigInForce           = Event{1411, "configuration in force"}
+	PlatformRestored        = Event{1804, "platform is back from a copy, and has lost its latest writes"}
 	PlatformRowUnusable     = Event{1412, "row of the platform can't be used"}
 	KeysUnproven            = Event{1413, "keys are no longer proven to be in force"}
 	KeysProven              = Event{1414, "keys are proven to be in force again"}
@@ -106,7 +107,7 @@
 	PlatformUnreachable, PlatformReachable,
 	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceLimited, WorkspaceLimitLifted,
 	SuspectChanged, SuspectRefused, SuspectCleared, SuspectRemoved,
-	ServerAvoided, ServersChanged, ServerCrashed, CrashConfirmed, ServerLeavingOrReturned, ServerLimitChanged, ServerNoticeUnreadable, ServerReportsLeaving, ServerRequestsBackoff, PlatformReturned, ConfigInForce, PlatformRowUnusable, KeysUnproven, KeysProven,
+	ServerAvoided, ServersChanged, ServerCrashed, CrashConfirmed, ServerLeavingOrReturned, ServerLimitChanged, ServerNoticeUnreadable, ServerReportsLeaving, ServerRequestsBackoff, PlatformReturned, PlatformRestored, ConfigInForce, PlatformRowUnusable, KeysUnproven, KeysProven,
 	SettingsReloaded, SettingsUnusable, UpdateLost, HostsChanged, RelayStreamLost, SourcesChosen, ForwardersChosen,
 }
 
--- a/daemon/watch/apply.go
+++ b/daemon/watch/apply.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"maps"
+	"slices"
 	"time"
 
 	"slipcrank.example/core/backend"
@@ -19,7 +21,7 @@
 		}
 		return
 	}
-	if r.relayed && w.isStale(r) {
+	if r.relayed && w.isStale(r) && !w.hasNewerConfig(r) {
 		return
 	}
 	if w.lost[r.table] && !r.relayed {
@@ -27,11 +29,12 @@
 		w.log.Write(event.PlatformReachable, slog.String("table", r.table), slog.Duration("after", r.failing))
 	}
 	w.detectReturn(r)
+	w.detectRestore(r)
 	changed := false
 	switch r.table {
 	case w.tables.Config:
 		w.lastConfig = max(w.lastConfig, r.batch.Stamp)
-		changed = w.applyConfig(r)
+		changed = w.applyConfig(&r)
 	case w.tables.Servers:
 		changed = w.applyServers(r)
 	case w.tables.Hosts:
@@ -48,12 +51,12 @@
 		w.serversProof.Store(max(w.serversProof.Load(), int64(r.batch.Stamp)))
 	}
 	if changed && r.table == w.tables.Servers {
-		w.log.Write(event.ServersChanged, slog.Int("servers", w.State().Servers.Len()), slog.Int64("revision", r.batch.Revision))
+		w.log.Write(event.ServersChanged, slog.Int("servers", w.State().Servers.Len()), slog.Int64("revision", feed.Counter(r.batch.Revision)))
 	}
 	if r.table == w.tables.Config && w.config != nil {
 		w.configProof.Store(max(w.configProof.Load(), int64(r.batch.Stamp)))
 		if r.relayed {
-			w.relayedProof.Store(int64(r.batch.Stamp))
+			w.relayedProof.Store(max(w.relayedProof.Load(), int64(r.batch.Stamp)))
 		}
 	}
 	w.relay(r)
@@ -89,6 +92,26 @@
 	w.logReturn(r.relayed, age)
 }
 
+// detectRestore detects that the platform has come back from a copy of its data. Entries
+// of servers that it has lost are written again, as after an outage.
+func (w *Watcher) detectRestore(r read) {
+	era := feed.Era(r.batch.Revision)
+	if era <= w.era {
+		return
+	}
+	first := w.era < 0
+	w.era = era
+	if first {
+		return
+	}
+	age, _ := w.platformClock.Age(r.batch.Stamp, w.Now())
+	w.returned = max(w.returned, r.batch.Stamp)
+	w.servers.PlatformReturned(w.Now() - age)
+	w.log.Write(event.PlatformRestored, slog.Int64("era", era), slog.Int64("revision", feed.Counter(r.batch.Revision)),
+		slog.Bool("told", r.relayed), slog.Duration("ago", age))
+	w.onRestored()
+}
+
 func (w *Watcher) logReturn(relayed bool, age time.Duration) {
 	w.log.Write(event.PlatformReturned, slog.Bool("told", relayed), slog.Duration("ago", age))
 }
@@ -103,30 +126,54 @@
 }
 
 // applyConfig puts the newest of the configurations that were read into force. An
-// answer may contain one for each missed change.
-func (w *Watcher) applyConfig(r read) bool {
+// answer may contain one for each missed change. The operator's version orders them, since
+// the platform's revisions don't if it has come back from a copy. A row of an older
+// version gets the value of the one in force, so that other hosts aren't told of it.
+func (w *Watcher) applyConfig(r *read) bool {
 	changed := false
-	for _, row := range r.batch.Rows {
-		if row.Key != w.tables.ConfigKey || row.Gone || row.Revision <= w.configRevision {
+	rows := slices.Clone(r.batch.Rows)
+	for i, row := range rows {
+		if row.Key != w.tables.ConfigKey || row.Gone || row.Revision == w.configRevision {
 			continue
 		}
 		c, err := w.decode.Config(row.Value)
 		if err != nil {
 			if w.recordUnusable(row) {
-				w.log.Write(event.PlatformRowUnusable, slog.Int64("revision", row.Revision), slog.String("error", err.Error()))
+				w.log.Write(event.PlatformRowUnusable, slog.Int64("revision", feed.Counter(row.Revision)), slog.String("error", err.Error()))
 			}
 			continue
 		}
 		if w.config != nil && c.Version() <= w.config.Version() {
+			rows[i].Value = w.configValue
 			continue
 		}
-		w.config, w.configRevision = c, row.Revision
-		w.log.Write(event.ConfigInForce, slog.Int64("version", c.Version()), slog.Int64("revision", row.Revision))
+		w.config, w.configRevision, w.configValue = c, row.Revision, row.Value
+		w.log.Write(event.ConfigInForce, slog.Int64("version", c.Version()), slog.Int64("revision", feed.Counter(row.Revision)),
+			slog.Int64("era", feed.Era(row.Revision)))
 		changed = true
 	}
+	r.batch.Rows = rows
 	return changed
 }
 
+// hasNewerConfig reports whether a configuration that was read is newer than the one in
+// force. Another host may know one that the platform has lost with its latest writes.
+func (w *Watcher) hasNewerConfig(r read) bool {
+	if r.table != w.tables.Config {
+		return false
+	}
+	for _, row := range r.batch.Rows {
+		if row.Key != w.tables.ConfigKey || row.Gone || row.Revision == w.configRevision {
+			continue
+		}
+		c, err := w.decode.Config(row.Value) // an error is logged where the row is applied
+		if err == nil && (w.config == nil || c.Version() > w.config.Version()) {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *Watcher) applyServers(r read) bool {
 	now := w.Now()
 	changed := false
@@ -183,8 +230,7 @@
 
 func (w *Watcher) applyHosts(r read) bool {
 	if r.complete {
-		clear(w.hosts)
-		clear(w.suspects)
+		w.removeMissingHosts(r.batch)
 	}
 	for _, row := range r.batch.Rows {
 		if row.Gone {
@@ -207,3 +253,26 @@
 	}
 	return r.complete || len(r.batch.Rows) > 0
 }
+
+// removeMissingHosts removes the hosts and suspects that a complete list lacks.
+func (w *Watcher) removeMissingHosts(list feed.Batch) {
+	present := map[string]bool{}
+	for _, row := range list.Rows {
+		present[row.Key] = true
+	}
+	missing := func(key string) bool { return !present[key] && !w.isLost(key, list.Revision) }
+	maps.DeleteFunc(w.hosts, func(key string, _ Host) bool { return missing(key) })
+	maps.DeleteFunc(w.suspects, func(key string, _ Suspect) bool { return missing(key) })
+}
+
+// isLost reports whether the platform may have lost a row of the table of hosts, that is
+// missing at a revision, when it came back from a copy. The hosts that wrote such rows
+// write them again.
+func (w *Watcher) isLost(key string, revision int64) bool {
+	t := w.rows[w.tables.Hosts]
+	if t == nil {
+		return false
+	}
+	row, ok := t.rows[key]
+	return ok && feed.Era(row.Revision) < feed.Era(revision)
+}
--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -106,7 +106,7 @@
 		t = &table{rows: map[string]feed.Row{}}
 		w.rows[r.table] = t
 	case r.complete:
-		u.Rows, u.Complete = t.changes(r.batch), false
+		u.Rows, u.Complete = t.changes(r.batch, r.table == w.tables.Servers), false
 	}
 	t.apply(u.Rows)
 	t.revision = max(t.revision, u.Revision)
@@ -143,8 +143,9 @@
 
 // changes returns the rows of a complete list that are newer than the known ones, and
 // the known rows that it lacks, marked as gone. Sending the complete list of a large
-// fleet's servers would occupy the links to all subscribers for seconds.
-func (t *table) changes(list feed.Batch) []feed.Row {
+// fleet's servers would occupy the links to all subscribers for seconds. Rows of an earlier
+// era, which the platform may have lost, are gone only if lostGone is set.
+func (t *table) changes(list feed.Batch, lostGone bool) []feed.Row {
 	var rows []feed.Row
 	present := map[string]bool{}
 	for _, r := range list.Rows {
@@ -154,7 +155,8 @@
 		}
 	}
 	for key, old := range t.rows {
-		if !present[key] && old.Revision <= list.Revision {
+		lost := feed.Era(old.Revision) < feed.Era(list.Revision)
+		if !present[key] && old.Revision <= list.Revision && (lostGone || !lost) {
 			rows = append(rows, feed.Row{Key: key, Revision: list.Revision, Gone: true})
 		}
 	}
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -138,6 +138,7 @@
 		reads         chan read
 		digests       atomic.Pointer[map[string]uint64] // of the known rows, by table
 		onHosts       func([]Host)
+		onRestored    func()
 		scope         atomic.Int32
 		scopeChanged  atomic.Pointer[chan struct{}] // closed when scope changes
 		maxBackoff    atomic.Int64                  // between failed polls
@@ -152,6 +153,8 @@
 		config  *site.Config
 		// configRevision is the platform's revision of the configuration in force.
 		configRevision int64
+		configValue    []byte // of the row of the configuration in force
+		era            int64  // of the platform's revisions, -1 before the first read
 		hosts          map[string]Host
 		suspects       map[string]Suspect
 		unusable       map[string]int64 // logged revisions of unusable rows, by key
@@ -196,6 +199,8 @@
 		unsubscribe: make(chan chan Update),
 		rows:        map[string]*table{},
 		subscribers: map[chan Update]bool{},
+		onRestored:  func() {},
+		era:         -1,
 	}
 	changed := make(chan struct{})
 	w.scopeChanged.Store(&changed)
@@ -276,6 +281,10 @@
 // SetClock sets the watcher's local clock. It must be called before Run.
 func (w *Watcher) SetClock(c *boottime.Clock) { w.localClock = c }
 
+// SetRestoredHandler sets a function that is called when the platform has come back from a
+// copy of its data, and has lost the latest writes. It must be called before Run.
+func (w *Watcher) SetRestoredHandler(f func()) { w.onRestored = f }
+
 // Now returns the time on the watcher's local clock.
 func (w *Watcher) Now() time.Duration { return w.localClock.Now() }
 
