Write a host's rows again when the store has lost them

Callers saw: nothing yet. Found in search of the same cause elsewhere. Cause: a host writes its own row every two minutes and a blocked suspect once. After the store came back from a copy a host that had joined in the lost seconds was unknown to hosts that start, for up to two minutes, and suspects for good. Change: on a new era each host writes its row within a second, and its blocked or cleared suspects.

--- a/daemon/entry/announce.go
+++ b/daemon/entry/announce.go
@@ -18,6 +18,9 @@
 	announceInterval = 2 * time.Minute
 	// writeTimeout bounds one write to the platform, and the pause after a failed one.
 	writeTimeout = 2 * time.Second
+	// rewriteSpread is the period over which hosts spread their writes after the platform
+	// has lost rows.
+	rewriteSpread = time.Second
 )
 
 // announce maintains this host's row in the platform's table of hosts, through which the
@@ -37,10 +40,30 @@
 		if err == nil {
 			e.announcedAt.CompareAndSwap(0, int64(e.clock.Now()))
 			e.watcher.ObserveClock(sent, stamp)
-			_ = pause.For(ctx, announceInterval) // the loop checks ctx
+			e.awaitAnnouncement(ctx)
 			continue
 		}
 		e.log.Write(event.PlatformUnreachable, slog.String("doing", "announce"), slog.String("error", err.Error()))
 		_ = pause.UpTo(ctx, writeTimeout) // the loop checks ctx
 	}
 }
+
+// awaitAnnouncement waits until this host's row has to be written again, or ctx ends.
+func (e *Entry) awaitAnnouncement(ctx context.Context) {
+	timer := time.NewTimer(announceInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-e.announceSignal:
+		_ = pause.UpTo(ctx, rewriteSpread) // the caller checks ctx
+	}
+}
+
+// platformRestored has this host's rows written again that the platform may have lost when
+// it came back from a copy.
+func (e *Entry) platformRestored() {
+	e.restores.Add(1)
+	signal(e.announceSignal)
+	e.signalStore()
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -93,9 +93,12 @@
 		notices *notice.Registry
 		// grants shares the request rates of limited servers with the other hosts.
 		grants *grants.Coordinator
-		// storeSignal wakes storeSuspects after a change of the suspects, and
-		// routeSignal wakes upkeep after a change of the other hosts.
-		storeSignal  chan struct{}
+		// storeSignal wakes storeSuspects after a change of the suspects, announceSignal
+		// wakes announce after the platform has lost rows, and routeSignal wakes upkeep
+		// after a change of the other hosts.
+		storeSignal, announceSignal chan struct{}
+		// restores counts how often the platform has lost rows.
+		restores     atomic.Int64
 		routeSignal  chan struct{}
 		relayClient  *relay.Client
 		relayServer  *relay.Server
@@ -122,10 +125,11 @@
 		metrics:  telemetry.NewMetrics(),
 		clock:    boottime.New(),
 
-		quarantine:  quarantine.NewRegistry(),
-		notices:     notice.NewRegistry(),
-		storeSignal: make(chan struct{}, 1),
-		routeSignal: make(chan struct{}, 1),
+		quarantine:     quarantine.NewRegistry(),
+		notices:        notice.NewRegistry(),
+		storeSignal:    make(chan struct{}, 1),
+		announceSignal: make(chan struct{}, 1),
+		routeSignal:    make(chan struct{}, 1),
 	}
 	e.neighbors.Store(&neighbors{cells: 1})
 	pool := []upstream.Option{upstream.WithMaxIdle(e.maxIdleConns)}
@@ -144,6 +148,7 @@
 	p.Tables.PollWait = s.Bounds.Config / proofsPerBound
 	e.watcher = watch.New(p.Source, p.Tables, p.Decoders, e.log, e.metrics, e.setHosts)
 	e.watcher.SetClock(e.clock)
+	e.watcher.SetRestoredHandler(e.platformRestored)
 	e.relayClient, e.relayServer = relay.NewClient(e.watcher, e.log), relay.NewServer(e.watcher)
 	e.grants = grants.New(s.Host, s.Hall, e.notices, n.SendGrantRequest, e.clock.Now)
 	budget := limit.NewRetryWindow(s.Bounds.Retries.Span, s.Bounds.Retries.Share*retryFraction, e.extraRetries)
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -117,24 +117,31 @@
 }
 
 // storeSuspects writes blocked suspects whose records this host has changed itself to the
-// platform, and writes them again whenever they are cleared, until ctx ends. Each takes one
+// platform, and writes them again whenever they are cleared or the platform has lost rows,
+// until ctx ends. Each takes one
 // call, which is rare: a request has to crash three servers first.
 func (e *Entry) storeSuspects(ctx context.Context) {
-	stored := map[quarantine.Fingerprint]uint32{} // pardon counts of the stored records
+	type write struct {
+		pardons  uint32 // in the record that was written
+		restores int64  // when it was written
+	}
+	stored := map[quarantine.Fingerprint]write{}
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
 		case <-e.storeSignal:
 		}
+		restores := e.restores.Load()
 		for _, o := range e.quarantine.OwnRecords(e.clock.Now()) {
-			pardons, known := stored[o.Record.Fingerprint]
+			last, known := stored[o.Record.Fingerprint]
+			current := write{o.Record.Pardons, restores}
 			blocked := o.Record.Stage() == quarantine.Blocked
-			if known && pardons == o.Record.Pardons || !known && !blocked {
+			if known && last == current || !known && !blocked {
 				continue
 			}
 			if e.storeSuspect(ctx, o.Record) {
-				stored[o.Record.Fingerprint] = o.Record.Pardons
+				stored[o.Record.Fingerprint] = current
 			}
 		}
 	}
