--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -16,7 +16,7 @@
 	faults := []func(context.Context, time.Duration){
 		w.killHost, w.pauseHost, w.stopHost, w.reloadHost,
 		w.disturbStorePath, w.injectStoreFaults, w.disturbServerPath, w.injectAnswerFaults,
-		w.replaceServer, w.rotateKeys, w.resetConnections, w.blackholeConnections,
+		w.replaceServer, w.rotateKeys, w.resetConnections, w.blackholeConnections, w.restoreStore,
 	}
 	for pause.UpTo(ctx, 2*meanFaultInterval) == nil {
 		inject := faults[w.rnd.IntN(len(faults))]
@@ -88,6 +88,26 @@
 	})
 }
 
+// restoreStore has the store come back from a copy after a short outage, and all that the
+// operator and the servers wrote in the meantime written again soon after.
+func (w *world) restoreStore(ctx context.Context, d time.Duration) {
+	revision := w.store.Revision()
+	runAfter(ctx, d/copyAgeDivisor, func() {
+		w.setStoreDisturbed(true)
+		w.store.SetFault(func() standin.Fault { return standin.Refused })
+		_ = pause.For(ctx, d/copyAgeDivisor) // when ctx ends, the store comes back at once
+		rewrite := w.store.RestoreCopy(revision)
+		w.store.SetFault(func() standin.Fault { return standin.Served })
+		_ = pause.For(ctx, d/copyAgeDivisor) // when ctx ends, the rows are written at once
+		rewrite()
+		w.setStoreDisturbed(false)
+	})
+}
+
+// copyAgeDivisor makes each phase of a restore that fraction of a fault's duration. A key
+// that is revoked in the lost time is known to all hosts again within keyProof.
+const copyAgeDivisor = 5
+
 func (w *world) setStoreDisturbed(active bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
