Leave room in the queue for the largest prompts

Callers saw: of the largest tenth of ledger-audit much fewer served than half of the whole kind's share. Cause: each prompt was judged alone, by its own bound. Queues then settle where prompts of usual length are just in time, and the largest, which take longer and wait for the busiest of several engines, are late on every try; and the limit of what a prompt may displace grew more slowly with its size than its engine time does. Change: prompts that one engine can nearly hold leave a part of their objective unused in the queue, by the part of the engines that a prompt's readers don't take; the limit on displaced value grows 1.5 times as fast with the engines that a prompt fills. Why it works: what short waits are refused is what the largest need to be in time, and they come back after the wave.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -42,12 +42,18 @@
 	// even idle engines can't prefill in time would otherwise be refused on every retry.
 	minQueueSlowdown = 2
 	// maxDisplacedRatio is how many times its own value a request may displace. The
-	// limit is the same for retries: with 8 for these, engines were kept busy by
-	// long prompts that were late already. Compared with that, a limit of 1 raises the
-	// delivered fraction of the requested value from 0.811 to 0.838 and from 0.847
-	// to 0.868 (by 0.024, standard error 0.006, 49 pairs of days with equal seeds on
-	// four deployments); a limit of 2 gives the same within 0.004.
+	// limit is the same for retries: a higher one keeps engines busy with long prompts
+	// that are late already.
 	maxDisplacedRatio = 1
+	// displacedGrowth is by how much that limit grows with each further engine whose
+	// memory the request fills.
+	displacedGrowth = 1.5
+	// queueReserve is the fraction of their objective that long prompts leave unused in
+	// the queue for larger ones, if nearly all engines take no part in their prefill.
+	queueReserve = 0.35
+	// Prompts that fill minReservingFill to minLargeFill engines' memory leave that
+	// reserve. Shorter ones hardly lengthen the queue.
+	minReservingFill, minLargeFill = 0.1, 1.3
 	// noTimeRetryAfter is about two engine steps: a caller with little time left is
 	// sent to another host at once.
 	noTimeRetryAfter = 150 * time.Millisecond
@@ -149,32 +155,37 @@
 	return Refusal{}, false
 }
 
-// lateFromQueue reports whether the queue makes the first event late. Bursts of
-// long prompts leave engines with 5 to 9 s of prompts that are late already, while
-// short streams wait for slots on the other engines. The rule raises the delivered
-// fraction of the requested value by 0.0052 (standard error 0.0024, 53 pairs of
-// days with equal seeds on four deployments, higher on each of them), or by 0.004
-// (0.004) after the cost of refusals. Thresholds of 0.85 and 1.5 times the objective
-// give the same within 0.004.
+// lateFromQueue reports whether the queue makes the first event late, or whether the
+// request would take the room in the queue that larger prompts need.
 func (r Request) lateFromQueue() bool {
-	return r.Stream && r.FirstToken > r.Objective && r.FirstToken > minQueueSlowdown*r.IdleFirstToken
+	if !r.Stream || r.FirstToken <= minQueueSlowdown*r.IdleFirstToken {
+		return false
+	}
+	return r.FirstToken > r.Objective || r.FirstToken-r.IdleFirstToken > r.maxWait()
+}
+
+// maxWait returns how long the request may wait in the queue. If all prompts could use
+// their whole objective, queues would settle where those of usual length are just in
+// time. The largest take longer and wait for the busiest of several engines, so they
+// would nearly always be late.
+func (r Request) maxWait() time.Duration {
+	if r.EnginesFilled < minReservingFill || r.EnginesFilled >= minLargeFill {
+		return r.Objective
+	}
+	return time.Duration((1 - queueReserve*r.SpareFraction) * float64(r.Objective))
 }
 
 // maxDisplacedRatio returns how many times its own value the request may displace.
 // Prefill time grows with the square of the prompt's length and value only linearly,
 // so under one fixed limit a burst of long prompts causes nearly all of the longest
-// to be refused: on 150 engines, of 127 prompts that need the memory of several
-// engines, 54 were refused for the work they displace, although all were predicted
-// in time, and 35 were prefilled. The limit of a request that will be in time therefore
-// grows with the number of engines whose memory it fills, scaled by the fraction of
-// engines left for other requests. Without that scaling it cost 0.005 of the value
-// on 18 engines, where none are left (standard error 0.004, 15 pairs of days with
-// equal seeds).
+// to be refused. The limit of a request that will be in time therefore grows with the
+// number of engines whose memory it fills, scaled by the fraction of engines left for
+// other requests: where none are left, the request delays all of them.
 func (r Request) maxDisplacedRatio() float64 {
 	if r.FirstToken > r.Objective {
 		return maxDisplacedRatio
 	}
-	return maxDisplacedRatio * (1 + max(r.EnginesFilled-1, 0)*r.SpareFraction)
+	return maxDisplacedRatio * (1 + displacedGrowth*max(r.EnginesFilled-1, 0)*r.SpareFraction)
 }
 
 // refuse returns a refusal with the given time to retry, capped to the time after
