Give each run of the soak in a process addresses of its own

Cause: addresses were derived from the seed modulo 250, and listeners stay open until the process ends. Change: they are derived from the number of the run.

--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -31,6 +31,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -108,12 +109,16 @@
 	}
 )
 
+// runCount counts the runs of this process. Listeners of earlier ones may still be open, so
+// each run has addresses of its own.
+var runCount atomic.Int64
+
 // Run runs the faults of one seed and returns a message for each violated
 // guarantee. The error reports that the environment could not be started.
 func Run(opts Options) ([]string, error) {
 	w := &world{
 		rnd:          rand.New(rand.NewPCG(opts.Seed, 1)),
-		ipPrefix:     fmt.Sprintf("127.%d.%d.", 2+os.Getpid()%200, 1+opts.Seed%250),
+		ipPrefix:     fmt.Sprintf("127.%d.%d.", 2+os.Getpid()%200, 1+runCount.Add(1)%250),
 		store:        standin.NewStore(),
 		validKeys:    map[string]string{"key-0": "workspace-0"},
 		revokedAt:    map[string]time.Time{},
