Use a lapsed server at once whose entry is in the copy

Callers saw: nothing; found in reading the change. Cause: an entry that was kept as lapsed, and stands in the copy, waited for 6 s like one that had gone for good, so that a server that lives got no work after its grace. Change: only entries that are gone for good wait. Result: a case of TestServersAfterPlatformComesBackFromCopy, which failed before by reading and passes.

--- a/core/backend/backend.go
+++ b/core/backend/backend.go
@@ -148,10 +148,10 @@
 	return !ok || old.gone || old.server != e.server
 }
 
-// inCopy reports whether the entry is gone and a row of the same start at the given
-// revision is the one from before, in a copy of the platform's data.
+// inCopy reports whether the entry is gone for good, and a row of the same start at the
+// given revision is the one from before, in a copy of the platform's data.
 func (e entry) inCopy(revision int64) bool {
-	return e.gone && feed.Era(revision) > feed.Era(e.revision) && feed.Counter(revision) <= feed.Counter(e.present)
+	return e.gone && e.graceEnd == 0 && feed.Era(revision) > feed.Era(e.revision) && feed.Counter(revision) <= feed.Counter(e.present)
 }
 
 // addChange records a change for the log.
--- a/core/backend/copy_test.go
+++ b/core/backend/copy_test.go
@@ -58,6 +58,14 @@
 			func(r *backend.Registry, rev func(era, counter int64) int64) { r.Put(ready, rev(1, 26)) },
 			map[time.Duration]bool{0: true},
 		},
+		"its entry has lapsed, and is in the copy": {
+			func(r *backend.Registry, rev func(era, counter int64) int64) {
+				r.PlatformReturned(returned - time.Second)
+				r.Remove("a", rev(0, 30), returned-time.Second)
+			},
+			func(r *backend.Registry, rev func(era, counter int64) int64) { r.Put(ready, rev(1, 10)) },
+			map[time.Duration]bool{0: true, 3 * time.Second: true, time.Hour: true},
+		},
 		"its entry is lost": {
 			func(*backend.Registry, func(era, counter int64) int64) {},
 			func(r *backend.Registry, rev func(era, counter int64) int64) {
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -117,9 +117,9 @@
 }
 
 // storeSuspects writes blocked suspects whose records this host has changed itself to the
-// platform, and writes them again whenever they are cleared or the platform has lost rows,
-// until ctx ends. Each takes one
-// call, which is rare: a request has to crash three servers first.
+// platform, until ctx ends. It writes them again whenever they are cleared or the platform
+// has lost rows. Each takes one call, which is rare: a request has to crash three servers
+// first.
 func (e *Entry) storeSuspects(ctx context.Context) {
 	type write struct {
 		pardons  uint32 // in the record that was written
