--- a/daemon/watch/apply.go
+++ b/daemon/watch/apply.go
@@ -133,7 +133,7 @@
 	changed := false
 	rows := slices.Clone(r.batch.Rows)
 	for i, row := range rows {
-		if row.Key != w.tables.ConfigKey || row.Gone || row.Revision == w.configRevision {
+		if !w.isOtherConfig(row) {
 			continue
 		}
 		c, err := w.decode.Config(row.Value)
@@ -156,6 +156,11 @@
 	return changed
 }
 
+// isOtherConfig reports whether a row is a configuration, and not the row in force.
+func (w *Watcher) isOtherConfig(row feed.Row) bool {
+	return row.Key == w.tables.ConfigKey && !row.Gone && row.Revision != w.configRevision
+}
+
 // hasNewerConfig reports whether a configuration that was read is newer than the one in
 // force. Another host may know one that the platform has lost with its latest writes.
 func (w *Watcher) hasNewerConfig(r read) bool {
@@ -163,7 +168,7 @@
 		return false
 	}
 	for _, row := range r.batch.Rows {
-		if row.Key != w.tables.ConfigKey || row.Gone || row.Revision == w.configRevision {
+		if !w.isOtherConfig(row) {
 			continue
 		}
 		c, err := w.decode.Config(row.Value) // an error is logged where the row is applied
