Logs tell a host that has lost its path from servers that fail

Cause: a line of a failed try had neither the kind of error nor the duration, and nothing said when any server was last heard, so that an incident's hypotheses could not be told apart. Change: core/reach gathers which servers fail and which are heard; SC1322 reports the state of the path to a service, SC1512 the error, the duration and the time since any server was heard. Nothing decides by it.

--- /dev/null
+++ b/core/reach/reach.go
@@ -0,0 +1,327 @@
+// Package reach judges whether this host has a path to the backend servers.
+//
+// A single server that can't be reached may have crashed. If several servers fail, and
+// fewer send anything meanwhile, the fault is more likely in this host's own path. A
+// [Tracker] gathers this evidence from the traffic and from probes, for each service and
+// for all services together, and derives a [State] of the path to each service.
+//
+// # Usage
+//
+//	t := reach.New()
+//	t.Heard(service, server, now)                  // the server has sent something
+//	t.Failed(service, server, listed, now)
+//	if t.State(service) == reach.Doubtful { ... probe other servers }
+//	t.Retain(isListed)                             // regularly
+package reach
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// The states of the path to a service.
+const (
+	// Sound means that no server has failed since one was last heard.
+	Sound State = iota
+	// Doubtful means that a server has failed, and none was heard since.
+	Doubtful
+	// Closed means that servers are heard on open connections, but most new ones fail.
+	Closed
+	// Lost means that most servers fail.
+	Lost
+)
+
+const (
+	// lostServers is the number of servers that have to fail until a path counts as lost:
+	// two may well crash at the same moment. Of a service with few servers, more than
+	// half have to fail.
+	lostServers = 3
+	// servingWindow is how long a server counts as serving after it was heard.
+	servingWindow = 2 * time.Second
+	// restoreProbes is the number of successful probes in a row of servers that failed
+	// after which a path counts as sound again. A flapping link lets a single one pass.
+	restoreProbes = 3
+)
+
+type (
+	// State is the state of the path to the servers of a service.
+	State uint8
+
+	// Listed are the numbers of listed servers, of one service and of all.
+	Listed struct{ Service, All int }
+
+	// Tracker gathers evidence about the path to the servers. It is safe for concurrent
+	// use. Times are those of a monotonic clock.
+	Tracker struct {
+		mu       sync.Mutex
+		all      *path
+		services map[string]*path
+		// recent are the two servers that were heard last, the latest first.
+		recent [2]contact
+	}
+
+	// path is what is known about the path to a set of servers.
+	path struct {
+		heard   time.Duration // when any server was last heard, 0 for never
+		servers map[string]*evidence
+		// failed and unopened are the servers that have failed, and those to which no
+		// connection could be opened, since they last did the opposite.
+		failed, unopened map[string]time.Duration
+		lost, closed     bool
+		lostAt, closedAt time.Duration
+		passed           int // successful probes in a row
+	}
+
+	// evidence holds when a server was last heard, and a connection to it last opened.
+	evidence struct{ heard, opened time.Duration }
+
+	contact struct {
+		server string
+		at     time.Duration
+	}
+)
+
+// String returns the name of the state for logs.
+func (s State) String() string { return [...]string{"sound", "doubtful", "closed", "lost"}[s] }
+
+// New returns a tracker without evidence: all paths count as sound.
+func New() *Tracker { return &Tracker{all: newPath(), services: map[string]*path{}} }
+
+func newPath() *path {
+	return &path{servers: map[string]*evidence{}, failed: map[string]time.Duration{}, unopened: map[string]time.Duration{}}
+}
+
+// Heard records that a server of a service has sent something, and reports whether that
+// may have changed the state.
+func (t *Tracker) Heard(service, server string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.service(service)
+	failing := len(t.all.failed)+len(p.failed) > 0
+	t.record(server, now)
+	t.all.hear(server, now)
+	p.hear(server, now)
+	return failing
+}
+
+// Opened records that a connection to a server of a service was opened and works.
+func (t *Tracker) Opened(service, server string, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all.open(server, now)
+	t.service(service).open(server, now)
+}
+
+// Probed records that a probe has opened a connection to a server, which stays open.
+func (t *Tracker) Probed(service, server string, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.record(server, now)
+	for _, p := range []*path{t.all, t.service(service)} {
+		p.hear(server, now)
+		p.open(server, now)
+		p.pass()
+	}
+}
+
+// Failed records that a server has broken a connection, or has been silent for too long.
+func (t *Tracker) Failed(service, server string, l Listed, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all.fail(server, l.All, now)
+	t.service(service).fail(server, l.Service, now)
+}
+
+// NotOpened records that no connection to a server could be opened.
+func (t *Tracker) NotOpened(service, server string, l Listed, now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for p, listed := range map[*path]int{t.all: l.All, t.service(service): l.Service} {
+		p.fail(server, listed, now)
+		p.notOpen(server, listed, now)
+	}
+}
+
+// State returns the state of the path to a service.
+func (t *Tracker) State(service string) State {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.service(service)
+	switch {
+	case p.lost, t.all.lost && (len(p.failed) > 0 || p.heard <= t.all.lostAt):
+		return Lost
+	case p.closed:
+		return Closed
+	case p.failedSinceHeard() > 0:
+		return Doubtful
+	}
+	return Sound
+}
+
+// Failing returns the servers of a service that have failed, or to which no connection
+// could be opened, since they last did the opposite.
+func (t *Tracker) Failing(service string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.service(service)
+	var out []string
+	for s := range p.failed {
+		out = append(out, s)
+	}
+	for s := range p.unopened {
+		if _, ok := p.failed[s]; !ok {
+			out = append(out, s)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// HeardOther reports whether another server than the given one was heard since a time.
+// Then this host has a path, and may hold a failure against the server.
+func (t *Tracker) HeardOther(server string, since time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.recent[:], func(c contact) bool { return c.server != "" && c.server != server && c.at >= since })
+}
+
+// LastHeard returns when any server was last heard, and false if none ever was.
+func (t *Tracker) LastHeard() (time.Duration, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.recent[0].at, t.recent[0].server != ""
+}
+
+// Retain drops what is known about servers for which listed is false.
+func (t *Tracker) Retain(listed func(server string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all.retain(listed)
+	for _, p := range t.services {
+		p.retain(listed)
+	}
+}
+
+func (t *Tracker) service(name string) *path {
+	p := t.services[name]
+	if p == nil {
+		p = newPath()
+		t.services[name] = p
+	}
+	return p
+}
+
+// record moves a server to the front of those that were heard last.
+func (t *Tracker) record(server string, now time.Duration) {
+	if t.recent[0].server != server {
+		t.recent[1] = t.recent[0]
+	}
+	t.recent[0] = contact{server, now}
+}
+
+func (p *path) evidence(server string) *evidence {
+	e := p.servers[server]
+	if e == nil {
+		e = &evidence{}
+		p.servers[server] = e
+	}
+	return e
+}
+
+func (p *path) hear(server string, now time.Duration) {
+	p.heard = now
+	p.evidence(server).heard = now
+	delete(p.failed, server)
+	if p.lost && p.serving(p.lostAt) >= len(p.failed) {
+		p.lost = false
+	}
+}
+
+func (p *path) open(server string, now time.Duration) {
+	p.evidence(server).opened = now
+	delete(p.unopened, server)
+	if p.closed && p.opening(p.closedAt) >= len(p.unopened) {
+		p.closed = false
+	}
+}
+
+// pass counts a successful probe. After restoreProbes in a row the path counts as sound.
+func (p *path) pass() {
+	if p.passed++; p.passed >= restoreProbes {
+		p.lost, p.closed = false, false
+		clear(p.failed)
+		clear(p.unopened)
+	}
+}
+
+func (p *path) fail(server string, listed int, now time.Duration) {
+	p.failed[server], p.passed = now, 0
+	needed := neededFailures(listed)
+	if p.lost || len(p.failed) < needed {
+		return
+	}
+	if p.failedSinceHeard() >= needed || len(p.failed) > p.serving(now-servingWindow) {
+		p.lost, p.lostAt = true, now
+	}
+}
+
+func (p *path) notOpen(server string, listed int, now time.Duration) {
+	p.unopened[server] = now
+	if !p.closed && len(p.unopened) >= neededFailures(listed) && len(p.unopened) > p.opening(now-servingWindow) {
+		p.closed, p.closedAt = true, now
+	}
+}
+
+func neededFailures(listed int) int { return min(lostServers, listed/2+1) }
+
+// failedSinceHeard returns how many servers have failed since any was last heard.
+func (p *path) failedSinceHeard() int {
+	n := 0
+	for _, at := range p.failed {
+		if at >= p.heard {
+			n++
+		}
+	}
+	return n
+}
+
+// serving returns how many servers were heard since a time, and have not failed after.
+func (p *path) serving(since time.Duration) int {
+	n := 0
+	for s, e := range p.servers {
+		if _, failed := p.failed[s]; !failed && e.heard > 0 && e.heard >= since {
+			n++
+		}
+	}
+	return n
+}
+
+// opening returns to how many servers connections were opened since a time.
+func (p *path) opening(since time.Duration) int {
+	n := 0
+	for s, e := range p.servers {
+		if _, failed := p.unopened[s]; !failed && e.opened > 0 && e.opened >= since {
+			n++
+		}
+	}
+	return n
+}
+
+func (p *path) retain(listed func(server string) bool) {
+	drop := func(s string) bool { return !listed(s) }
+	for s := range p.servers {
+		if drop(s) {
+			delete(p.servers, s)
+		}
+	}
+	for _, m := range []map[string]time.Duration{p.failed, p.unopened} {
+		for s := range m {
+			if drop(s) {
+				delete(m, s)
+			}
+		}
+	}
+	p.lost = p.lost && len(p.failed) > 0
+	p.closed = p.closed && len(p.unopened) > 0
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -16,7 +16,6 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -32,10 +31,10 @@
 	"slipcrank.example/core/limit"
 	"slipcrank.example/core/notice"
 	"slipcrank.example/core/quarantine"
+	"slipcrank.example/core/reach"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/decision"
-	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/memory"
 	"slipcrank.example/daemon/telemetry"
 	"slipcrank.example/daemon/upstream"
@@ -85,6 +84,8 @@
 		buffers            *buffers
 		shareRefusals      *shareRefusals
 		exchanges          *exchanges
+		reach              *reach.Tracker
+		pathStates         pathStates
 		quarantine         *quarantine.Registry
 		notices            *notice.Registry
 		roster             *quarantine.Roster // used by Maintain only, like rosterView
@@ -189,6 +190,7 @@
 		onServerFailure: func(string) {},
 
 		exchanges:       newExchanges(),
+		reach:           reach.New(),
 		quarantine:      quarantine.NewRegistry(),
 		notices:         notice.NewRegistry(),
 		roster:          quarantine.NewRoster(),
@@ -291,9 +293,7 @@
 			g.finishFailed(w, c, out)
 			return
 		}
-		g.log.Write(event.RequestRetried, slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("why", out.reason),
-			slog.String("server", out.server), slog.Int("attempts", c.attempts))
-		g.metrics.Count("gateway_retries", 1, "why", out.reason)
+		g.logRetried(c, out)
 	}
 }
 
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -1,10 +1,16 @@
 package gateway
 
 import (
+	"context"
+	"io"
 	"log/slog"
+	"os"
 	"strconv"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/event"
 )
@@ -28,6 +34,41 @@
 		slog.Duration("first", out.firstEvent), slog.Duration("pause", c.maxPause), slog.Duration("held", time.Since(c.arrivedAt)))
 }
 
+// logRetried logs a failed try that is followed by another. The times tell a server that
+// fails by itself from a path that fails: how long the try took, and when any server was
+// last heard.
+func (g *Gateway) logRetried(c *call, out outcome) {
+	attrs := []slog.Attr{
+		slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("why", out.reason),
+		slog.String("server", out.server), slog.Int("attempts", c.attempts), slog.Duration("took", out.took),
+	}
+	if out.err != nil {
+		attrs = append(attrs, slog.String("error", errorKind(out.err)))
+	}
+	if heard, ok := g.reach.LastHeard(); ok {
+		attrs = append(attrs, slog.Duration("heard_ago", g.clock.Now()-heard))
+	}
+	g.log.Write(event.RequestRetried, attrs...)
+	g.metrics.Count("gateway_retries", 1, "why", out.reason)
+}
+
+// errorKind returns a short name of a network error.
+func errorKind(err error) string {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return "reset"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "closed"
+	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT):
+		return "timeout"
+	case errors.Is(err, context.Canceled):
+		return "canceled"
+	}
+	return "other"
+}
+
 // logPlaced logs a placement with the data that it was decided by.
 func (g *Gateway) logPlaced(c *call, s State, p schedule.Placement) {
 	g.log.Write(event.RequestPlaced, slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("route", c.route.Name),
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"slipcrank.example/core/backend"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/upstream"
 )
@@ -25,7 +26,7 @@
 // relay forwards the events of a stream, each as soon as it is complete. If the stream
 // breaks, an incomplete event is dropped, so that the stream can be resumed at another
 // server.
-func (g *Gateway) relay(w http.ResponseWriter, c *call, p schedule.Placement, a *upstream.Answer, timer *silenceTimer) outcome {
+func (g *Gateway) relay(w http.ResponseWriter, c *call, server backend.Server, p schedule.Placement, a *upstream.Answer, timer *silenceTimer) outcome {
 	events := bufio.NewReaderSize(a.Body, readBufferBytes)
 	control := http.NewResponseController(w)
 	out := outcome{}
@@ -44,9 +45,10 @@
 		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			failure := g.failure(c, err, "stream")
-			out.result, out.reason, out.connBroken = failure.result, "stream_broken", failure.connBroken
+			out.result, out.reason, out.connBroken, out.err = failure.result, "stream_broken", failure.connBroken, err
 			return out
 		}
+		g.recordHeard(server)
 		if n == 0 {
 			out.firstEvent = time.Since(c.arrivedAt)
 			g.scheduler.RecordStart(p.ID, g.clock.Now())
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -61,7 +61,9 @@
 		// connBroken reports whether the connection broke before the answer was
 		// complete.
 		connBroken bool
-		isolated   bool // it ran on a server without other known suspects
+		err        error         // of the connection, if it failed
+		took       time.Duration // the duration of the try
+		isolated   bool          // it ran on a server without other known suspects
 	}
 
 	// bufferedAnswer is a server's complete answer.
@@ -105,7 +107,9 @@
 	if reservation != nil {
 		defer reservation.Release()
 	}
+	began := g.clock.Now()
 	out := g.send(ctx, w, c, s, p, server)
+	out.took = g.clock.Now() - began
 	out.server, out.service, out.isolated = p.Lead, service.Name, p.Isolated
 	g.recordResult(c, p, server, out)
 	return out
@@ -222,6 +226,7 @@
 	default:
 		backoff = g.scheduler.RecordFailure(blamed, now)
 	}
+	g.recordPathFailure(server, out)
 	if out.connBroken {
 		c.copiesFailed = c.copiesFailed || g.scheduler.CopyCount(uint64(c.headHash)) > 1
 		g.findCrash(c, server, p.Helpers, out)
@@ -280,6 +285,7 @@
 		return g.failure(c, err, "send")
 	}
 	defer a.Close()
+	g.recordAnswer(server, a)
 	g.applyNotices(c, server, a)
 	c.attempts++
 	if a.Header.Get(g.dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
@@ -287,7 +293,7 @@
 	}
 	c.mayHaveRun = true
 	if c.route.Kind == site.Stream && a.Status == http.StatusOK {
-		return g.relay(w, c, p, a, timer)
+		return g.relay(w, c, server, p, a, timer)
 	}
 	return g.collect(w, c, a)
 }
@@ -298,16 +304,16 @@
 	case errors.Is(err, errNotAllowed):
 		return outcome{result: unsent, reason: "not_allowed"}
 	case upstream.NotSent(err):
-		return outcome{result: unsent, reason: "not_reached"}
+		return outcome{result: unsent, reason: "not_reached", err: err}
 	}
 	c.mayHaveRun = true
 	if phase == "send" {
 		c.attempts++
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
-		return outcome{result: failed, reason: phase + "_timeout"}
+		return outcome{result: failed, reason: phase + "_timeout", err: err}
 	}
-	return outcome{result: failed, reason: phase + "_broken", connBroken: true}
+	return outcome{result: failed, reason: phase + "_broken", connBroken: true, err: err}
 }
 
 // notRun reads an answer that reports that the request was not run.
--- a/daemon/upstream/conn.go
+++ b/daemon/upstream/conn.go
@@ -23,6 +23,7 @@
 	// awaitingHead is set from the writing of a request until the head of its
 	// answer has arrived.
 	awaitingHead atomic.Bool
+	used         bool // an answer has arrived on it
 }
 
 // abort closes the connection. If the head of an answer is outstanding, it resets
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -93,6 +93,8 @@
 		// Length is the length of the body in bytes, or -1 if it is unknown.
 		Length int64
 		Body   io.Reader
+		// NewConnection reports that a connection was opened for the request.
+		NewConnection bool
 
 		pool     *Pool
 		addr     string
@@ -194,6 +196,7 @@
 		return nil, err
 	}
 	c.awaitingHead.Store(false)
+	a.NewConnection, c.used = !c.used, true
 	a.pool, a.addr, a.conn, a.stop = p, addr, c, stop
 	return a, nil
 }
