Hosts without a path to the servers have other hosts serve their callers

Cause: a host judged each server by itself, and had no notion of its own path. All evidence that the path was gone was there within 0.03 s (resets) to 1.5 s (silence), and was used to avoid servers. A path in doubt is probed, one server first, more after 100 ms. A host whose path is lost says so to the others and delegates requests to a host with a path, its own hall first while half of it has one; what waits in vain is moved if nothing was sent or it may be repeated. A delegated request is not delegated again; it carries the attempts used, the time left, the version of the configuration, and its answer tells whose it is, so that 'not run' stays true. Lost paths are probed every 0.3 to 0.6 s and count as sound after three probes in a row. Why it works: the other hosts reach the same servers, and reach this host.

--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -19,11 +19,13 @@
 	metricsPort = 7102
 	newsPort    = 7103
 	storePort   = 7104
+	// delegationPort is where other hosts send requests that they can't serve.
+	delegationPort = 7105
 )
 
 const settingsTemplate = `host: %s
 hall: %s
-listen: {callers: "%s:%d", readiness: "%s:%d", metrics: "%s:%d", news: "%s:%d"}
+listen: {callers: "%s:%d", readiness: "%s:%d", metrics: "%s:%d", news: "%s:%d", delegation: "%s:%d"}
 platform: "%s:%d"
 bounds:
   key_proof: %s
@@ -60,7 +62,7 @@
 // newHost writes the settings of a host and creates its log file.
 func newHost(dir, binary, name, hall, ip string) (*host, error) {
 	h := &host{name: name, ip: ip, binary: binary, settings: filepath.Join(dir, name+".yaml")}
-	text := fmt.Sprintf(settingsTemplate, name, hall, ip, callersPort, ip, readyPort, ip, metricsPort, ip, newsPort,
+	text := fmt.Sprintf(settingsTemplate, name, hall, ip, callersPort, ip, readyPort, ip, metricsPort, ip, newsPort, ip, delegationPort,
 		ip, storePort, keyProof, configBound, shutdownGrace)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -186,6 +186,14 @@
 	return slices.ContainsFunc(t.recent[:], func(c contact) bool { return c.server != "" && c.server != server && c.at >= since })
 }
 
+// HeardSince reports whether any server of a service was heard since a time.
+func (t *Tracker) HeardSince(service string, since time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.service(service)
+	return p.heard > 0 && p.heard >= since
+}
+
 // LastHeard returns when any server was last heard, and false if none ever was.
 func (t *Tracker) LastHeard() (time.Duration, bool) {
 	t.mu.Lock()
--- a/core/schedule/backoff.go
+++ b/core/schedule/backoff.go
@@ -69,6 +69,14 @@
 	return sc.backOff(server, now, maxBackoff)
 }
 
+// ForgetFailures ends all backoffs. It is called when the path to servers works again
+// whose failures were those of the path.
+func (sc *Scheduler) ForgetFailures() {
+	sc.mu.Lock()
+	defer sc.mu.Unlock()
+	clear(sc.backoffs)
+}
+
 // backOff keeps requests from a server for a time, at most limit, and returns the
 // time.
 func (sc *Scheduler) backOff(server string, now, limit time.Duration) time.Duration {
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -108,6 +108,8 @@
 		stopping     atomic.Bool
 		keysUnproven bool // last state that logProof has seen
 		joiner       *joiner
+		paths        *lostPaths // of other hosts
+		delegated    *http.Server
 		sponsor      *sponsor
 		settled      atomic.Bool // the sources are chosen by this host, not by seeds
 		// neighbors are the servers and the other hosts of this host's cell.
@@ -128,6 +130,7 @@
 		clock:    boottime.New(),
 
 		sponsor:        newSponsor(),
+		paths:          newLostPaths(),
 		quarantine:     quarantine.NewRegistry(),
 		notices:        notice.NewRegistry(),
 		storeSignal:    make(chan struct{}, 1),
@@ -175,11 +178,20 @@
 			SendLeaving: func(server string) { n.SendLeaving(e.startNumber, server) },
 		}),
 	}
+	if s.Listen.Delegation != "" {
+		opts = append(opts, gateway.WithDelegation(gateway.Delegation{
+			Pool:        upstream.New(upstream.WithDialTimeout(hostDialTimeout), upstream.WithMaxIdle(func(string) int { return maxIdleToHost })),
+			Peers:       e.delegationPeers,
+			Alive:       func(number uint32) bool { return e.scheduler.HostAlive(number, e.clock.Now()) },
+			PathChanged: e.sendPath,
+		}))
+	}
 	if s.Memory > 0 {
 		opts = append(opts, gateway.WithBufferBytes(int64(s.Memory*gateway.BufferFraction*1e6)))
 	}
 	e.gateway = gateway.New(p.Dialect, e.gatewayState, e.pool, e.scheduler, budget, e.log, e.metrics, opts...)
 	n.SetSuspectsHandler(e.applySuspects)
+	n.SetPathHandler(func(host uint32, lost []string) { e.paths.set(host, lost, e.clock.Now()) })
 	n.SetJoinHandlers(news.JoinHandlers{Refer: e.refer, Source: e.applySource})
 	n.SetNoticeHandlers(news.NoticeHandlers{
 		GrantRequest: e.grants.HandleRequest, GrantReply: e.grants.HandleReply, Limit: e.applyLimit, Leaving: e.applyLeaving,
@@ -215,7 +227,11 @@
 func (e *Entry) Start(ctx context.Context) error {
 	s := e.settings.Load()
 	l := s.Listen
-	listeners, err := listen(l.Callers, l.Readiness, l.Metrics, l.News)
+	addrs := []string{l.Callers, l.Readiness, l.Metrics, l.News}
+	if l.Delegation != "" {
+		addrs = append(addrs, l.Delegation)
+	}
+	listeners, err := listen(addrs...)
 	if err != nil {
 		return err
 	}
@@ -230,6 +246,12 @@
 	go e.serve(&http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}, listeners[1])
 	go e.serve(&http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout}, listeners[2])
 	go e.serve(e.relayServer, listeners[3])
+	if len(listeners) > 4 {
+		e.delegated = &http.Server{
+			Handler: e.gateway.DelegatedHandler(), IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		}
+		go e.serve(e.delegated, listeners[4])
+	}
 	e.startJoining()
 	go e.watcher.Run(ctx)
 	go e.exchange.Run()
@@ -327,6 +349,9 @@
 			e.exchange.SendHeartbeat(e.startNumber)
 			e.sendRunning(contacts)
 			e.sendSuspects(n)
+			if len(e.gateway.LostServices()) > 0 && n%pathTicks == 0 {
+				e.sendPath()
+			}
 			if n++; n%sweepTicks == 0 {
 				servers := e.watcher.State().Servers
 				e.pool.Sweep(servers.HasAddr)
--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -47,6 +47,9 @@
 		e.log.Write(event.DaemonStopped)
 	}
 	_ = e.callerServer.Close() // remaining connections are cut
+	if e.delegated != nil {
+		_ = e.delegated.Close()
+	}
 	e.relayClient.SetServers(nil)
 	e.relayServer.Stop()
 	e.cancel()
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -32,6 +32,7 @@
 	arrivedAt    time.Time
 	deadline     time.Time
 	bootDeadline time.Duration // the deadline by the gateway's clock, which also advances during a suspension
+	delegated    *delegation   // nil unless another host has delegated the call to this one
 	lastEventID  string        // from the caller, or of the last event that was forwarded
 
 	sentAt        time.Duration   // right before the last try was sent, by the gateway's clock
@@ -39,6 +40,10 @@
 	attempts      int             // tries that reached a server
 	unsentTries   int             // tries of which nothing left this host
 	failedServers map[string]bool // by ID
+	unreached     int             // tries that failed on the way to a server or back
+	delegations   map[uint32]bool // hosts to which the call was delegated, by number
+	counted       bool            // the call counts in the retry budget
+	exchange      *exchange       // of the current try
 	mayHaveRun    bool            // it may have run, or may still be running
 	copiesFailed  bool            // several copies of it have failed together
 	crashFound    bool            // a server has just crashed while running it
@@ -53,7 +58,7 @@
 
 // readCall reads and authorizes a request. It returns a refusal if the request can't be
 // served.
-func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, buffer *bodyBuffer, now time.Time) (*call, *refusalResponse) {
+func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, buffer *bodyBuffer, now time.Time, d *delegation) (*call, *refusalResponse) {
 	s := g.state()
 	if s.Config == nil {
 		return nil, refuse(http.StatusServiceUnavailable, "no_configuration", startupRetryAfter)
@@ -79,6 +84,11 @@
 		arrivedAt:     now,
 		lastEventID:   r.Header.Get(g.dialect.LastEventID),
 		failedServers: map[string]bool{},
+		delegations:   map[uint32]bool{},
+		delegated:     d,
+	}
+	if d != nil {
+		c.attempts, c.counted, c.arrivedAt = d.attempts, d.counted, now.Add(-d.elapsed)
 	}
 	c.path, _, _ = strings.Cut(c.target, "?")
 	c.key, _ = strings.CutPrefix(r.Header.Get("Authorization"), g.dialect.KeyScheme)
@@ -153,7 +163,7 @@
 		return g.deny(http.StatusUnauthorized, "unknown_key")
 	}
 	if c.workspace = w; !g.freshness.KeysTrusted() {
-		return refuse(http.StatusServiceUnavailable, "keys_unproven", otherHostRetryAfter)
+		return refuseHere("keys_unproven")
 	}
 	return nil
 }
@@ -161,8 +171,8 @@
 // deny refuses a call permanently, or temporarily if a newer configuration might allow
 // it.
 func (g *Gateway) deny(status int, reason string) *refusalResponse {
-	if !g.freshness.ConfigCurrent() {
-		return refuse(http.StatusServiceUnavailable, reason+"_in_old_configuration", otherHostRetryAfter)
+	if s := g.state(); !g.freshness.ConfigCurrent() || s.Config.Version() < g.servedVersion.Load() {
+		return refuseHere(reason + "_in_old_configuration")
 	}
 	return refuse(status, reason, 0)
 }
--- /dev/null
+++ b/daemon/gateway/delegated.go
@@ -0,0 +1,172 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"slipcrank.example/core/reach"
+	"slipcrank.example/daemon/upstream"
+)
+
+// delegationHeader is the header of delegated requests and of their answers. Requests of
+// callers don't have it: hosts delegate to a port of their own.
+const delegationHeader = "Slipcrank-Delegation"
+
+// Origins of the answer to a delegated request.
+const (
+	originUnknown origin = ""
+	// originServer is a backend server; the request may have run.
+	originServer origin = "server"
+	// originFleet is the host, for a reason that holds at any host. The status tells
+	// whether the request may have run.
+	originFleet origin = "fleet"
+	// originHost is the host, for a reason that may not hold at others. The request was
+	// not run.
+	originHost origin = "host"
+)
+
+type (
+	origin string
+
+	// delegation describes a call that another host has delegated to this one.
+	delegation struct {
+		attempts int           // that have reached servers
+		version  int64         // of the configuration by which the call must be served at least
+		elapsed  time.Duration // since the call arrived at the other host
+		counted  bool          // the other host has counted it in the retry budget
+	}
+
+	// report describes the answer to a delegated call.
+	report struct {
+		origin   origin
+		attempts int
+		version  int64
+	}
+)
+
+// DelegatedHandler returns the handler of the calls that other hosts delegate to this one.
+// They are served like those of callers, but are not delegated again.
+func (g *Gateway) DelegatedHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d, err := parseDelegation(r.Header.Get(delegationHeader))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		r.Header.Del(delegationHeader)
+		// Holds for refusals before the call is read.
+		w.Header().Set(delegationHeader, report{origin: originHost, attempts: d.attempts}.String())
+		g.handle(w, r, &d)
+	})
+}
+
+// delegatedRequest builds the request with which a call is delegated to another host.
+func (g *Gateway) delegatedRequest(c *call, s State) upstream.Request {
+	h := c.header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	if c.key != "" {
+		h.Set("Authorization", g.dialect.KeyScheme+c.key)
+	}
+	if c.lastEventID != "" {
+		h.Set(g.dialect.LastEventID, c.lastEventID)
+	}
+	h.Set(g.dialect.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
+	h.Set(delegationHeader, delegation{
+		attempts: c.attempts, version: max(s.Config.Version(), g.servedVersion.Load()), elapsed: time.Since(c.arrivedAt), counted: c.counted,
+	}.String())
+	return upstream.Request{
+		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
+		IDHeader: g.dialect.AttemptID, ID: c.id,
+		BeforeSend: func() error {
+			g.clock.Refresh() // the host may have been suspended since the call arrived
+			if g.clock.Now() >= c.bootDeadline {
+				return errNotAllowed
+			}
+			return nil
+		},
+	}
+}
+
+// refuseDelegated refuses a delegated call that another host can serve better.
+func (g *Gateway) refuseDelegated(c *call, s State) *refusalResponse {
+	if c.delegated == nil {
+		return nil
+	}
+	if s.Config.Version() < c.delegated.version {
+		return refuseHere("older_configuration")
+	}
+	for _, service := range c.services() {
+		if g.reach.State(service) == reach.Lost {
+			return refuseHere("no_path")
+		}
+	}
+	return nil
+}
+
+// setReport sets the header that reports to a delegating host where an answer is from.
+func (g *Gateway) setReport(w http.ResponseWriter, c *call, o origin) {
+	if c == nil || c.delegated == nil {
+		return
+	}
+	var version int64
+	if s := g.state(); s.Config != nil {
+		version = s.Config.Version()
+	}
+	w.Header().Set(delegationHeader, report{o, c.attempts, version}.String())
+}
+
+// String returns the value of the header of a delegated request.
+func (d delegation) String() string {
+	return fmt.Sprintf("attempts=%d, version=%d, elapsed=%d, counted=%t", d.attempts, d.version, d.elapsed.Milliseconds(), d.counted)
+}
+
+// String returns the value of the header of an answer to a delegated request.
+func (r report) String() string {
+	return fmt.Sprintf("origin=%s, attempts=%d, version=%d", r.origin, r.attempts, r.version)
+}
+
+// parseDelegation parses the value of the header of a delegated request.
+func parseDelegation(text string) (delegation, error) {
+	f := parseFields(text)
+	attempts, err := strconv.ParseUint(f["attempts"], 10, 16)
+	if err != nil {
+		return delegation{}, fmt.Errorf("attempts %q of a delegated request: send a number", f["attempts"])
+	}
+	version, err := strconv.ParseInt(f["version"], 10, 64)
+	if err != nil {
+		return delegation{}, fmt.Errorf("version %q of a delegated request: send a number", f["version"])
+	}
+	elapsed, err := strconv.ParseUint(f["elapsed"], 10, 32)
+	if err != nil {
+		return delegation{}, fmt.Errorf("elapsed %q of a delegated request: send milliseconds", f["elapsed"])
+	}
+	return delegation{int(attempts), version, time.Duration(elapsed) * time.Millisecond, f["counted"] == "true"}, nil
+}
+
+// parseReport parses the value of the header of an answer. Its origin is unknown if the
+// value is malformed.
+func parseReport(text string) report {
+	f := parseFields(text)
+	attempts, err := strconv.ParseUint(f["attempts"], 10, 16)
+	version, err2 := strconv.ParseInt(f["version"], 10, 64)
+	o := origin(f["origin"])
+	if err != nil || err2 != nil || o != originServer && o != originFleet && o != originHost {
+		return report{}
+	}
+	return report{o, int(attempts), version}
+}
+
+// parseFields parses a list of name=value fields.
+func parseFields(text string) map[string]string {
+	out := map[string]string{}
+	for f := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(f), "=")
+		out[name] = value
+	}
+	return out
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -86,6 +86,9 @@
 		exchanges          *exchanges
 		reach              *reach.Tracker
 		pathStates         pathStates
+		pathChecks         pathChecks
+		delegation         *Delegation  // nil: calls are not delegated
+		servedVersion      atomic.Int64 // the newest configuration by which a call was handled elsewhere
 		quarantine         *quarantine.Registry
 		notices            *notice.Registry
 		roster             *quarantine.Roster // used by Maintain only, like rosterView
@@ -221,7 +224,10 @@
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
 // ServeHTTP implements [http.Handler].
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.handle(w, r, nil) }
+
+// handle serves a call of a caller or, if d is set, one that another host has delegated.
+func (g *Gateway) handle(w http.ResponseWriter, r *http.Request, d *delegation) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	if g.drain.Load() != nil {
@@ -231,19 +237,21 @@
 	g.setWriteDeadline(w, now.Add(defaultTimeout))
 	buffer := &bodyBuffer{buffers: g.buffers}
 	defer buffer.release()
-	c, refusal := g.readCall(w, r, buffer, now)
+	c, refusal := g.readCall(w, r, buffer, now, d)
 	if refusal == nil {
 		refusal = g.refuseIfBlocked(c)
 	}
 	if refusal == nil {
 		refusal = g.refuseIfDraining(c, now)
 	}
+	if refusal == nil {
+		refusal = g.refuseDelegated(c, g.state())
+	}
 	if refusal != nil {
 		g.writeRefusal(w, c, refusal)
 		return
 	}
 	g.setWriteDeadline(w, c.deadline)
-	g.budget.AddRequest(c.route.Targets, now)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	g.serve(ctx, w, c)
@@ -269,7 +277,7 @@
 	if c.route.Kind != site.Stream && now.Add(drainObjectives*c.route.Objective).Before(d.end) {
 		return nil
 	}
-	return refuse(http.StatusServiceUnavailable, "stopping", otherHostRetryAfter)
+	return refuseHere("stopping")
 }
 
 // drainObjectives is the number of objectives within which almost all non-stream calls
@@ -308,7 +316,7 @@
 	}
 	if out.result == unsent {
 		c.unsentTries++
-		return c.unsentTries <= maxUnsentTries
+		return c.unsentTries <= maxUnsentTries && !g.hopeless(c, out)
 	}
 	if c.attempts >= max(c.route.Attempts, 1) {
 		c.lastFailure += ",attempts_used"
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -1,21 +1,57 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
+	"math/rand/v2"
+	"slices"
 	"sync"
+	"time"
 
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/reach"
+	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/upstream"
 )
 
-// pathStates holds the state of the path to each service as it was last logged. The zero
-// value is ready to use.
-type pathStates struct {
-	mu        sync.Mutex
-	byService map[string]reach.State
-}
+const (
+	// unheardTimeout is how long a server may send nothing, beyond the predicted time to
+	// its first token, until the path is checked. It is ten times the usual duration of a
+	// plain call.
+	unheardTimeout = 300 * time.Millisecond
+	// pathProbeTimeout bounds a probe. It is 50 times the latency between halls.
+	pathProbeTimeout = 300 * time.Millisecond
+	// probeHedgeDelay is how long the first probe of a path in doubt may take until others
+	// are begun. Nearly all are answered in a tenth of it.
+	probeHedgeDelay = 100 * time.Millisecond
+	// quietTime is how long no server may have been heard until a call that can't be
+	// repeated is sent on a new connection, which shows whether there is a path.
+	quietTime = time.Second
+	// probedServers is the number of servers that one check probes.
+	probedServers = 3
+	// minProbeInterval is the minimum time between checks of the path to a service. A
+	// random part of it is added, so that hosts which lose their paths together don't
+	// probe together.
+	minProbeInterval = 300 * time.Millisecond
+)
+
+type (
+	// pathStates holds the state of the path to each service as it was last logged. The
+	// zero value is ready to use.
+	pathStates struct {
+		mu        sync.Mutex
+		byService map[string]reach.State
+	}
+
+	// pathChecks holds which services' paths are being checked, and when the next checks
+	// may begin. The zero value is ready to use.
+	pathChecks struct {
+		mu      sync.Mutex
+		running map[string]bool
+		next    map[string]time.Duration
+	}
+)
 
 // set records a state, and reports the one before and whether they differ.
 func (p *pathStates) set(service string, s reach.State) (reach.State, bool) {
@@ -29,6 +65,50 @@
 	return old, s != old
 }
 
+// lost returns the services whose path is lost, sorted.
+func (p *pathStates) lost() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var names []string
+	for name, s := range p.byService {
+		if s == reach.Lost {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// begin reports whether the path to a service may be checked now, and if so records the
+// check.
+func (p *pathChecks) begin(service string, now time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running == nil {
+		p.running, p.next = map[string]bool{}, map[string]time.Duration{}
+	}
+	if p.running[service] || now < p.next[service] {
+		return false
+	}
+	p.running[service] = true
+	p.next[service] = now + minProbeInterval + rand.N(minProbeInterval)
+	return true
+}
+
+func (p *pathChecks) end(service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.running, service)
+}
+
+// count counts a call that this host serves in the retry budget, once.
+func (g *Gateway) count(c *call) {
+	if !c.counted {
+		g.budget.AddRequest(c.route.Targets, time.Now())
+		c.counted = true
+	}
+}
+
 // listedServers returns how many servers are listed, of a service and in all.
 func (g *Gateway) listedServers(service string) reach.Listed {
 	servers := g.state().Servers
@@ -52,26 +132,178 @@
 
 // recordPathFailure records a try that failed on the way to a server or back. A failure
 // that the server has answered with shows that the path is sound.
-func (g *Gateway) recordPathFailure(server backend.Server, out outcome) {
+func (g *Gateway) recordPathFailure(c *call, server backend.Server, out outcome) {
 	if out.answer != nil || out.reason == "memory_not_held" {
 		return
 	}
+	c.unreached++
 	record := g.reach.Failed
 	if out.result == unsent {
 		record = g.reach.NotOpened
 	}
 	record(server.Service, server.ID, g.listedServers(server.Service), g.clock.Now())
-	g.logPath(server.Service, out.reason)
+	g.pathFailed(server.Service, out.reason)
 }
 
-// logPath logs the state of the path to a service if it has changed. Doubtful paths are
-// counted only, since any server that fails makes the path doubtful.
+// pathFailed reacts to a failure on the path to a service: it moves the calls that wait in
+// vain if the path is lost, and otherwise finds out whether it is.
+func (g *Gateway) pathFailed(service, why string) {
+	g.logPath(service, why)
+	switch g.reach.State(service) {
+	case reach.Lost:
+		g.exchanges.cancelUnheard(service, g.clock.Now()-unheardTimeout)
+	case reach.Doubtful, reach.Closed:
+		g.checkPath(service)
+	case reach.Sound:
+	}
+}
+
+// pathCheckDelay returns how long the server of a placement may send nothing until it is
+// checked whether any server is heard.
+func pathCheckDelay(p schedule.Placement) time.Duration { return p.FirstToken + unheardTimeout }
+
+// checkSilentPath checks the path to a server that has sent nothing on an exchange, unless
+// another one of its service was heard meanwhile.
+func (g *Gateway) checkSilentPath(x *exchange) {
+	since := g.clock.Now() - unheardTimeout
+	if x.lastHeard() <= since && !g.reach.HeardSince(x.server.Service, since) {
+		g.checkPath(x.server.Service)
+	}
+}
+
+// checkQuietStreams checks the paths to services whose servers have begun to answer, and of
+// which none was heard for unheardTimeout.
+func (g *Gateway) checkQuietStreams() {
+	since := g.clock.Now() - unheardTimeout
+	for _, service := range g.exchanges.begunServices() {
+		if !g.reach.HeardSince(service, since) {
+			g.checkPath(service)
+		}
+	}
+}
+
+// provesPath reports whether a call must be sent on a new connection: if it can't be
+// repeated, a connection that has silently died would lose it.
+func (g *Gateway) provesPath(c *call) bool {
+	return g.delegation != nil && !c.route.Resumable() && !g.reach.HeardOther("", g.clock.Now()-quietTime)
+}
+
+// checkPath probes a few servers of a service, unless this is being done. It doesn't wait
+// for the results.
+func (g *Gateway) checkPath(service string) {
+	if g.delegation != nil && g.pathChecks.begin(service, g.clock.Now()) {
+		go func() {
+			defer g.pathChecks.end(service)
+			g.probePath(service)
+		}()
+	}
+}
+
+// probePath probes servers of a service. On a path in doubt these are some that haven't
+// failed, and on one that is lost those that have.
+func (g *Gateway) probePath(service string) {
+	failing := map[string]bool{}
+	for _, id := range g.reach.Failing(service) {
+		failing[id] = true
+	}
+	lost := g.reach.State(service) >= reach.Closed
+	var probed []backend.Server
+	servers := g.state().Servers.Ready(service)
+	for _, i := range rand.Perm(len(servers)) {
+		if s := servers[i]; len(probed) < probedServers && lost == failing[s.ID] {
+			probed = append(probed, s)
+		}
+	}
+	switch {
+	case len(servers) == 0:
+	case len(probed) == 0:
+		g.probePathTo(servers[rand.IntN(len(servers))])
+	case lost:
+		for _, s := range probed {
+			if !g.probePathTo(s) {
+				return
+			}
+		}
+	default:
+		g.probeUntilOpened(probed)
+	}
+}
+
+// probeUntilOpened probes the first of some servers and, unless that succeeds within
+// probeHedgeDelay, the others.
+func (g *Gateway) probeUntilOpened(servers []backend.Server) {
+	var wg sync.WaitGroup
+	opened := make(chan struct{})
+	wg.Go(func() {
+		if g.probePathTo(servers[0]) {
+			close(opened)
+		}
+	})
+	select {
+	case <-opened:
+	case <-time.After(probeHedgeDelay):
+		for _, s := range servers[1:] {
+			wg.Go(func() { g.probePathTo(s) })
+		}
+	}
+	wg.Wait()
+}
+
+// probePathTo probes a server, records the result and reports whether it succeeded.
+func (g *Gateway) probePathTo(s backend.Server) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), pathProbeTimeout)
+	defer cancel()
+	if err := g.pool.Probe(ctx, s.Addr); err != nil {
+		g.metrics.Count("gateway_path_probes", 1, "result", errorKind(err))
+		g.reach.NotOpened(s.Service, s.ID, g.listedServers(s.Service), g.clock.Now())
+		g.pathFailed(s.Service, "probe_failed")
+		return false
+	}
+	g.metrics.Count("gateway_path_probes", 1, "result", "opened")
+	g.reach.Probed(s.Service, s.ID, g.clock.Now())
+	g.logPath(s.Service, "probe")
+	return true
+}
+
+// maintainPaths probes the servers of services whose path is lost, and moves calls that
+// wait for them in vain.
+func (g *Gateway) maintainPaths() {
+	servers := g.state().Servers
+	g.reach.Retain(func(id string) bool { _, ok := servers.Get(id); return ok })
+	g.checkQuietStreams()
+	for _, service := range servers.Services() {
+		switch g.reach.State(service) {
+		case reach.Lost:
+			g.exchanges.cancelUnheard(service, g.clock.Now()-unheardTimeout)
+			g.checkPath(service)
+		case reach.Closed:
+			g.checkPath(service)
+		case reach.Sound, reach.Doubtful:
+		}
+		g.logPath(service, "upkeep")
+	}
+}
+
+// LostServices returns the services to whose servers this host has no path.
+func (g *Gateway) LostServices() []string { return g.pathStates.lost() }
+
+// logPath logs the state of the path to a service if it has changed, and tells other hosts
+// whether it is lost. Doubtful paths are counted only, since any server that fails makes the
+// path doubtful.
 func (g *Gateway) logPath(service, why string) {
 	s := g.reach.State(service)
 	old, changed := g.pathStates.set(service, s)
 	if !changed {
 		return
 	}
+	if (old == reach.Lost) != (s == reach.Lost) {
+		if s != reach.Lost {
+			g.scheduler.ForgetFailures()
+		}
+		if g.delegation != nil {
+			g.delegation.PathChanged()
+		}
+	}
 	g.metrics.Count("gateway_path_changes", 1, "service", service, "state", s.String())
 	if max(old, s) < reach.Closed {
 		return
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -38,6 +38,8 @@
 		// available is the time until servers with limits accept a request, 0 if the
 		// call is refused for another reason.
 		available time.Duration
+		// hereOnly reports that other hosts may be able to serve the call.
+		hereOnly bool
 	}
 
 	refusalBody struct {
@@ -53,6 +55,21 @@
 	return &refusalResponse{status: status, reason: reason, retryAfter: retryAfter}
 }
 
+// refuseHere refuses a call that another host may be able to serve now.
+func refuseHere(reason string) *refusalResponse {
+	r := refuse(http.StatusServiceUnavailable, reason, otherHostRetryAfter)
+	r.hereOnly = true
+	return r
+}
+
+// origin returns the origin that a delegating host gets to know.
+func (r *refusalResponse) origin() origin {
+	if r.hereOnly {
+		return originHost
+	}
+	return originFleet
+}
+
 // writeRefusal sends and logs a refusal. c may be nil if the request could not be read.
 func (g *Gateway) writeRefusal(w http.ResponseWriter, c *call, refusal *refusalResponse) {
 	if refusal.retryAfter > 0 {
@@ -67,6 +84,7 @@
 	if c != nil && c.id != "" {
 		w.Header().Set(g.dialect.AttemptID, c.id)
 	}
+	g.setReport(w, c, refusal.origin())
 	w.WriteHeader(refusal.status)
 	_, err = w.Write(b)
 	g.metrics.Count("gateway_refusals", 1, "why", refusal.reason, "status", strconv.Itoa(refusal.status))
@@ -102,7 +120,9 @@
 	case out.refusal != nil && (!c.mayHaveRun || !meansNotRun(out.refusal.status)):
 		g.writeRefusal(w, c, out.refusal)
 	case !c.mayHaveRun:
-		g.writeRefusal(w, c, refuse(http.StatusServiceUnavailable, c.lastFailure, busyRetryAfter))
+		refusal := refuse(http.StatusServiceUnavailable, c.lastFailure, busyRetryAfter)
+		refusal.hereOnly = out.result == unsent
+		g.writeRefusal(w, c, refusal)
 	case out.answer != nil && !meansNotRun(out.answer.status):
 		g.forwardAnswer(w, c, out)
 	case overdue:
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -50,7 +50,8 @@
 		IDHeader: g.dialect.AttemptID,
 		ID:       c.id,
 
-		NewConnection: c.freshConn,
+		NewConnection: c.freshConn || g.provesPath(c),
+		OpenOnly:      g.usesOpenConnections(c, p.Service),
 		BeforeSend:    func() error { return g.checkBeforeSend(c, p) },
 	}
 }
@@ -62,10 +63,10 @@
 	s := g.state()
 	c.sentAt = g.clock.Now()
 	if c.sentAt >= c.bootDeadline || !acceptPlacement(s, p) || !g.acceptsCall(c, p) || g.authorize(c, s) != nil ||
-		!g.placedAtHome(c, s, p) || g.stage(c) == quarantine.Blocked {
+		!g.placedAtHome(c, s, p) || g.stage(c) == quarantine.Blocked || s.Config.Version() < g.servedVersion.Load() {
 		return errNotAllowed
 	}
-	return nil
+	return c.exchange.beginSending()
 }
 
 // acceptPlacement reports whether the lead and all helpers of a placement accept new work.
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,9 @@
 // one has started: the new instance doesn't have the request.
 var errServerRestarted = errors.New("backend server has restarted")
 
+// errPathLost cancels a call that waits for a server to which this host has no path.
+var errPathLost = errors.New("no path to the backend servers")
+
 // errPastDeadline cancels a call whose deadline passed while the host was suspended.
 // Timers don't advance during a suspension, so the call's context doesn't expire in
 // time.
@@ -26,25 +30,99 @@
 	open map[*exchange]bool
 }
 
-// exchange is one call in progress at a server.
+// exchange is one call in progress at a server. It is safe for concurrent use.
 type exchange struct {
 	server       backend.Server
 	bootDeadline time.Duration
+	movable      bool // the call may be sent to another server after it was sent to this one
 	cancel       context.CancelCauseFunc
+
+	mu       sync.Mutex
+	sent     bool          // the request may have begun to leave this host
+	canceled bool          // before the request was sent
+	begun    bool          // the server has begun to answer
+	heard    time.Duration // when the server last sent something, or the exchange began
 }
 
 func newExchanges() *exchanges { return &exchanges{open: map[*exchange]bool{}} }
 
-// add registers a call. The returned function removes it.
-func (x *exchanges) add(s backend.Server, bootDeadline time.Duration, cancel context.CancelCauseFunc) func() {
-	e := &exchange{s, bootDeadline, cancel}
+// add registers a call.
+func (x *exchanges) add(s backend.Server, bootDeadline time.Duration, movable bool, now time.Duration, cancel context.CancelCauseFunc) *exchange {
+	e := &exchange{server: s, bootDeadline: bootDeadline, movable: movable, cancel: cancel, heard: now}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.open[e] = true
-	return func() {
-		x.mu.Lock()
-		defer x.mu.Unlock()
-		delete(x.open, e)
+	return e
+}
+
+func (x *exchanges) remove(e *exchange) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.open, e)
+}
+
+// beginSending records that the request is about to be sent. It returns an error if the
+// exchange was canceled: then nothing may be sent.
+func (e *exchange) beginSending() error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.canceled {
+		return errPathLost
+	}
+	e.sent = true
+	return nil
+}
+
+// setHeard records that the server has sent something.
+func (e *exchange) setHeard(now time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.begun, e.heard = true, now
+}
+
+// lastHeard returns when the server last sent something, or the exchange began.
+func (e *exchange) lastHeard() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.heard
+}
+
+// cancelIfMovable cancels an exchange whose server has sent nothing since a time, unless
+// the call may have been sent and may run only once.
+func (e *exchange) cancelIfMovable(since time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.heard > since || e.sent && !e.movable {
+		return
+	}
+	e.canceled = !e.sent
+	e.cancel(errPathLost)
+}
+
+// begunServices returns the services whose servers have begun to answer calls.
+func (x *exchanges) begunServices() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var names []string
+	for e := range x.open {
+		e.mu.Lock()
+		if e.begun && !slices.Contains(names, e.server.Service) {
+			names = append(names, e.server.Service)
+		}
+		e.mu.Unlock()
+	}
+	return names
+}
+
+// cancelUnheard cancels the calls of a service that other hosts may serve, and whose
+// servers have sent nothing since a time.
+func (x *exchanges) cancelUnheard(service string, since time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for e := range x.open {
+		if e.server.Service == service {
+			e.cancelIfMovable(since)
+		}
 	}
 }
 
--- a/daemon/gateway/shares.go
+++ b/daemon/gateway/shares.go
@@ -87,7 +87,7 @@
 	g.updateSuspects(g.clock.Now())
 	g.pruneNotices(g.clock.Now())
 	servers := g.state().Servers
-	g.reach.Retain(func(id string) bool { _, ok := servers.Get(id); return ok })
+	g.maintainPaths()
 	ended := func(s backend.Server) bool { return servers.Replaced(s) || servers.AddressTaken(s) }
 	for _, s := range g.exchanges.cancelStale(ended, g.clock.Now()) {
 		g.pool.CloseIdle(s.Addr) // connections to the replaced instance
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -10,8 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"slipcrank.example/core/backend"
-	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/upstream"
 )
 
@@ -26,7 +24,7 @@
 // relay forwards the events of a stream, each as soon as it is complete. If the stream
 // breaks, an incomplete event is dropped, so that the stream can be resumed at another
 // server.
-func (g *Gateway) relay(w http.ResponseWriter, c *call, server backend.Server, p schedule.Placement, a *upstream.Answer, timer *silenceTimer) outcome {
+func (g *Gateway) relay(w http.ResponseWriter, c *call, a *upstream.Answer, timer *silenceTimer, hooks relayHooks) outcome {
 	events := bufio.NewReaderSize(a.Body, readBufferBytes)
 	control := http.NewResponseController(w)
 	out := outcome{}
@@ -37,9 +35,7 @@
 		now := time.Now()
 		if c.headSent {
 			c.maxPause = max(c.maxPause, now.Sub(last))
-			g.scheduler.RecordPass(p.Lead, now.Sub(last), p.PassTime, g.clock.Now())
 		}
-		last = now
 		if errors.Is(err, io.EOF) && len(e) == 0 {
 			break
 		}
@@ -48,13 +44,17 @@
 			out.result, out.reason, out.connBroken, out.err = failure.result, "stream_broken", failure.connBroken, err
 			return out
 		}
-		g.recordHeard(server)
+		if hooks.event != nil {
+			hooks.event(now.Sub(last))
+		}
+		last = now
 		if n == 0 {
 			out.firstEvent = time.Since(c.arrivedAt)
-			g.scheduler.RecordStart(p.ID, g.clock.Now())
-			g.onStarted(p.ID)
+			if hooks.first != nil {
+				hooks.first()
+			}
 		}
-		sendHead(w, c, a)
+		g.sendHead(w, c, a)
 		if _, err := w.Write(e); err != nil {
 			out.result, out.reason = callerGone, "caller_gone"
 			return out
@@ -70,18 +70,19 @@
 			break
 		}
 	}
-	sendHead(w, c, a)
+	g.sendHead(w, c, a)
 	a.Finish()
 	out.result, out.answer = answered, &bufferedAnswer{status: a.Status}
 	return out
 }
 
 // sendHead sends the head of a stream, unless an earlier try has sent one.
-func sendHead(w http.ResponseWriter, c *call, a *upstream.Answer) {
+func (g *Gateway) sendHead(w http.ResponseWriter, c *call, a *upstream.Answer) {
 	if c.headSent {
 		return
 	}
 	copyHeaders(w, a.Header)
+	g.setReport(w, c, originServer)
 	w.WriteHeader(a.Status)
 	c.headSent = true
 }
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -90,6 +90,10 @@
 	if paused {
 		return outcome{result: final, reason: "workspace_ends_servers", refusal: refuse(http.StatusServiceUnavailable, "workspace_ends_servers", confinedRetryAfter)}
 	}
+	if peer, ok := g.pickPeer(c, s); ok {
+		return g.delegate(ctx, w, c, s, peer)
+	}
+	g.count(c)
 	p, service, refusal := g.placeWithGrant(ctx, c, s, stage, confined)
 	if refusal != nil {
 		return outcome{result: final, reason: refusal.reason, server: p.Lead, refusal: refusal}
@@ -101,7 +105,10 @@
 	defer g.onEnded(p.ID)
 	reservation, err := g.reserveMemory(ctx, s, p)
 	if err != nil {
-		c.avoidRefusing(s, p, err)
+		if c.avoidRefusing(s, p, err); !errors.HasType(err, (*memory.RefusedError)(nil)) {
+			c.unreached++
+			g.checkPath(service.Name)
+		}
 		return outcome{result: unsent, reason: "memory_not_held", server: p.Lead, service: service.Name}
 	}
 	if reservation != nil {
@@ -219,6 +226,9 @@
 	}
 	c.failedServers[blamed] = true
 	switch {
+	case out.reason == "no_open_connection":
+		c.unreached++
+		return
 	case out.reason == "not_allowed", out.reason == "out_of_time", !time.Now().Before(c.deadline):
 		return
 	case out.result == failed && out.answer != nil:
@@ -226,7 +236,7 @@
 	default:
 		backoff = g.scheduler.RecordFailure(blamed, now)
 	}
-	g.recordPathFailure(server, out)
+	g.recordPathFailure(c, server, out)
 	if out.connBroken {
 		c.copiesFailed = c.copiesFailed || g.scheduler.CopyCount(uint64(c.headHash)) > 1
 		g.findCrash(c, server, p.Helpers, out)
@@ -260,7 +270,11 @@
 	timer := &silenceTimer{timeout: firstSilenceCheck(c, p), extension: g.silenceExtension(c, s, p, server), onExpire: func() { cancel(errServerSilent) }}
 	timer.start()
 	defer timer.stop()
-	defer g.exchanges.add(server, c.bootDeadline, cancel)()
+	x := g.exchanges.add(server, c.bootDeadline, c.route.Resumable(), g.clock.Now(), cancel)
+	c.exchange = x
+	defer g.exchanges.remove(x)
+	check := time.AfterFunc(pathCheckDelay(p), func() { g.checkSilentPath(x) })
+	defer check.Stop()
 	out := g.sendAndForward(ctx, w, c, s, p, server, timer)
 	if out.result == failed && errors.Is(context.Cause(ctx), errPastDeadline) {
 		out.reason, out.connBroken = "out_of_time", false
@@ -268,6 +282,10 @@
 	if out.result == failed && errors.Is(context.Cause(ctx), errServerRestarted) {
 		out.reason, out.connBroken = "server_restarted", true
 	}
+	if out.result == failed && errors.Is(context.Cause(ctx), errPathLost) {
+		out.reason, out.connBroken = "path_lost", false
+		c.attempts-- // a server that is cut off doesn't count
+	}
 	if out.result == failed && errors.Is(context.Cause(ctx), errServerSilent) {
 		out.reason, out.connBroken = "server_silent", false
 		c.freshConn = true
@@ -285,6 +303,7 @@
 		return g.failure(c, err, "send")
 	}
 	defer a.Close()
+	c.exchange.setHeard(g.clock.Now())
 	g.recordAnswer(server, a)
 	g.applyNotices(c, server, a)
 	c.attempts++
@@ -293,7 +312,7 @@
 	}
 	c.mayHaveRun = true
 	if c.route.Kind == site.Stream && a.Status == http.StatusOK {
-		return g.relay(w, c, server, p, a, timer)
+		return g.relay(w, c, a, timer, g.serverHooks(c, p, c.exchange))
 	}
 	return g.collect(w, c, a)
 }
@@ -303,6 +322,8 @@
 	switch {
 	case errors.Is(err, errNotAllowed):
 		return outcome{result: unsent, reason: "not_allowed"}
+	case errors.Is(err, upstream.ErrNoOpenConnection):
+		return outcome{result: unsent, reason: "no_open_connection"}
 	case upstream.NotSent(err):
 		return outcome{result: unsent, reason: "not_reached", err: err}
 	}
@@ -356,6 +377,7 @@
 // forwardAnswer sends a server's answer to the caller unchanged.
 func (g *Gateway) forwardAnswer(w http.ResponseWriter, c *call, out outcome) {
 	copyHeaders(w, out.answer.header)
+	g.setReport(w, c, originServer)
 	w.Header().Set("Content-Length", strconv.Itoa(len(out.answer.body)))
 	w.WriteHeader(out.answer.status)
 	if _, err := w.Write(out.answer.body); err != nil {
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -74,6 +74,8 @@
 	kindSourceReply   kind = 12
 	// kindRunning reports a placement that was made before the two hosts were in contact.
 	kindRunning kind = 13
+	// kindPath reports to which services' servers the sender has no path.
+	kindPath kind = 14
 )
 
 type (
@@ -92,6 +94,7 @@
 		suspects  func(host uint32, rs []quarantine.Record)
 		notices   NoticeHandlers
 		joins     JoinHandlers
+		paths     func(host uint32, lost []string)
 
 		mu           sync.Mutex
 		lastReceived map[netip.AddrPort]time.Duration
@@ -124,6 +127,7 @@
 		Retry       bool          `cbor:"26,keyasint,omitempty"`
 		AgeMS       int64         `cbor:"31,keyasint,omitempty"`
 		Decoding    bool          `cbor:"32,keyasint,omitempty"`
+		Services    []string      `cbor:"33,keyasint,omitempty"`
 
 		Suspects []quarantine.Record `cbor:"16,keyasint,omitempty"`
 
@@ -164,6 +168,7 @@
 		conn: c, scheduler: s, log: l, now: now,
 		lastReceived: map[netip.AddrPort]time.Duration{},
 		suspects:     func(uint32, []quarantine.Record) {},
+		paths:        func(uint32, []string) {},
 		joins: JoinHandlers{
 			Refer:  func(netip.AddrPort, JoinRequest) string { return "" },
 			Source: func(netip.AddrPort, string) {},
@@ -199,6 +204,15 @@
 // another host. It must be called before Run.
 func (n *Exchange) SetSuspectsHandler(f func(host uint32, rs []quarantine.Record)) { n.suspects = f }
 
+// SetPathHandler sets the function that is called with the services to whose servers
+// another host has no path. It must be called before Run.
+func (n *Exchange) SetPathHandler(f func(host uint32, lost []string)) { n.paths = f }
+
+// SendPath reports to which services' servers this host has no path.
+func (n *Exchange) SendPath(host uint32, lost []string) {
+	n.send(message{Kind: kindPath, Host: host, Services: lost})
+}
+
 // Close closes the socket, which ends Run.
 func (n *Exchange) Close() error { return n.conn.Close() }
 
@@ -313,7 +327,7 @@
 		n.log.Write(event.UpdateLost, slog.String("error", err.Error()))
 		return
 	}
-	d := datagram{Scope: forwardToCell, Urgent: m.Kind == kindPlacement || m.Kind == kindSuspects || m.Kind == kindLimit || m.Kind == kindLeaving, Messages: []cbor.RawMessage{b}}
+	d := datagram{Scope: forwardToCell, Urgent: m.Kind == kindPlacement || m.Kind == kindSuspects || m.Kind == kindLimit || m.Kind == kindLeaving || m.Kind == kindPath, Messages: []cbor.RawMessage{b}}
 	switch {
 	case len(r.Direct) > 0:
 		d.Scope = forwardToNone
@@ -394,6 +408,8 @@
 		n.scheduler.RecordEnd(id)
 	case kindFailure:
 		n.scheduler.RecordRemoteFailure(m.Host, m.Lead, n.now())
+	case kindPath:
+		n.paths(m.Host, m.Services)
 	case kindSuspects:
 		n.suspects(m.Host, m.Suspects)
 	case kindGrantRequest, kindGrantReply, kindLimit, kindLeaving:
--- a/daemon/settings/entry.go
+++ b/daemon/settings/entry.go
@@ -55,6 +55,10 @@
 		Readiness string `yaml:"readiness" validate:"required,ipport"`
 		Metrics   string `yaml:"metrics" validate:"required,ipport"`
 		News      string `yaml:"news" validate:"required,ipport"`
+		// Delegation is where other hosts send the requests that they can't serve
+		// themselves, since they have no path to the servers. The port must be the same on
+		// all hosts. Without it, the host neither accepts nor delegates requests.
+		Delegation string `yaml:"delegation" validate:"omitempty,ipport"`
 	}
 
 	// Bounds has the limits that operators guarantee to their callers.
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -60,6 +60,8 @@
 var (
 	// ErrNotSent marks errors after which no byte of the request has left this host.
 	ErrNotSent = errors.New("nothing was sent to the backend server")
+	// ErrNoOpenConnection marks errors of requests with OpenOnly.
+	ErrNoOpenConnection = errors.New("no connection to the backend server is open")
 	// ErrIDMismatch reports an answer with the ID of another request.
 	ErrIDMismatch = errors.New("the answer belongs to another request")
 
@@ -80,6 +82,9 @@
 		IDHeader, ID string
 		// NewConnection requires that a new connection is opened.
 		NewConnection bool
+		// OpenOnly requires that an idle connection is used. If there is none, nothing is
+		// sent, and the error is marked with ErrNoOpenConnection.
+		OpenOnly bool
 		// BeforeSend is called immediately before the first byte is written. If
 		// it returns an error, nothing is sent. It may be nil.
 		BeforeSend func() error
@@ -129,10 +134,15 @@
 // to a server.
 func WithMaxIdle(f func(addr string) int) Option { return func(p *Pool) { p.maxIdle = f } }
 
-// New returns an empty pool.
-func New(os ...Option) *Pool {
+// WithDialTimeout sets how long opening a connection may take, instead of [DialTimeout].
+func WithDialTimeout(d time.Duration) Option {
+	return func(p *Pool) { p.dial = dialer(d) }
+}
+
+// dialer returns a function that opens TCP connections.
+func dialer(timeout time.Duration) func(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout: DialTimeout,
+		Timeout: timeout,
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
@@ -141,11 +151,16 @@
 			Count:    2,
 		},
 	}
+	return func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
+}
+
+// New returns an empty pool.
+func New(os ...Option) *Pool {
 	p := &Pool{
 		now:     time.Now,
 		maxIdle: func(string) int { return defaultMaxIdle },
 		idle:    map[string][]*conn{},
-		dial:    func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) },
+		dial:    dialer(DialTimeout),
 	}
 	for _, o := range os {
 		o(p)
@@ -170,7 +185,7 @@
 // the network never reaches the server. Send doesn't retry; the error satisfies
 // [NotSent] if nothing was sent.
 func (p *Pool) Send(ctx context.Context, addr string, r Request) (*Answer, error) {
-	c, err := p.connection(ctx, addr, r.NewConnection)
+	c, err := p.connection(ctx, addr, r.NewConnection, r.OpenOnly)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
@@ -245,8 +260,8 @@
 }
 
 // connection returns an idle connection that is reusable, or a new one. With
-// forceNew it always opens a new one.
-func (p *Pool) connection(ctx context.Context, addr string, forceNew bool) (*conn, error) {
+// forceNew it always opens a new one, with openOnly never.
+func (p *Pool) connection(ctx context.Context, addr string, forceNew, openOnly bool) (*conn, error) {
 	for !forceNew {
 		c := p.takeIdle(addr)
 		if c == nil {
@@ -257,6 +272,9 @@
 		}
 		_ = c.Close()
 	}
+	if openOnly {
+		return nil, ErrNoOpenConnection
+	}
 	n, err := p.dial(ctx, addr)
 	if err != nil {
 		return nil, err
@@ -313,7 +331,7 @@
 // [PortClosed] is true of the error, the server isn't running; other errors are
 // inconclusive.
 func (p *Pool) Probe(ctx context.Context, addr string) error {
-	c, err := p.connection(ctx, addr, true)
+	c, err := p.connection(ctx, addr, true, false)
 	if err != nil {
 		return errors.Wrapf(err, "connect to %s", addr)
 	}
