A host without a path blames no server, and confirms no crash

Cause: a refused connection was taken for a crash of the server. To a host whose own path resets all connections, every server looks like that, and a witness that is cut off too confirmed it. Failure reports had the same cause: what a host can't reach, others avoided. The class: a host concludes about others from failures of its own. Change: a crash counts, and is confirmed, only if another server of the same hall (of any hall if there is none) can be reached at that moment; servers with a recorded crash aren't asked. Hosts that say that their path is lost are no witnesses. Why it works: resets on the host's side hit the other servers too. Measured: TestHostsWithoutPathBlameNoServer failed before (18 requests suspected on each of four hosts, 18 crashes logged, 6 confirmed) and passes (none). The tests of fatal requests and partitions pass (go test -race -run 'Fatal|Crash|Partition|Harmless' ./platform, 106 s).

--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -121,6 +121,18 @@
 	return updated, changes
 }
 
+// Crashed reports whether a crash of a server is recorded.
+func (reg *Registry) Crashed(server uint32) bool {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	for _, s := range reg.suspects {
+		if slices.ContainsFunc(s.record.Crashes, func(c Crash) bool { return c.Server == server }) {
+			return true
+		}
+	}
+	return false
+}
+
 // merge merges a record into the suspect with its fingerprint, which it creates if
 // need be, and returns the resulting stage changes. own reports that the record
 // is an observation of this host.
--- a/daemon/dispatch/suspects.go
+++ b/daemon/dispatch/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"slipcrank.example/clients/engine"
 	"slipcrank.example/core/boottime"
+	"slipcrank.example/core/directory"
 	"slipcrank.example/core/fault"
 	"slipcrank.example/core/pause"
 	"slipcrank.example/core/quarantine"
@@ -27,6 +29,9 @@
 	// witnessProbeTimeout bounds the same probe by a witness, for which no caller
 	// waits.
 	witnessProbeTimeout = 500 * time.Millisecond
+	// maxControlEngines is the number of other engines that are asked for their load to find
+	// out whether an engine that seems to have crashed is out of reach instead.
+	maxControlEngines = 4
 	// suspectRetryDelay precedes each further attempt at a suspect. Copies of a
 	// request that run at several daemons fail at the same time, and each daemon
 	// first has to receive the records of the others. Without the delay, a prompt
@@ -207,7 +212,7 @@
 // recordCrash probes the engine on which an attempt failed. If the engine has
 // crashed, it records the crash and sends the record to other daemons.
 func (x *run) recordCrash(v *control.View, addr string, isolated bool, err error) {
-	if errors.IsAny(err, ErrCallerGone, engine.ErrBusy, engine.ErrLeaving, engine.ErrNotSent) || !x.portClosed(addr, probeTimeout) {
+	if errors.IsAny(err, ErrCallerGone, engine.ErrBusy, engine.ErrLeaving, engine.ErrNotSent) || !x.foundDown(v, addr, probeTimeout) {
 		return
 	}
 	start := instanceID(addr, v.Incarnation(addr))
@@ -224,6 +229,58 @@
 	x.suspects.send([]quarantine.Record{r})
 }
 
+// foundDown reports whether an engine's port is closed, and this daemon reaches another
+// engine, of the same hall if that has one. Without a path to them, all ports may look
+// closed.
+func (d *Dispatcher) foundDown(v *control.View, addr string, timeout time.Duration) bool {
+	return d.portClosed(addr, timeout) && d.reachesOthers(controlEngines(v, addr), timeout)
+}
+
+// reachesOthers reports whether one of some engines answers, or there are none.
+func (d *Dispatcher) reachesOthers(addrs []string, timeout time.Duration) bool {
+	answers := make(chan bool, len(addrs))
+	for _, a := range addrs {
+		d.background(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			_, err := d.engines.Report(ctx, a)
+			answers <- err == nil
+		})
+	}
+	for range addrs {
+		if <-answers {
+			return true
+		}
+	}
+	return len(addrs) == 0
+}
+
+// controlEngines returns a few other engines that must be reachable if the path to an
+// engine is sound: some of the same hall if there are any, otherwise of other halls.
+func controlEngines(v *control.View, addr string) []string {
+	hall := ""
+	for _, e := range v.Engines {
+		if e.Addr == addr {
+			hall = e.Hall
+		}
+	}
+	var local, remote []string
+	for _, e := range v.Engines {
+		switch {
+		case e.Addr == addr || e.Status != directory.Up:
+		case e.Hall == hall:
+			local = append(local, e.Addr)
+		default:
+			remote = append(remote, e.Addr)
+		}
+	}
+	if len(local) == 0 {
+		local = remote
+	}
+	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
+	return local[:min(maxControlEngines, len(local))]
+}
+
 // portClosed reports whether an engine refuses connections, or a proxy in front of it
 // closes them.
 func (d *Dispatcher) portClosed(addr string, timeout time.Duration) bool {
--- a/daemon/dispatch/witness.go
+++ b/daemon/dispatch/witness.go
@@ -52,7 +52,7 @@
 		}
 		for _, e := range v.Engines {
 			if quarantine.ServerDigest(instanceID(e.Addr, e.Incarnation)) == crash.Server && isWitness(v, e.Hall, crash) {
-				d.background(func() { d.confirmCrash(e.Addr, crash.Server) })
+				d.background(func() { d.confirmCrash(v, e.Addr, crash.Server) })
 			}
 		}
 	}
@@ -70,10 +70,10 @@
 	return slices.Contains(quarantine.Witnesses(crash.Server, hall, crash.Reporter, hosts), quarantine.ServerDigest(v.Self.Addr))
 }
 
-// confirmCrash probes an engine. If its port is closed, it confirms the crash and
-// sends the changed records to other daemons.
-func (d *Dispatcher) confirmCrash(addr string, digest uint32) {
-	if !d.portClosed(addr, witnessProbeTimeout) {
+// confirmCrash probes an engine. If its port is closed and those of others are not, it
+// confirms the crash and sends the changed records to other daemons.
+func (d *Dispatcher) confirmCrash(v *control.View, addr string, digest uint32) {
+	if !d.foundDown(v, addr, witnessProbeTimeout) {
 		return
 	}
 	rs, changes := d.suspects.registry.ConfirmCrash(digest, d.suspects.clock.Now())
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -180,9 +180,12 @@
 	}
 	if s.Listen.Delegation != "" {
 		opts = append(opts, gateway.WithDelegation(gateway.Delegation{
-			Pool:        upstream.New(upstream.WithDialTimeout(hostDialTimeout), upstream.WithMaxIdle(func(string) int { return maxIdleToHost })),
-			Peers:       e.delegationPeers,
-			Alive:       func(number uint32) bool { return e.scheduler.HostAlive(number, e.clock.Now()) },
+			Pool:  upstream.New(upstream.WithDialTimeout(hostDialTimeout), upstream.WithMaxIdle(func(string) int { return maxIdleToHost })),
+			Peers: e.delegationPeers,
+			Alive: func(number uint32) bool { return e.scheduler.HostAlive(number, e.clock.Now()) },
+			Lost: func(number uint32, service string) bool {
+				return e.paths.lost(number, []string{service}, e.clock.Now())
+			},
 			PathChanged: e.sendPath,
 		}))
 	}
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -46,6 +46,8 @@
 		Peers func(services []string) []reach.Peer
 		// Alive reports whether a start of a host has sent messages recently.
 		Alive func(number uint32) bool
+		// Lost reports whether a start of a host has no path to the servers of a service.
+		Lost func(number uint32, service string) bool
 		// PathChanged is called when the services to whose servers this host has no path
 		// have changed.
 		PathChanged func()
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -145,6 +145,13 @@
 	g.pathFailed(server.Service, out.reason)
 }
 
+// mayBlame reports whether other hosts may be told that a server has failed: it has
+// answered with the failure itself, or this host has heard another server since the try
+// began.
+func (g *Gateway) mayBlame(server string, out outcome) bool {
+	return out.answer != nil || g.reach.HeardOther(server, g.clock.Now()-out.took)
+}
+
 // pathFailed reacts to a failure on the path to a service: it moves the calls that wait in
 // vain if the path is lost, and otherwise finds out whether it is.
 func (g *Gateway) pathFailed(service, why string) {
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -21,6 +22,10 @@
 	// the maximum latency between halls, and short compared to callers' timeouts. The
 	// ports of crashed servers refuse connections within one round trip.
 	probeTimeout = 50 * time.Millisecond
+	// maxControlServers is the number of other servers that are probed to find out whether
+	// a server that seems to have crashed is out of reach instead. Of as many, one is up
+	// unless nearly all have crashed.
+	maxControlServers = 4
 	// crashReportWait is the time for crash reports of other hosts to arrive: a few
 	// network latencies between halls, plus the time that hosts with a fifth of a core
 	// need to process them.
@@ -116,7 +121,7 @@
 	if current.Draining || g.notices.Leaving(server.ID) || !listed && !replaced {
 		return false
 	}
-	if listed && !g.portClosed(server) {
+	if listed && !g.foundDown(server) {
 		return false
 	}
 	g.log.Write(event.ServerCrashed, slog.String("server", server.ID), slog.String("id", c.id),
@@ -134,6 +139,62 @@
 	return true
 }
 
+// foundDown reports whether a server's port is closed, and this host reaches other servers.
+// Without a path to them, all ports may look closed.
+func (g *Gateway) foundDown(s backend.Server) bool { return g.portClosed(s) && g.reachesOthers(s) }
+
+// reachesOthers reports whether this host reaches another server of a server's hall or, if
+// that has no other, of any hall. It is true if there are no other servers.
+func (g *Gateway) reachesOthers(server backend.Server) bool {
+	reached, _, _ := g.probes.Do("others than "+server.ID, func() (any, error) {
+		controls := g.controlServers(server)
+		if len(controls) == 0 || g.probe(controls[0]) == nil {
+			return true, nil
+		}
+		var wg sync.WaitGroup
+		var reached atomic.Bool
+		for _, s := range controls[1:] {
+			wg.Go(func() {
+				if g.probe(s) == nil {
+					reached.Store(true)
+				}
+			})
+		}
+		wg.Wait()
+		return reached.Load(), nil
+	})
+	return reached.(bool)
+}
+
+// controlServers returns other servers that must be reachable if the path to a server is
+// sound: some of the same hall if there are any, otherwise of other halls. It leaves out
+// those of which a crash is recorded.
+func (g *Gateway) controlServers(server backend.Server) []backend.Server {
+	servers := g.state().Servers
+	excluded := map[string]bool{server.Addr: true} // a process may be listed for several services
+	for _, id := range servers.IDs() {
+		if s, _ := servers.Get(id); s.Draining || g.quarantine.Crashed(quarantine.ServerDigest(id)) {
+			excluded[s.Addr] = true
+		}
+	}
+	var local, remote []backend.Server
+	for _, id := range servers.IDs() {
+		s, _ := servers.Get(id)
+		switch {
+		case excluded[s.Addr]:
+		case s.Hall == server.Hall:
+			local = append(local, s)
+		default:
+			remote = append(remote, s)
+		}
+	}
+	if len(local) == 0 {
+		local = remote
+	}
+	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
+	return local[:min(maxControlServers, len(local))]
+}
+
 // portClosed reports whether a server's port refuses connections.
 func (g *Gateway) portClosed(s backend.Server) bool { return upstream.PortClosed(g.probe(s)) }
 
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -242,7 +242,9 @@
 		g.findCrash(c, server, p.Helpers, out)
 	}
 	if backoff > 0 {
-		g.onServerFailure(blamed)
+		if g.mayBlame(blamed, out) {
+			g.onServerFailure(blamed)
+		}
 		g.log.Write(event.ServerAvoided, slog.String("id", c.id), slog.String("server", blamed),
 			slog.String("why", out.reason), slog.Duration("rest", backoff))
 	}
--- a/daemon/gateway/witness.go
+++ b/daemon/gateway/witness.go
@@ -64,20 +64,21 @@
 }
 
 // isWitness reports whether this host is a witness of a crash. Only hosts from
-// which a message has arrived recently are considered.
+// which a message has arrived recently, and which have a path to the server's service, are
+// considered.
 func (g *Gateway) isWitness(s backend.Server, crash quarantine.Crash) bool {
 	now := g.clock.Now()
 	hosts := slices.DeleteFunc(g.otherHosts(), func(h quarantine.Host) bool {
-		return h.Number != crash.Reporter && !g.scheduler.HostAlive(h.Number, now)
+		return h.Number != crash.Reporter && (!g.scheduler.HostAlive(h.Number, now) || g.delegation != nil && g.delegation.Lost(h.Number, s.Service))
 	})
 	hosts = append(hosts, quarantine.Host{Number: g.scheduler.Host(), Hall: g.hall})
 	return slices.Contains(quarantine.Witnesses(crash.Server, s.Hall, crash.Reporter, hosts), g.scheduler.Host())
 }
 
 // confirmCrash probes a server as a witness, and confirms the crash if the port is
-// closed.
+// closed and others are not.
 func (g *Gateway) confirmCrash(s backend.Server, digest uint32) {
-	if !g.portClosed(s) {
+	if !g.foundDown(s) {
 		return
 	}
 	rs, changes := g.quarantine.ConfirmCrash(digest, g.clock.Now())
