A connection survives a server that is silent for two seconds

A call that may run only once stays undecided when its connection breaks. Cause: the user timeout of 1.5 s ended connections whose sent bytes were unacknowledged for as long, and idle or waiting ones one second after the first probe, at 3 s without a byte. Change: 2.5 s, and probes each second: a silence is survived for 2 s wherever it begins, and a dead connection is still found 3 s after its last byte. Measured: TestServerThatIsSilentForSecondsKeepsItsConnection failed before for 2.0 s (2 of 2 runs; 1.0 and 1.4 s passed), and passes (2 of 2).

--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -37,8 +37,15 @@
 	// latency between halls.
 	DialTimeout = 600 * time.Millisecond
 	// userTimeout is how long sent bytes may stay unacknowledged before the
-	// kernel breaks the connection.
-	userTimeout = 1500 * time.Millisecond
+	// kernel breaks the connection. It exceeds the two seconds or so for which a
+	// sound server may be silent. It also decides when keep-alive probes give up,
+	// whatever their count: at the first probe that is due after it, counted from
+	// the last byte received.
+	userTimeout = 2500 * time.Millisecond
+	// keepAliveInterval is the time from the last byte received to the first probe,
+	// and between probes. A silence that begins right before a probe may last until
+	// userTimeout, rounded up to whole intervals, less one interval.
+	keepAliveInterval = time.Second
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of linux/tcp.h,
 	// which package syscall lacks.
 	tcpUserTimeout = 0x12
@@ -146,9 +153,9 @@
 		Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
-			Idle:     2 * time.Second,
-			Interval: time.Second,
-			Count:    2,
+			Idle:     keepAliveInterval,
+			Interval: keepAliveInterval,
+			Count:    3,
 		},
 	}
 	return func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
--- a/daemon/upstream/upstream_test.go
+++ b/daemon/upstream/upstream_test.go
@@ -206,3 +206,41 @@
 		})
 	}
 }
+
+// TestServerThatIsSilentForSecondsKeepsItsConnection has a server stop reading in the middle of
+// a request, so that sent bytes stay unacknowledged.
+func TestServerThatIsSilentForSecondsKeepsItsConnection(t *testing.T) {
+	for name, silence := range map[string]time.Duration{
+		"1.0 s": time.Second, "1.4 s": 1400 * time.Millisecond, "2.0 s": 2 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				_ = pause.For(context.Background(), silence) // ends after the silence
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body) // an incomplete body is followed by a write error
+				_, _ = io.WriteString(c, okAnswer)
+			}()
+			r := request()
+			r.Body = make([]byte, 32<<20) // more than the buffers of both sides
+			a, err := upstream.New().Send(context.Background(), l.Addr().String(), r)
+			if err != nil {
+				t.Fatalf("after a silence of %v: %v", silence, err)
+			}
+			a.Close()
+		})
+	}
+}
