The soak cuts hosts off from all servers, and what a host passes on binds it

Cause: the notices in a server's answer bound only the host that had received it from the server. Change: a delegated answer names its server, and the delegating host applies the notices.

--- a/cmd/soak/deadly_test.go
+++ b/cmd/soak/deadly_test.go
@@ -152,7 +152,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if h.store, err = newProxy(fmt.Sprintf("%s:%d", h.ip, storePort), base+"250:7000"); err != nil {
+		if h.store, err = newProxy(fmt.Sprintf("%s:%d", h.ip, storePort), base+"250:7000", nil); err != nil {
 			t.Fatal(err)
 		}
 		if err := h.start(); err != nil {
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -16,7 +16,7 @@
 	faults := []func(context.Context, time.Duration){
 		w.killHost, w.pauseHost, w.stopHost, w.reloadHost,
 		w.disturbStorePath, w.injectStoreFaults, w.disturbServerPath, w.injectAnswerFaults,
-		w.replaceServer, w.rotateKeys, w.resetConnections, w.blackholeConnections, w.restoreStore,
+		w.replaceServer, w.rotateKeys, w.resetConnections, w.blackholeConnections, w.restoreStore, w.cutHosts,
 	}
 	for pause.UpTo(ctx, 2*meanFaultInterval) == nil {
 		inject := faults[w.rnd.IntN(len(faults))]
@@ -232,4 +232,5 @@
 	for _, s := range w.slots {
 		s.proxy.setMode(forward)
 	}
+	w.cuts.endAll()
 }
--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -27,6 +27,7 @@
 hall: %s
 listen: {callers: "%s:%d", readiness: "%s:%d", metrics: "%s:%d", news: "%s:%d", delegation: "%s:%d"}
 platform: "%s:%d"
+source: %s
 bounds:
   key_proof: %s
   config: %s
@@ -63,7 +64,7 @@
 func newHost(dir, binary, name, hall, ip string) (*host, error) {
 	h := &host{name: name, ip: ip, binary: binary, settings: filepath.Join(dir, name+".yaml")}
 	text := fmt.Sprintf(settingsTemplate, name, hall, ip, callersPort, ip, readyPort, ip, metricsPort, ip, newsPort, ip, delegationPort,
-		ip, storePort, keyProof, configBound, shutdownGrace)
+		ip, storePort, ip, keyProof, configBound, shutdownGrace)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/cmd/soak/host_test.go
+++ b/cmd/soak/host_test.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if h.store, err = newProxy(base+"1:7104", base+"250:7000"); err != nil {
+	if h.store, err = newProxy(base+"1:7104", base+"250:7000", nil); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { h.signal(syscall.SIGKILL) })
--- a/cmd/soak/notices.go
+++ b/cmd/soak/notices.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -156,7 +157,8 @@
 }
 
 // checkBackoff checks that a host sent at most maxDuringBackoff requests to a
-// server that had requested a backoff from it.
+// server that had requested a backoff from it, its own or those that others had
+// delegated to it.
 func (w *world) checkBackoff(arrivals []arrival, p *proxy) {
 	for _, refused := range arrivals {
 		if refused.Backoff == "" {
@@ -167,9 +169,10 @@
 			panic(err) // the value is formatted by this package
 		}
 		from, to := refused.At.Add(noticeDelay), refused.At.Add(time.Duration(seconds*float64(time.Second)))
-		h, n := refused.request.host, 0
+		sender := func(a arrival) *host { return cmp.Or(w.hostAt(p.clientOf(a.From)), a.request.host) }
+		h, n := sender(refused), 0
 		for _, a := range arrivals {
-			if a.request.host == h && a.At.After(from) && a.At.Before(to) {
+			if sender(a) == h && a.At.After(from) && a.At.Before(to) {
 				n++
 			}
 		}
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -30,22 +30,27 @@
 	proxy struct {
 		listener net.Listener
 		target   string
+		cuts     *cuts // nil: clients are not cut off
 
 		mu           sync.Mutex
 		mode         mode
 		conns        map[net.Conn]bool
 		blackholed   map[net.Conn]bool // permanently blocked connections
+		clients      map[string]string // IP address of the client, by address of the connection to the server
 		disturbances disturbances
 	}
 )
 
 // newProxy listens on addr and forwards connections to target.
-func newProxy(addr, target string) (*proxy, error) {
+func newProxy(addr, target string, c *cuts) (*proxy, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}, blackholed: map[net.Conn]bool{}}
+	p := &proxy{
+		listener: l, target: target, cuts: c,
+		conns: map[net.Conn]bool{}, blackholed: map[net.Conn]bool{}, clients: map[string]string{},
+	}
 	go p.accept()
 	return p, nil
 }
@@ -56,6 +61,10 @@
 		if err != nil {
 			return
 		}
+		if p.cuts.of(client) == cutReset || p.cuts.of(client) == cutNew {
+			closeWithReset(client)
+			continue
+		}
 		server, err := net.Dial("tcp", p.target)
 		if err != nil {
 			_ = client.Close() // the server is down
@@ -63,19 +72,20 @@
 		}
 		p.mu.Lock()
 		p.conns[client], p.conns[server] = true, true
+		p.clients[server.LocalAddr().String()] = ipOf(client)
 		p.mu.Unlock()
-		go p.copyBytes(server, client, false)
-		go p.copyBytes(client, server, true)
+		go p.copyBytes(server, client, client, false)
+		go p.copyBytes(client, server, client, true)
 	}
 }
 
-func (p *proxy) copyBytes(to, from net.Conn, reply bool) {
+func (p *proxy) copyBytes(to, from, client net.Conn, reply bool) {
 	defer p.closeConn(to)
 	defer p.closeConn(from)
 	b := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(b)
-		p.waitUntilForwarded(from, reply)
+		p.waitUntilForwarded(from, client, reply)
 		if wasReset(from) {
 			return // a reset discards bytes that are still in transit
 		}
@@ -100,11 +110,20 @@
 	return err == nil && code != 0
 }
 
+// clientOf returns the IP address of the client whose bytes arrive at the server from addr.
+func (p *proxy) clientOf(addr string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clients[addr]
+}
+
 // waitUntilForwarded blocks until bytes from c may be forwarded. reply says that
 // they go to the client.
-func (p *proxy) waitUntilForwarded(c net.Conn, reply bool) {
+func (p *proxy) waitUntilForwarded(c, client net.Conn, reply bool) {
 	for first := true; ; first = false {
 		switch m := p.modeOf(c); {
+		case p.cuts.of(client) == cutSilent:
+			time.Sleep(modePollInterval)
 		case m == delayed && first:
 			time.Sleep(forwardDelay)
 			return
@@ -158,13 +177,28 @@
 	defer p.mu.Unlock()
 	p.disturbances.addInstant()
 	for c := range p.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // if it fails, the connection is closed without a reset
+		closeWithReset(c)
+	}
+}
+
+// resetClient closes the open connections of a client with a TCP reset.
+func (p *proxy) resetClient(ip string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if ipOf(c) == ip {
+			closeWithReset(c)
 		}
-		_ = c.Close()
 	}
 }
 
+func closeWithReset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // if it fails, the connection is closed without a reset
+	}
+	_ = c.Close()
+}
+
 func (p *proxy) closeConn(c net.Conn) {
 	p.mu.Lock()
 	delete(p.conns, c)
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -12,6 +12,7 @@
 //   - Backend servers truncate or lose answers, leave, or are replaced by
 //     another server at the same address, which is cold at first.
 //   - Data halls are evacuated.
+//   - Hosts are cut off from all backend servers.
 //   - Keys are revoked.
 //
 // Only processes that were started by this package are ended.
@@ -84,6 +85,7 @@
 		store    *standin.Store
 		hosts    []*host
 		slots    []*serverSlot
+		cuts     *cuts
 
 		mu           sync.Mutex
 		version      int64
@@ -123,6 +125,7 @@
 		rnd:          rand.New(rand.NewPCG(opts.Seed, 1)),
 		ipPrefix:     nextIPPrefix(),
 		store:        standin.NewStore(),
+		cuts:         newCuts(),
 		validKeys:    map[string]string{"key-0": "workspace-0"},
 		revokedAt:    map[string]time.Time{},
 		leavingSince: map[string]time.Time{},
@@ -151,6 +154,7 @@
 	}
 	w.checkRuns()
 	w.checkNotices()
+	w.checkCuts()
 	return w.failures, nil
 }
 
@@ -181,7 +185,7 @@
 	w.putConfig()
 	for n := range serverCount {
 		s := &serverSlot{number: n, serverAddr: fmt.Sprintf("%s%d:%d", w.ipPrefix, 200+n, serverPort+1)}
-		if s.proxy, err = newProxy(fmt.Sprintf("%s%d:%d", w.ipPrefix, 200+n, serverPort), s.serverAddr); err != nil {
+		if s.proxy, err = newProxy(fmt.Sprintf("%s%d:%d", w.ipPrefix, 200+n, serverPort), s.serverAddr, w.cuts); err != nil {
 			return err
 		}
 		w.slots = append(w.slots, s)
@@ -194,7 +198,7 @@
 		if err != nil {
 			return err
 		}
-		if h.store, err = newProxy(fmt.Sprintf("%s:%d", h.ip, storePort), storeAddr); err != nil {
+		if h.store, err = newProxy(fmt.Sprintf("%s:%d", h.ip, storePort), storeAddr, nil); err != nil {
 			return err
 		}
 		w.hosts = append(w.hosts, h)
@@ -376,11 +380,24 @@
 	w.addFailure(fmt.Sprintf("request %s of %s ran on %s, %v after the platform acknowledged that this server leaves", req.attempt, req.host.name, run.Server, run.At.Sub(since)))
 }
 
-// disturbedBefore reports whether the platform, the host or the proxy of the server was
-// disturbed within the undisturbedTime before a run. The caller holds w.mu.
+// disturbedBefore reports whether the platform, the host that received a request, the host
+// that sent it to the server or the proxy of the server was disturbed within the
+// undisturbedTime before a run. The caller holds w.mu.
 func (w *world) disturbedBefore(req *request, run standin.Run, p *proxy) bool {
 	from := run.At.Add(-undisturbedTime)
-	return w.disturbances.overlap(from, run.At) || req.host.disturbedDuring(from, run.At) || p.disturbedDuring(from, run.At)
+	sender := w.hostAt(p.clientOf(run.From))
+	return w.disturbances.overlap(from, run.At) || req.host.disturbedDuring(from, run.At) || p.disturbedDuring(from, run.At) ||
+		sender != nil && sender != req.host && sender.disturbedDuring(from, run.At)
+}
+
+// hostAt returns the host with an IP address, or nil.
+func (w *world) hostAt(ip string) *host {
+	for _, h := range w.hosts {
+		if h.ip == ip {
+			return h
+		}
+	}
+	return nil
 }
 
 // claimsNotRun reports whether a status guarantees that the request was not run.
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -139,6 +139,9 @@
 	}
 	e.neighbors.Store(&neighbors{cells: 1})
 	pool := []upstream.Option{upstream.WithMaxIdle(e.maxIdleConns)}
+	if s.Source != "" {
+		pool = append(pool, upstream.WithSource(net.ParseIP(s.Source)))
+	}
 	if p.Dial != nil {
 		pool = append(pool, upstream.WithDial(p.Dial))
 	}
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -177,6 +177,9 @@
 	if r.origin != originServer {
 		return g.refusedByPeer(c, a, r)
 	}
+	if server, ok := s.Servers.Get(r.server); ok {
+		g.applyNotices(c, server, a) // what this host passes on binds it, too
+	}
 	c.attempts, c.mayHaveRun = spent, true
 	if c.route.Kind == site.Stream && a.Status == http.StatusOK {
 		return g.relay(w, c, a, timer, relayHooks{})
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"slipcrank.example/core/reach"
 	"slipcrank.example/daemon/upstream"
 )
@@ -44,6 +47,7 @@
 		origin   origin
 		attempts int
 		version  int64
+		server   string // the ID of the server that has answered, if one has
 	}
 )
 
@@ -84,7 +88,8 @@
 		IDHeader: g.dialect.AttemptID, ID: c.id,
 		BeforeSend: func() error {
 			g.clock.Refresh() // the host may have been suspended since the call arrived
-			if g.clock.Now() >= c.bootDeadline {
+			c.sentAt = g.clock.Now()
+			if c.sentAt >= c.bootDeadline {
 				return errNotAllowed
 			}
 			return nil
@@ -113,11 +118,14 @@
 	if c == nil || c.delegated == nil {
 		return
 	}
-	var version int64
+	r := report{origin: o, attempts: c.attempts}
 	if s := g.state(); s.Config != nil {
-		version = s.Config.Version()
+		r.version = s.Config.Version()
+	}
+	if o == originServer {
+		r.server = c.exchange.server.ID
 	}
-	w.Header().Set(delegationHeader, report{o, c.attempts, version}.String())
+	w.Header().Set(delegationHeader, r.String())
 }
 
 // String returns the value of the header of a delegated request.
@@ -127,7 +135,7 @@
 
 // String returns the value of the header of an answer to a delegated request.
 func (r report) String() string {
-	return fmt.Sprintf("origin=%s, attempts=%d, version=%d", r.origin, r.attempts, r.version)
+	return fmt.Sprintf("origin=%s, attempts=%d, version=%d, server=%s", r.origin, r.attempts, r.version, url.QueryEscape(r.server))
 }
 
 // parseDelegation parses the value of the header of a delegated request.
@@ -153,12 +161,13 @@
 func parseReport(text string) report {
 	f := parseFields(text)
 	attempts, err := strconv.ParseUint(f["attempts"], 10, 16)
-	version, err2 := strconv.ParseInt(f["version"], 10, 64)
+	version, versionErr := strconv.ParseInt(f["version"], 10, 64)
+	server, serverErr := url.QueryUnescape(f["server"])
 	o := origin(f["origin"])
-	if err != nil || err2 != nil || o != originServer && o != originFleet && o != originHost {
+	if errors.CombineErrors(err, errors.CombineErrors(versionErr, serverErr)) != nil || o != originServer && o != originFleet && o != originHost {
 		return report{}
 	}
-	return report{o, int(attempts), version}
+	return report{o, int(attempts), version, server}
 }
 
 // parseFields parses a list of name=value fields.
--- a/daemon/settings/entry.go
+++ b/daemon/settings/entry.go
@@ -36,6 +36,9 @@
 		// unknown. Hosts with faster links relay to others what they read from
 		// the platform.
 		Link float64 `yaml:"link" validate:"gte=0"`
+		// Source is the IP address from which connections to backend servers are opened;
+		// if it is empty, the system chooses.
+		Source string `yaml:"source" validate:"omitempty,ip"`
 		// Memory is the host's memory for this process in MB, 0 if it is unknown.
 		Memory float64 `yaml:"memory" validate:"gte=0"`
 		// FirstStart is set if all hosts of the site start for the first time. Each
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -143,11 +143,16 @@
 
 // WithDialTimeout sets how long opening a connection may take, instead of [DialTimeout].
 func WithDialTimeout(d time.Duration) Option {
-	return func(p *Pool) { p.dial = dialer(d) }
+	return func(p *Pool) { p.dial = dialer(d, nil) }
 }
 
-// dialer returns a function that opens TCP connections.
-func dialer(timeout time.Duration) func(ctx context.Context, addr string) (net.Conn, error) {
+// WithSource sets the IP address from which connections are opened.
+func WithSource(ip net.IP) Option {
+	return func(p *Pool) { p.dial = dialer(DialTimeout, &net.TCPAddr{IP: ip}) }
+}
+
+// dialer returns a function that opens TCP connections, from any address if source is nil.
+func dialer(timeout time.Duration, source *net.TCPAddr) func(ctx context.Context, addr string) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: timeout,
 		Control: setUserTimeout,
@@ -158,6 +163,9 @@
 			Count:    3,
 		},
 	}
+	if source != nil {
+		d.LocalAddr = source
+	}
 	return func(ctx context.Context, addr string) (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) }
 }
 
@@ -167,7 +175,7 @@
 		now:     time.Now,
 		maxIdle: func(string) int { return defaultMaxIdle },
 		idle:    map[string][]*conn{},
-		dial:    dialer(DialTimeout),
+		dial:    dialer(DialTimeout, nil),
 	}
 	for _, o := range os {
 		o(p)
