The path to servers is judged by data hall, and not at the first resets

Cause: one state for all servers of a service; failures of the same moment counted as many; and the backoffs of servers that had crashed were ended together with those of the path. Change: evidence is gathered by service and hall, and the path to a service is lost only if it is to all its halls, or if servers fail and none at all is heard for 100 ms. A probe that succeeds ends the backoff of its server only.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -2,15 +2,17 @@
 //
 // A single server that can't be reached may have crashed. If several servers fail, and
 // fewer send anything meanwhile, the fault is more likely in this host's own path. A
-// [Tracker] gathers this evidence from the traffic and from probes, for each service and
-// for all services together, and derives a [State] of the path to each service.
+// [Tracker] gathers this evidence from the traffic and from probes. It judges groups of
+// servers, such as those of a service in a data hall: if halls are cut off from each other,
+// the path to the servers of the own hall is sound. If servers of whatever groups fail, and
+// none at all is heard, the path to all groups is lost.
 //
 // # Usage
 //
 //	t := reach.New()
-//	t.Heard(service, server, now)                  // the server has sent something
-//	t.Failed(service, server, listed, now)
-//	if t.State(service) == reach.Doubtful { ... probe other servers }
+//	t.Heard(group, server, now)                    // the server has sent something
+//	t.Failed(group, server, listed, now)
+//	if t.State(group, now) == reach.Doubtful { ... probe other servers }
 //	t.Retain(isListed)                             // regularly
 package reach
 
@@ -20,7 +22,7 @@
 	"time"
 )
 
-// The states of the path to a service.
+// The states of the path to a group of servers.
 const (
 	// Sound means that no server has failed since one was last heard.
 	Sound State = iota
@@ -34,9 +36,13 @@
 
 const (
 	// lostServers is the number of servers that have to fail until a path counts as lost:
-	// two may well crash at the same moment. Of a service with few servers, more than
+	// two may well crash at the same moment. Of a group with few servers, more than
 	// half have to fail.
 	lostServers = 3
+	// unheardTime is how long no server may have been heard for a path to count as lost
+	// although few have failed. If part of the servers are cut off with resets, many
+	// connections break before the next event of the others arrives.
+	unheardTime = 100 * time.Millisecond
 	// servingWindow is how long a server counts as serving after it was heard.
 	servingWindow = 2 * time.Second
 	// restoreProbes is the number of successful probes in a row of servers that failed
@@ -45,18 +51,20 @@
 )
 
 type (
-	// State is the state of the path to the servers of a service.
+	// State is the state of the path to a group of servers.
 	State uint8
 
-	// Listed are the numbers of listed servers, of one service and of all.
-	Listed struct{ Service, All int }
+	// Listed are the numbers of listed servers, of one group and of all.
+	Listed struct{ Group, All int }
 
 	// Tracker gathers evidence about the path to the servers. It is safe for concurrent
 	// use. Times are those of a monotonic clock.
 	Tracker struct {
-		mu       sync.Mutex
-		all      *path
-		services map[string]*path
+		mu     sync.Mutex
+		all    *path
+		groups map[string]*path
+		// passed is the number of successful probes in a row.
+		passed int
 		// recent are the two servers that were heard last, the latest first.
 		recent [2]contact
 	}
@@ -66,11 +74,12 @@
 		heard   time.Duration // when any server was last heard, 0 for never
 		servers map[string]*evidence
 		// failed and unopened are the servers that have failed, and those to which no
-		// connection could be opened, since they last did the opposite.
+		// connection could be opened, since they last did the opposite, by the time of the
+		// failure.
 		failed, unopened map[string]time.Duration
 		lost, closed     bool
+		needed           int // servers that have to fail for the path to be lost
 		lostAt, closedAt time.Duration
-		passed           int // successful probes in a row
 	}
 
 	// evidence holds when a server was last heard, and a connection to it last opened.
@@ -86,70 +95,84 @@
 func (s State) String() string { return [...]string{"sound", "doubtful", "closed", "lost"}[s] }
 
 // New returns a tracker without evidence: all paths count as sound.
-func New() *Tracker { return &Tracker{all: newPath(), services: map[string]*path{}} }
+func New() *Tracker { return &Tracker{all: newPath(), groups: map[string]*path{}} }
 
 func newPath() *path {
 	return &path{servers: map[string]*evidence{}, failed: map[string]time.Duration{}, unopened: map[string]time.Duration{}}
 }
 
-// Heard records that a server of a service has sent something, and reports whether that
+// Heard records that a server of a group has sent something, and reports whether that
 // may have changed the state.
-func (t *Tracker) Heard(service, server string, now time.Duration) bool {
+func (t *Tracker) Heard(group, server string, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.service(service)
+	p := t.group(group)
 	failing := len(t.all.failed)+len(p.failed) > 0
 	t.record(server, now)
 	t.all.hear(server, now)
+	t.all.lost = false
 	p.hear(server, now)
 	return failing
 }
 
-// Opened records that a connection to a server of a service was opened and works.
-func (t *Tracker) Opened(service, server string, now time.Duration) {
+// Opened records that a connection to a server of a group was opened and works.
+func (t *Tracker) Opened(group, server string, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.all.open(server, now)
-	t.service(service).open(server, now)
+	t.group(group).open(server, now)
 }
 
-// Probed records that a probe has opened a connection to a server, which stays open.
-func (t *Tracker) Probed(service, server string, now time.Duration) {
+// Probed records that a probe has opened a connection to a server, which stays open. After
+// restoreProbes in a row all paths count as sound.
+func (t *Tracker) Probed(group, server string, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.record(server, now)
-	for _, p := range []*path{t.all, t.service(service)} {
-		p.hear(server, now)
-		p.open(server, now)
-		p.pass()
+	t.all.hear(server, now)
+	t.group(group).hear(server, now)
+	t.group(group).open(server, now)
+	if t.passed++; t.passed >= restoreProbes {
+		t.all.reset()
+		for _, p := range t.groups {
+			p.reset()
+		}
 	}
 }
 
 // Failed records that a server has broken a connection, or has been silent for too long.
-func (t *Tracker) Failed(service, server string, l Listed, now time.Duration) {
+func (t *Tracker) Failed(group, server string, l Listed, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.all.fail(server, l.All, now)
-	t.service(service).fail(server, l.Service, now)
+	t.fail(group, server, l, now)
 }
 
 // NotOpened records that no connection to a server could be opened.
-func (t *Tracker) NotOpened(service, server string, l Listed, now time.Duration) {
+func (t *Tracker) NotOpened(group, server string, l Listed, now time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for p, listed := range map[*path]int{t.all: l.All, t.service(service): l.Service} {
-		p.fail(server, listed, now)
-		p.notOpen(server, listed, now)
+	t.fail(group, server, l, now)
+	t.group(group).notOpen(server, l.Group, now)
+}
+
+func (t *Tracker) fail(group, server string, l Listed, now time.Duration) {
+	t.passed = 0
+	t.all.fail(server, l.All, now)
+	p := t.group(group)
+	p.fail(server, l.Group, now)
+	if len(p.failed) >= p.needed && p.failingFor(now) >= unheardTime && len(p.failed) > p.serving(now-servingWindow) {
+		p.lose(now)
 	}
 }
 
-// State returns the state of the path to a service.
-func (t *Tracker) State(service string) State {
+// State returns the state of the path to a group.
+func (t *Tracker) State(group string, now time.Duration) State {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.service(service)
+	p := t.group(group)
+	t.all.loseIfUnheard(now)
+	p.loseIfUnheard(now)
 	switch {
-	case p.lost, t.all.lost && (len(p.failed) > 0 || p.heard <= t.all.lostAt):
+	case p.lost, t.all.lost:
 		return Lost
 	case p.closed:
 		return Closed
@@ -159,12 +182,12 @@
 	return Sound
 }
 
-// Failing returns the servers of a service that have failed, or to which no connection
+// Failing returns the servers of a group that have failed, or to which no connection
 // could be opened, since they last did the opposite.
-func (t *Tracker) Failing(service string) []string {
+func (t *Tracker) Failing(group string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.service(service)
+	p := t.group(group)
 	var out []string
 	for s := range p.failed {
 		out = append(out, s)
@@ -186,11 +209,11 @@
 	return slices.ContainsFunc(t.recent[:], func(c contact) bool { return c.server != "" && c.server != server && c.at >= since })
 }
 
-// HeardSince reports whether any server of a service was heard since a time.
-func (t *Tracker) HeardSince(service string, since time.Duration) bool {
+// HeardSince reports whether any server of a group was heard since a time.
+func (t *Tracker) HeardSince(group string, since time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	p := t.service(service)
+	p := t.group(group)
 	return p.heard > 0 && p.heard >= since
 }
 
@@ -206,16 +229,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.all.retain(listed)
-	for _, p := range t.services {
+	for _, p := range t.groups {
 		p.retain(listed)
 	}
 }
 
-func (t *Tracker) service(name string) *path {
-	p := t.services[name]
+func (t *Tracker) group(name string) *path {
+	p := t.groups[name]
 	if p == nil {
 		p = newPath()
-		t.services[name] = p
+		t.groups[name] = p
 	}
 	return p
 }
@@ -254,22 +277,30 @@
 	}
 }
 
-// pass counts a successful probe. After restoreProbes in a row the path counts as sound.
-func (p *path) pass() {
-	if p.passed++; p.passed >= restoreProbes {
-		p.lost, p.closed = false, false
-		clear(p.failed)
-		clear(p.unopened)
-	}
+// reset forgets all failures.
+func (p *path) reset() {
+	p.lost, p.closed = false, false
+	clear(p.failed)
+	clear(p.unopened)
 }
 
 func (p *path) fail(server string, listed int, now time.Duration) {
-	p.failed[server], p.passed = now, 0
-	needed := neededFailures(listed)
-	if p.lost || len(p.failed) < needed {
-		return
+	if _, ok := p.failed[server]; !ok || p.failed[server] < p.heard {
+		p.failed[server] = now // of several failures in a row, the first counts
+	}
+	p.needed = neededFailures(listed)
+}
+
+// loseIfUnheard makes the path count as lost if enough servers have failed, and none was
+// heard since and for unheardTime.
+func (p *path) loseIfUnheard(now time.Duration) {
+	if !p.lost && len(p.failed) > 0 && now-p.heard >= unheardTime && p.failedSinceHeard() >= p.needed {
+		p.lose(now)
 	}
-	if p.failedSinceHeard() >= needed || len(p.failed) > p.serving(now-servingWindow) {
+}
+
+func (p *path) lose(now time.Duration) {
+	if !p.lost {
 		p.lost, p.lostAt = true, now
 	}
 }
@@ -283,6 +314,15 @@
 
 func neededFailures(listed int) int { return min(lostServers, listed/2+1) }
 
+// failingFor returns how long the first of the servers that have failed has not been heard.
+func (p *path) failingFor(now time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, at := range p.failed {
+		longest = max(longest, now-at)
+	}
+	return longest
+}
+
 // failedSinceHeard returns how many servers have failed since any was last heard.
 func (p *path) failedSinceHeard() int {
 	n := 0
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -7,12 +7,12 @@
 	"slipcrank.example/core/reach"
 )
 
-// step is one piece of evidence. In the tests one step takes 100 ms.
+// step is one piece of evidence about a server of a group. In the tests one step takes 100 ms.
 type step func(t *reach.Tracker, now time.Duration)
 
 const stepTime = 100 * time.Millisecond
 
-var listed = reach.Listed{Service: 6, All: 9}
+var listed = reach.Listed{Group: 6, All: 9}
 
 func heard(service, server string) step {
 	return func(t *reach.Tracker, now time.Duration) { t.Heard(service, server, now) }
@@ -54,13 +54,13 @@
 		"three of many failed": {[]step{
 			heard("s", "d"), heard("s", "e"), heard("s", "f"), failed("s", "a"), failed("s", "b"), heard("s", "d"), failed("s", "c"), heard("s", "e"),
 		}, reach.Sound},
-		"more failed than serve":             {[]step{heard("s", "d"), failed("s", "a"), heard("s", "d"), failed("s", "b"), heard("s", "d"), failed("s", "c")}, reach.Lost},
-		"servers of several services fail":   {[]step{failed("r", "x"), failed("r", "y"), failed("s", "a")}, reach.Lost},
-		"others fail, but this one is heard": {[]step{failed("r", "x"), failed("r", "y"), failed("r", "z"), heard("s", "a")}, reach.Sound},
-		"lost, and one of them is heard":     {after(heard("s", "a")), reach.Lost},
-		"lost, and as many heard as fail":    {after(heard("s", "a"), heard("s", "d")), reach.Sound},
-		"lost, and two probes succeed":       {after(probed("a"), failed("s", "d"), failed("s", "e"), probed("b")), reach.Lost},
-		"lost, and three probes succeed":     {after(failed("s", "d"), failed("s", "e"), failed("s", "f"), probed("a"), probed("b"), probed("c")), reach.Sound},
+		"more failed than serve":                     {[]step{heard("s", "d"), failed("s", "a"), heard("s", "d"), failed("s", "b"), heard("s", "d"), failed("s", "c")}, reach.Lost},
+		"servers of several groups fail, none heard": {[]step{failed("r", "x"), failed("r", "y"), failed("s", "a")}, reach.Lost},
+		"others fail, but this one is heard":         {[]step{failed("r", "x"), failed("r", "y"), failed("r", "z"), heard("s", "a")}, reach.Sound},
+		"lost, and one of them is heard":             {after(heard("s", "a")), reach.Lost},
+		"lost, and as many heard as fail":            {after(heard("s", "a"), heard("s", "d")), reach.Sound},
+		"lost, and two probes succeed":               {after(probed("a"), failed("s", "d"), failed("s", "e"), probed("b")), reach.Lost},
+		"lost, and three probes succeed":             {after(failed("s", "d"), failed("s", "e"), failed("s", "f"), probed("a"), probed("b"), probed("c")), reach.Sound},
 		"new connections fail, open ones work": {
 			[]step{notOpened("a"), heard("s", "a"), notOpened("b"), heard("s", "b"), notOpened("c"), heard("s", "c")}, reach.Closed,
 		},
@@ -71,7 +71,7 @@
 		t.Run(name, func(t *testing.T) {
 			tr := reach.New()
 			play(tr, tc.steps)
-			if got := tr.State("s"); got != tc.want {
+			if got := tr.State("s", time.Duration(len(tc.steps)+1)*stepTime); got != tc.want {
 				t.Errorf("state %v, want %v", got, tc.want)
 			}
 		})
@@ -82,24 +82,46 @@
 	tr := reach.New()
 	play(tr, []step{failed("s", "a"), failed("s", "b"), failed("s", "c")})
 	tr.Retain(func(server string) bool { return server > "c" })
-	if got := tr.State("s"); got != reach.Sound {
+	if got := tr.State("s", 5*stepTime); got != reach.Sound {
 		t.Errorf("state %v after the servers that failed were removed, want sound", got)
 	}
 }
 
-func TestSmallServiceIsLostWithMostOfItsServers(t *testing.T) {
+func TestSmallGroupIsLostWithMostOfItsServers(t *testing.T) {
 	tr := reach.New()
-	l := reach.Listed{Service: 3, All: 21}
+	l := reach.Listed{Group: 3, All: 21}
 	tr.Heard("other", "x", stepTime)
 	tr.Heard("other", "y", stepTime)
 	tr.Failed("s", "a", l, 2*stepTime)
 	tr.Heard("s", "c", 3*stepTime)
 	tr.Failed("s", "b", l, 4*stepTime)
-	if got := tr.State("s"); got != reach.Lost {
+	if got := tr.State("s", 5*stepTime); got != reach.Lost {
 		t.Errorf("state %v after two of three servers failed, want lost", got)
 	}
-	if got := tr.State("other"); got != reach.Sound {
-		t.Errorf("the other service is %v, want sound", got)
+	if got := tr.State("other", 5*stepTime); got != reach.Sound {
+		t.Errorf("the other group is %v, want sound", got)
+	}
+}
+
+// TestResetsOfSomeServersLoseNoPath breaks the connections to several servers at the same
+// moment, right before another one is heard.
+func TestResetsOfSomeServersLoseNoPath(t *testing.T) {
+	tr := reach.New()
+	now := stepTime
+	tr.Heard("s", "d", now)
+	for _, s := range []string{"a", "b", "c"} {
+		now += time.Millisecond
+		tr.Failed("s", s, reach.Listed{Group: 18, All: 60}, now)
+		if got := tr.State("s", now); got == reach.Lost {
+			t.Errorf("lost %v after the last event", now-stepTime)
+		}
+	}
+	for _, s := range []string{"d", "e", "f"} {
+		now += time.Millisecond
+		tr.Heard("s", s, now)
+	}
+	if got := tr.State("s", now+time.Second); got != reach.Sound {
+		t.Errorf("state %v after others were heard, want sound", got)
 	}
 }
 
--- a/core/schedule/backoff.go
+++ b/core/schedule/backoff.go
@@ -69,12 +69,11 @@
 	return sc.backOff(server, now, maxBackoff)
 }
 
-// ForgetFailures ends all backoffs. It is called when the path to servers works again
-// whose failures were those of the path.
-func (sc *Scheduler) ForgetFailures() {
+// ForgetFailures ends the backoff of a server that has turned out to be reachable.
+func (sc *Scheduler) ForgetFailures(server string) {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	clear(sc.backoffs)
+	delete(sc.backoffs, server)
 }
 
 // backOff keeps requests from a server for a time, at most limit, and returns the
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -85,7 +85,7 @@
 		return true
 	}
 	for _, service := range c.services() {
-		switch g.reach.State(service) {
+		switch g.pathState(service) {
 		case reach.Lost:
 			g.checkPath(service)
 			return true
@@ -105,14 +105,14 @@
 	if g.delegation == nil || out.took < unheardTimeout || len(g.delegation.Peers(c.services())) > 0 {
 		return false
 	}
-	return !slices.ContainsFunc(c.services(), func(s string) bool { return g.reach.State(s) != reach.Lost })
+	return !slices.ContainsFunc(c.services(), func(s string) bool { return g.pathState(s) != reach.Lost })
 }
 
 // usesOpenConnections reports whether a call may be sent to a service on open connections
 // only. If new ones fail, opening one may take a whole dial timeout, and another host serves
 // the call sooner.
 func (g *Gateway) usesOpenConnections(c *call, service string) bool {
-	return g.delegation != nil && c.delegated == nil && !c.freshConn && g.reach.State(service) == reach.Closed &&
+	return g.delegation != nil && c.delegated == nil && !c.freshConn && g.pathState(service) == reach.Closed &&
 		len(g.delegation.Peers(c.services())) > 0
 }
 
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -106,7 +106,7 @@
 		return refuseHere("older_configuration")
 	}
 	for _, service := range c.services() {
-		if g.reach.State(service) == reach.Lost {
+		if g.pathState(service) == reach.Lost {
 			return refuseHere("no_path")
 		}
 	}
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -109,23 +109,57 @@
 	}
 }
 
-// listedServers returns how many servers are listed, of a service and in all.
-func (g *Gateway) listedServers(service string) reach.Listed {
-	servers := g.state().Servers
-	return reach.Listed{Service: len(servers.Ready(service)), All: servers.Len()}
+// pathGroup returns the group of servers to which the path is judged together: those of a
+// service in a data hall.
+func pathGroup(s backend.Server) string { return s.Service + "@" + s.Hall }
+
+// pathGroups returns the groups of a service's ready servers.
+func (g *Gateway) pathGroups(service string) []string {
+	var groups []string
+	for _, s := range g.state().Servers.Ready(service) {
+		if name := pathGroup(s); !slices.Contains(groups, name) {
+			groups = append(groups, name)
+		}
+	}
+	return groups
+}
+
+// pathState returns the state of the path to the servers of a service: that of the hall
+// which is best to reach.
+func (g *Gateway) pathState(service string) reach.State {
+	groups := g.pathGroups(service)
+	if len(groups) == 0 {
+		return reach.Sound
+	}
+	best := reach.Lost
+	for _, name := range groups {
+		best = min(best, g.reach.State(name, g.clock.Now()))
+	}
+	return best
+}
+
+// listedServers returns how many servers are listed, of a server's group and in all.
+func (g *Gateway) listedServers(server backend.Server) reach.Listed {
+	servers, n := g.state().Servers, 0
+	for _, s := range servers.Ready(server.Service) {
+		if s.Hall == server.Hall {
+			n++
+		}
+	}
+	return reach.Listed{Group: n, All: servers.Len()}
 }
 
 // recordAnswer records that the head of an answer has arrived from a server.
 func (g *Gateway) recordAnswer(server backend.Server, a *upstream.Answer) {
 	if a.NewConnection {
-		g.reach.Opened(server.Service, server.ID, g.clock.Now())
+		g.reach.Opened(pathGroup(server), server.ID, g.clock.Now())
 	}
 	g.recordHeard(server)
 }
 
 // recordHeard records that a server has sent something.
 func (g *Gateway) recordHeard(server backend.Server) {
-	if g.reach.Heard(server.Service, server.ID, g.clock.Now()) {
+	if g.reach.Heard(pathGroup(server), server.ID, g.clock.Now()) {
 		g.logPath(server.Service, "heard")
 	}
 }
@@ -141,8 +175,8 @@
 	if out.result == unsent {
 		record = g.reach.NotOpened
 	}
-	record(server.Service, server.ID, g.listedServers(server.Service), g.clock.Now())
-	g.pathFailed(server.Service, out.reason)
+	record(pathGroup(server), server.ID, g.listedServers(server), g.clock.Now())
+	g.pathFailed(server, out.reason)
 }
 
 // mayBlame reports whether other hosts may be told that a server has failed: it has
@@ -152,16 +186,16 @@
 	return out.answer != nil || g.reach.HeardOther(server, g.clock.Now()-out.took)
 }
 
-// pathFailed reacts to a failure on the path to a service: it moves the calls that wait in
-// vain if the path is lost, and otherwise finds out whether it is.
-func (g *Gateway) pathFailed(service, why string) {
-	g.logPath(service, why)
-	switch g.reach.State(service) {
-	case reach.Lost:
-		g.exchanges.cancelUnheard(service, g.clock.Now()-unheardTimeout)
-	case reach.Doubtful, reach.Closed:
-		g.checkPath(service)
-	case reach.Sound:
+// pathFailed reacts to a failure on the path to a server: it moves the calls that wait in
+// vain if the path to its service is lost, and otherwise finds out whether it is.
+func (g *Gateway) pathFailed(server backend.Server, why string) {
+	g.logPath(server.Service, why)
+	if g.pathState(server.Service) == reach.Lost {
+		g.exchanges.cancelUnheard(server.Service, g.clock.Now()-unheardTimeout)
+		return
+	}
+	if g.reach.State(pathGroup(server), g.clock.Now()) != reach.Sound {
+		g.checkPath(server.Service)
 	}
 }
 
@@ -173,7 +207,7 @@
 // another one of its service was heard meanwhile.
 func (g *Gateway) checkSilentPath(x *exchange) {
 	since := g.clock.Now() - unheardTimeout
-	if x.lastHeard() <= since && !g.reach.HeardSince(x.server.Service, since) {
+	if x.lastHeard() <= since && !g.heardSince(x.server.Service, since) {
 		g.checkPath(x.server.Service)
 	}
 }
@@ -183,12 +217,17 @@
 func (g *Gateway) checkQuietStreams() {
 	since := g.clock.Now() - unheardTimeout
 	for _, service := range g.exchanges.begunServices() {
-		if !g.reach.HeardSince(service, since) {
+		if !g.heardSince(service, since) {
 			g.checkPath(service)
 		}
 	}
 }
 
+// heardSince reports whether any server of a service was heard since a time.
+func (g *Gateway) heardSince(service string, since time.Duration) bool {
+	return slices.ContainsFunc(g.pathGroups(service), func(group string) bool { return g.reach.HeardSince(group, since) })
+}
+
 // provesPath reports whether a call must be sent on a new connection: if it can't be
 // repeated, a connection that has silently died would lose it.
 func (g *Gateway) provesPath(c *call) bool {
@@ -210,10 +249,12 @@
 // failed, and on one that is lost those that have.
 func (g *Gateway) probePath(service string) {
 	failing := map[string]bool{}
-	for _, id := range g.reach.Failing(service) {
-		failing[id] = true
+	for _, group := range g.pathGroups(service) {
+		for _, id := range g.reach.Failing(group) {
+			failing[id] = true
+		}
 	}
-	lost := g.reach.State(service) >= reach.Closed
+	lost := g.pathState(service) >= reach.Closed
 	var probed []backend.Server
 	servers := g.state().Servers.Ready(service)
 	for _, i := range rand.Perm(len(servers)) {
@@ -262,12 +303,13 @@
 	defer cancel()
 	if err := g.pool.Probe(ctx, s.Addr); err != nil {
 		g.metrics.Count("gateway_path_probes", 1, "result", errorKind(err))
-		g.reach.NotOpened(s.Service, s.ID, g.listedServers(s.Service), g.clock.Now())
-		g.pathFailed(s.Service, "probe_failed")
+		g.reach.NotOpened(pathGroup(s), s.ID, g.listedServers(s), g.clock.Now())
+		g.pathFailed(s, "probe_failed")
 		return false
 	}
 	g.metrics.Count("gateway_path_probes", 1, "result", "opened")
-	g.reach.Probed(s.Service, s.ID, g.clock.Now())
+	g.reach.Probed(pathGroup(s), s.ID, g.clock.Now())
+	g.scheduler.ForgetFailures(s.ID)
 	g.logPath(s.Service, "probe")
 	return true
 }
@@ -279,7 +321,7 @@
 	g.reach.Retain(func(id string) bool { _, ok := servers.Get(id); return ok })
 	g.checkQuietStreams()
 	for _, service := range servers.Services() {
-		switch g.reach.State(service) {
+		switch g.pathState(service) {
 		case reach.Lost:
 			g.exchanges.cancelUnheard(service, g.clock.Now()-unheardTimeout)
 			g.checkPath(service)
@@ -295,21 +337,16 @@
 func (g *Gateway) LostServices() []string { return g.pathStates.lost() }
 
 // logPath logs the state of the path to a service if it has changed, and tells other hosts
-// whether it is lost. Doubtful paths are counted only, since any server that fails makes the
-// path doubtful.
+// whether it is lost. Doubtful paths are counted only, since any server that fails may make
+// the path doubtful.
 func (g *Gateway) logPath(service, why string) {
-	s := g.reach.State(service)
+	s := g.pathState(service)
 	old, changed := g.pathStates.set(service, s)
 	if !changed {
 		return
 	}
-	if (old == reach.Lost) != (s == reach.Lost) {
-		if s != reach.Lost {
-			g.scheduler.ForgetFailures()
-		}
-		if g.delegation != nil {
-			g.delegation.PathChanged()
-		}
+	if (old == reach.Lost) != (s == reach.Lost) && g.delegation != nil {
+		g.delegation.PathChanged()
 	}
 	g.metrics.Count("gateway_path_changes", 1, "service", service, "state", s.String())
 	if max(old, s) < reach.Closed {
