Requests avoid halls out of reach, and a crash counts only if most others are reached

Cause: one reachable server of another service was enough to blame those that were out of reach. And a host that is cut off from a hall went on trying that hall's servers once over half were avoided. Change: of a few servers of the same service (of the same hall if it has some) at least half must be reachable. Servers of a hall to which the path is lost, and which aren't heard, get no requests while others are left; probes go on until they are reached. Why it works: a host's path to a hall fails as a whole; servers that crash leave others beside them.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -182,6 +182,17 @@
 	return Sound
 }
 
+// OutOfReach reports whether the path to the group of a server is lost, and the server
+// was not heard since.
+func (t *Tracker) OutOfReach(group, server string, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.group(group)
+	p.loseIfUnheard(now)
+	e := p.servers[server]
+	return p.lost && (e == nil || e.heard < p.lostAt)
+}
+
 // Failing returns the servers of a group that have failed, or to which no connection
 // could be opened, since they last did the opposite.
 func (t *Tracker) Failing(group string) []string {
--- a/daemon/dispatch/suspects.go
+++ b/daemon/dispatch/suspects.go
@@ -236,7 +236,7 @@
 	return d.portClosed(addr, timeout) && d.reachesOthers(controlEngines(v, addr), timeout)
 }
 
-// reachesOthers reports whether one of some engines answers, or there are none.
+// reachesOthers reports whether most of some engines answer.
 func (d *Dispatcher) reachesOthers(addrs []string, timeout time.Duration) bool {
 	answers := make(chan bool, len(addrs))
 	for _, a := range addrs {
@@ -247,12 +247,13 @@
 			answers <- err == nil
 		})
 	}
+	reached := 0
 	for range addrs {
 		if <-answers {
-			return true
+			reached++
 		}
 	}
-	return len(addrs) == 0
+	return 2*reached >= len(addrs)
 }
 
 // controlEngines returns a few other engines that must be reachable if the path to an
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -23,9 +23,6 @@
 const (
 	// maxDelegations bounds the hosts to which one call is delegated in turn.
 	maxDelegations = 3
-	// maxUnreached is the number of tries on the way to servers that may fail before a
-	// call is delegated, whatever the state of the path.
-	maxUnreached = 2
 	// silentHostTimeout is how long a host may send nothing on a delegated call before it
 	// is checked whether the host is alive, and hostCheckInterval the time between checks.
 	silentHostTimeout = 2 * time.Second
@@ -81,7 +78,7 @@
 // path, or one with a configuration as new as that by which a call of this host was
 // served. A path that is in doubt is not tried twice.
 func (g *Gateway) needsPeer(c *call, s State) bool {
-	if s.Config.Version() < g.servedVersion.Load() || c.unreached >= maxUnreached {
+	if s.Config.Version() < g.servedVersion.Load() {
 		return true
 	}
 	for _, service := range c.services() {
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -223,6 +223,30 @@
 	}
 }
 
+// withinReach returns the servers without those to whose halls the path is lost, or all
+// servers if none are left.
+func (g *Gateway) withinReach(servers []backend.Server) []backend.Server {
+	now := g.clock.Now()
+	out := func(s backend.Server) bool { return g.reach.OutOfReach(pathGroup(s), s.ID, now) }
+	if !slices.ContainsFunc(servers, out) {
+		return servers
+	}
+	if reached := slices.DeleteFunc(slices.Clone(servers), out); len(reached) > 0 {
+		return reached
+	}
+	return servers
+}
+
+// worstPathState returns the state of the path to the servers of a service in the hall
+// which is worst to reach.
+func (g *Gateway) worstPathState(service string) reach.State {
+	worst := reach.Sound
+	for _, name := range g.pathGroups(service) {
+		worst = max(worst, g.reach.State(name, g.clock.Now()))
+	}
+	return worst
+}
+
 // heardSince reports whether any server of a service was heard since a time.
 func (g *Gateway) heardSince(service string, since time.Duration) bool {
 	return slices.ContainsFunc(g.pathGroups(service), func(group string) bool { return g.reach.HeardSince(group, since) })
@@ -254,7 +278,7 @@
 			failing[id] = true
 		}
 	}
-	lost := g.pathState(service) >= reach.Closed
+	lost := g.worstPathState(service) >= reach.Closed
 	var probed []backend.Server
 	servers := g.state().Servers.Ready(service)
 	for _, i := range rand.Perm(len(servers)) {
@@ -314,20 +338,18 @@
 	return true
 }
 
-// maintainPaths probes the servers of services whose path is lost, and moves calls that
-// wait for them in vain.
+// maintainPaths probes servers in halls to which the path is lost, and moves calls that wait
+// for them in vain.
 func (g *Gateway) maintainPaths() {
 	servers := g.state().Servers
 	g.reach.Retain(func(id string) bool { _, ok := servers.Get(id); return ok })
 	g.checkQuietStreams()
 	for _, service := range servers.Services() {
-		switch g.pathState(service) {
-		case reach.Lost:
+		if g.pathState(service) == reach.Lost {
 			g.exchanges.cancelUnheard(service, g.clock.Now()-unheardTimeout)
+		}
+		if g.worstPathState(service) >= reach.Closed {
 			g.checkPath(service)
-		case reach.Closed:
-			g.checkPath(service)
-		case reach.Sound, reach.Doubtful:
 		}
 		g.logPath(service, "upkeep")
 	}
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -23,8 +23,7 @@
 	// ports of crashed servers refuse connections within one round trip.
 	probeTimeout = 50 * time.Millisecond
 	// maxControlServers is the number of other servers that are probed to find out whether
-	// a server that seems to have crashed is out of reach instead. Of as many, one is up
-	// unless nearly all have crashed.
+	// a server that seems to have crashed is out of reach instead.
 	maxControlServers = 4
 	// crashReportWait is the time for crash reports of other hosts to arrive: a few
 	// network latencies between halls, plus the time that hosts with a fifth of a core
@@ -143,32 +142,29 @@
 // Without a path to them, all ports may look closed.
 func (g *Gateway) foundDown(s backend.Server) bool { return g.portClosed(s) && g.reachesOthers(s) }
 
-// reachesOthers reports whether this host reaches another server of a server's hall or, if
-// that has no other, of any hall. It is true if there are no other servers.
+// reachesOthers reports whether this host reaches most of a few other servers that must be
+// reachable if the path to a server is sound. It is true if there are no other servers.
 func (g *Gateway) reachesOthers(server backend.Server) bool {
 	reached, _, _ := g.probes.Do("others than "+server.ID, func() (any, error) {
 		controls := g.controlServers(server)
-		if len(controls) == 0 || g.probe(controls[0]) == nil {
-			return true, nil
-		}
 		var wg sync.WaitGroup
-		var reached atomic.Bool
-		for _, s := range controls[1:] {
+		var reached atomic.Int64
+		for _, s := range controls {
 			wg.Go(func() {
 				if g.probe(s) == nil {
-					reached.Store(true)
+					reached.Add(1)
 				}
 			})
 		}
 		wg.Wait()
-		return reached.Load(), nil
+		return 2*int(reached.Load()) >= len(controls), nil
 	})
 	return reached.(bool)
 }
 
-// controlServers returns other servers that must be reachable if the path to a server is
-// sound: some of the same hall if there are any, otherwise of other halls. It leaves out
-// those of which a crash is recorded.
+// controlServers returns a few other servers, those of which a crash is recorded left out:
+// of the same service and hall if there are any, otherwise of the same service, otherwise
+// of any.
 func (g *Gateway) controlServers(server backend.Server) []backend.Server {
 	servers := g.state().Servers
 	excluded := map[string]bool{server.Addr: true} // a process may be listed for several services
@@ -177,22 +173,26 @@
 			excluded[s.Addr] = true
 		}
 	}
-	var local, remote []backend.Server
+	var near, far, others []backend.Server
 	for _, id := range servers.IDs() {
 		s, _ := servers.Get(id)
 		switch {
 		case excluded[s.Addr]:
-		case s.Hall == server.Hall:
-			local = append(local, s)
+		case s.Service == server.Service && s.Hall == server.Hall:
+			near = append(near, s)
+		case s.Service == server.Service:
+			far = append(far, s)
 		default:
-			remote = append(remote, s)
+			others = append(others, s)
 		}
 	}
-	if len(local) == 0 {
-		local = remote
+	for _, list := range [][]backend.Server{near, far, others} {
+		if len(list) > 0 {
+			rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+			return list[:min(maxControlServers, len(list))]
+		}
 	}
-	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-	return local[:min(maxControlServers, len(local))]
+	return nil
 }
 
 // portClosed reports whether a server's port refuses connections.
