A broken connection is followed by a short pause, whatever broke it

Cause: the pause of 30 ms after a crash, which is no longer assumed in such cases, had also let the resets of the other connections arrive. Without it the next try took a connection that was about to be reset, which used up its attempts. Change: the pause follows each broken connection.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -46,7 +46,7 @@
 	exchange      *exchange       // of the current try
 	mayHaveRun    bool            // it may have run, or may still be running
 	copiesFailed  bool            // several copies of it have failed together
-	crashFound    bool            // a server has just crashed while running it
+	connBroken    bool            // the connection of its last try broke
 	freshConn     bool            // send it on a new connection: a server was silent, so pooled ones may be dead
 	headSent      bool            // the head of an answer was sent to the caller
 	maxPause      time.Duration   // the longest time between two events
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -59,14 +59,15 @@
 }
 
 // awaitConfirmation waits while crashes that are attributed to the call's request are
-// unconfirmed. Right after a crash it first waits for the reports of hosts that lost a
-// copy of the request at the same time. Otherwise each of these hosts would send the
-// request to another server.
+// unconfirmed. Right after a connection broke it first waits for the reports of hosts that
+// lost a copy of the request at the same time; otherwise each of these hosts would send the
+// request to another server. If the path was reset, the connections to other servers have
+// been reset too by then, and aren't used.
 func (g *Gateway) awaitConfirmation(ctx context.Context, c *call) {
-	if c.crashFound && pause.For(ctx, crashReportWait) != nil {
+	if c.connBroken && pause.For(ctx, crashReportWait) != nil {
 		return // the next step of the try checks ctx
 	}
-	c.crashFound = false
+	c.connBroken = false
 	for g.stage(c) != quarantine.Clear && g.quarantine.AwaitsConfirmation(c.fingerprint, g.clock.Now()) {
 		if pause.For(ctx, quarantine.ConfirmationPollInterval) != nil {
 			return // the next step of the try checks ctx
@@ -91,23 +92,17 @@
 // partitions; only a crash counts against the request. The lead's answer also
 // breaks if one of its helpers crashes.
 func (g *Gateway) findCrash(c *call, lead backend.Server, helpers []string, out outcome) {
-	if c.crashFound = g.recordCrash(c, lead, out); c.crashFound || len(helpers) == 0 {
+	if g.recordCrash(c, lead, out) || len(helpers) == 0 {
 		return
 	}
 	servers := g.state().Servers
 	var probes sync.WaitGroup
-	var crashed atomic.Bool
 	for _, id := range helpers {
 		if h, ok := servers.Get(id); ok {
-			probes.Go(func() {
-				if g.recordCrash(c, h, out) {
-					crashed.Store(true)
-				}
-			})
+			probes.Go(func() { g.recordCrash(c, h, out) })
 		}
 	}
 	probes.Wait()
-	c.crashFound = crashed.Load()
 }
 
 // recordCrash checks whether a server has crashed while running a call, adds the crash
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -237,7 +237,7 @@
 		backoff = g.scheduler.RecordFailure(blamed, now)
 	}
 	g.recordPathFailure(c, server, out)
-	if out.connBroken {
+	if c.connBroken = out.connBroken; out.connBroken {
 		c.copiesFailed = c.copiesFailed || g.scheduler.CopyCount(uint64(c.headHash)) > 1
 		g.findCrash(c, server, p.Helpers, out)
 	}
