A crash counts if any other server of the service and hall is reached

Cause: six different fatal requests had six of eight servers down at a time. Most of those asked for a control were down too, so that 13 of 34 crashes were recorded, and the workspace wasn't confined. Change: one of up to eight others of the same service and hall is enough, or one that has sent something meanwhile. A host cut off from all servers reaches none.

--- a/daemon/dispatch/suspects.go
+++ b/daemon/dispatch/suspects.go
@@ -31,7 +31,7 @@
 	witnessProbeTimeout = 500 * time.Millisecond
 	// maxControlEngines is the number of other engines that are asked for their load to find
 	// out whether an engine that seems to have crashed is out of reach instead.
-	maxControlEngines = 4
+	maxControlEngines = 8
 	// suspectRetryDelay precedes each further attempt at a suspect. Copies of a
 	// request that run at several daemons fail at the same time, and each daemon
 	// first has to receive the records of the others. Without the delay, a prompt
@@ -236,7 +236,7 @@
 	return d.portClosed(addr, timeout) && d.reachesOthers(controlEngines(v, addr), timeout)
 }
 
-// reachesOthers reports whether most of some engines answer.
+// reachesOthers reports whether one of some engines answers, or there are none.
 func (d *Dispatcher) reachesOthers(addrs []string, timeout time.Duration) bool {
 	answers := make(chan bool, len(addrs))
 	for _, a := range addrs {
@@ -247,13 +247,12 @@
 			answers <- err == nil
 		})
 	}
-	reached := 0
 	for range addrs {
 		if <-answers {
-			reached++
+			return true
 		}
 	}
-	return 2*reached >= len(addrs)
+	return len(addrs) == 0
 }
 
 // controlEngines returns a few other engines that must be reachable if the path to an
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -24,7 +24,7 @@
 	probeTimeout = 50 * time.Millisecond
 	// maxControlServers is the number of other servers that are probed to find out whether
 	// a server that seems to have crashed is out of reach instead.
-	maxControlServers = 4
+	maxControlServers = 8
 	// crashReportWait is the time for crash reports of other hosts to arrive: a few
 	// network latencies between halls, plus the time that hosts with a fifth of a core
 	// need to process them.
@@ -133,26 +133,31 @@
 	return true
 }
 
-// foundDown reports whether a server's port is closed, and this host reaches other servers.
+// foundDown reports whether a server's port is closed, and this host reaches other servers:
+// one of the same service and hall has sent something meanwhile, or accepts a connection.
 // Without a path to them, all ports may look closed.
-func (g *Gateway) foundDown(s backend.Server) bool { return g.portClosed(s) && g.reachesOthers(s) }
+func (g *Gateway) foundDown(s backend.Server) bool {
+	began := g.clock.Now()
+	return g.portClosed(s) && (g.reach.HeardSince(pathGroup(s), began) || g.reachesOthers(s))
+}
 
-// reachesOthers reports whether this host reaches most of a few other servers that must be
-// reachable if the path to a server is sound. It is true if there are no other servers.
+// reachesOthers reports whether this host reaches one of some other servers that must be
+// reachable if the path to a server is sound: a request may crash most of them, but hardly
+// all at once. It is true if there are no other servers.
 func (g *Gateway) reachesOthers(server backend.Server) bool {
 	reached, _, _ := g.probes.Do("others than "+server.ID, func() (any, error) {
 		controls := g.controlServers(server)
 		var wg sync.WaitGroup
-		var reached atomic.Int64
+		var reached atomic.Bool
 		for _, s := range controls {
 			wg.Go(func() {
 				if g.probe(s) == nil {
-					reached.Add(1)
+					reached.Store(true)
 				}
 			})
 		}
 		wg.Wait()
-		return 2*int(reached.Load()) >= len(controls), nil
+		return reached.Load() || len(controls) == 0, nil
 	})
 	return reached.(bool)
 }
