--- /dev/null
+++ b/daemon/gateway/delegated_test.go
@@ -0,0 +1,75 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// delegated sends a request as another host would delegate it, and returns the answer and the
+// report of where it is from.
+func (f *fixture) delegated(path, key, report string) (answer, string) {
+	f.t.Helper()
+	s := httptest.NewServer(f.gateway.DelegatedHandler())
+	f.t.Cleanup(s.Close)
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, s.URL+path, strings.NewReader("b"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "shop.example"
+	r.Header.Set("Try", "t1")
+	r.Header.Set("Authorization", "Key "+key)
+	r.Header.Set("Slipcrank-Delegation", report)
+	a, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	return answer{a.StatusCode, a.Header, string(b), err, a.Close}, a.Header.Get("Slipcrank-Delegation")
+}
+
+// TestDelegatedRequestIsServedOnce checks what a host does with a request that another host
+// delegates to it: which server requests it causes, and what it reports.
+func TestDelegatedRequestIsServedOnce(t *testing.T) {
+	header := func(attempts, version int) string {
+		return fmt.Sprintf("attempts=%d, version=%d, elapsed=10, counted=true", attempts, version)
+	}
+	for name, tc := range map[string]struct {
+		path, key, header string
+		reply             reply
+		status, requests  int
+		origin            string
+	}{
+		"served":                      {"/safe/", "k1", header(0, 1), plainReply(200, "fine"), 200, 1, "server"},
+		"runs once":                   {"/once/", "k1", header(0, 1), plainReply(200, "fine"), 200, 1, "server"},
+		"failure of the server":       {"/once/", "k1", header(0, 1), plainReply(500, "bad"), 500, 1, "server"},
+		"older configuration":         {"/safe/", "k1", header(0, 2), plainReply(200, "fine"), 503, 0, "host"},
+		"unknown key":                 {"/safe/", "k9", header(0, 1), plainReply(200, "fine"), 401, 0, "fleet"},
+		"no attempts left to retry":   {"/safe/", "k1", header(1, 1), plainReply(500, "bad"), 500, 1, "server"},
+		"retried here, attempts left": {"/safe/", "k1", header(0, 1), plainReply(500, "bad"), 500, 2, "server"},
+		"malformed":                   {"/safe/", "k1", "attempts=x", plainReply(200, "fine"), 400, 0, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, tc.reply, tc.reply)
+			a, report := f.delegated(tc.path, tc.key, tc.header)
+			if a.status != tc.status || f.requestCount() != tc.requests {
+				t.Errorf("status %d after %d requests to servers, want %d after %d: %s", a.status, f.requestCount(), tc.status, tc.requests, a.body)
+			}
+			if got, _, _ := strings.Cut(strings.TrimPrefix(report, "origin="), ","); got != tc.origin {
+				t.Errorf("report %q, want origin %q", report, tc.origin)
+			}
+			for _, s := range f.servers {
+				for _, r := range s.received() {
+					if r.request.Header.Get("Slipcrank-Delegation") != "" {
+						t.Error("the server received the header of the delegation")
+					}
+				}
+			}
+		})
+	}
+}
