The groups of servers by which paths are judged are computed once a list

Cause: reading the diff: each request and each tick of upkeep made a name of each listed server, up to a thousand. Change: the groups are kept with the list that they are of.

--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -49,9 +49,6 @@
 		// have changed.
 		PathChanged func()
 	}
-
-	// hostRefusal is the body of a refusal by another host.
-	hostRefusal = refusalBody
 )
 
 // WithDelegation sets how calls are delegated to other hosts. Without it, none are.
@@ -213,7 +210,7 @@
 		return outcome{result: final, reason: "host_answer_unreadable"}
 	}
 	c.attempts = max(c.attempts, r.attempts)
-	var parsed hostRefusal
+	var parsed refusalBody
 	if err := json.Unmarshal(body, &parsed); err != nil || parsed.Error.Kind == "" {
 		parsed.Error.Kind = "refused_by_host"
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -87,6 +87,7 @@
 		reach              *reach.Tracker
 		pathStates         pathStates
 		pathChecks         pathChecks
+		serverGroups       atomic.Pointer[serverGroups]
 		delegation         *Delegation  // nil: calls are not delegated
 		servedVersion      atomic.Int64 // the newest configuration by which a call was handled elsewhere
 		quarantine         *quarantine.Registry
@@ -356,7 +357,7 @@
 	if len(ready) == 0 && c.hasHomes() {
 		return schedule.Placement{}, service, refuse(http.StatusServiceUnavailable, "no_server_in_home_regions", busyRetryAfter)
 	}
-	available, _ := g.notices.Available(g.withinReach(ready), g.clock.Now())
+	available, _ := g.notices.Available(g.withinReach(service.Name, ready), g.clock.Now())
 	p, ok := g.scheduler.Place(g.clock.Now(), service, available, schedule.Request{
 		Work:         c.work,
 		Objective:    c.route.Objective - time.Since(c.arrivedAt),
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -44,6 +44,12 @@
 		byService map[string]reach.State
 	}
 
+	// serverGroups holds the groups of the ready servers of a list. It is an immutable value.
+	serverGroups struct {
+		servers   *backend.View
+		byService map[string][]string
+	}
+
 	// pathChecks holds which services' paths are being checked, and when the next checks
 	// may begin. The zero value is ready to use.
 	pathChecks struct {
@@ -113,15 +119,30 @@
 // service in a data hall.
 func pathGroup(s backend.Server) string { return s.Service + "@" + s.Hall }
 
-// pathGroups returns the groups of a service's ready servers.
+// pathGroups returns the groups of a service's ready servers. They are computed once for
+// each list of servers, which may have a thousand.
 func (g *Gateway) pathGroups(service string) []string {
-	var groups []string
-	for _, s := range g.state().Servers.Ready(service) {
-		if name := pathGroup(s); !slices.Contains(groups, name) {
-			groups = append(groups, name)
+	servers := g.state().Servers
+	known := g.serverGroups.Load()
+	if known == nil || known.servers != servers {
+		known = newServerGroups(servers)
+		g.serverGroups.Store(known)
+	}
+	return known.byService[service]
+}
+
+func newServerGroups(servers *backend.View) *serverGroups {
+	out := &serverGroups{servers: servers, byService: map[string][]string{}}
+	for _, service := range servers.Services() {
+		var groups []string
+		for _, s := range servers.Ready(service) {
+			if name := pathGroup(s); !slices.Contains(groups, name) {
+				groups = append(groups, name)
+			}
 		}
+		out.byService[service] = groups
 	}
-	return groups
+	return out
 }
 
 // pathState returns the state of the path to the servers of a service: that of the hall
@@ -223,14 +244,14 @@
 	}
 }
 
-// withinReach returns the servers without those to whose halls the path is lost, or all
-// servers if none are left.
-func (g *Gateway) withinReach(servers []backend.Server) []backend.Server {
-	now := g.clock.Now()
-	out := func(s backend.Server) bool { return g.reach.OutOfReach(pathGroup(s), s.ID, now) }
-	if !slices.ContainsFunc(servers, out) {
+// withinReach returns the servers of a service without those to whose halls the path is lost,
+// or all servers if none are left.
+func (g *Gateway) withinReach(service string, servers []backend.Server) []backend.Server {
+	if g.worstPathState(service) < reach.Lost {
 		return servers
 	}
+	now := g.clock.Now()
+	out := func(s backend.Server) bool { return g.reach.OutOfReach(pathGroup(s), s.ID, now) }
 	if reached := slices.DeleteFunc(slices.Clone(servers), out); len(reached) > 0 {
 		return reached
 	}
