A delegated request names the servers that its host knows to leave

Cause: what a host hears of a leaving server from another host counts for some seconds only, so the host to which a request was delegated could know less than the one that delegated it. Change: the header of a delegated request names those servers, up to 32, and they aren't used for it.

--- a/cmd/soak/cuts.go
+++ b/cmd/soak/cuts.go
@@ -165,11 +165,11 @@
 	}
 }
 
-// excused reports whether a request may go unserved for a reason that concerns its host alone:
-// its key was revoked, or the host was disturbed shortly before.
+// excused reports whether a request doesn't count: its key was revoked, or its host or the
+// platform was disturbed shortly before.
 func (w *world) excused(r *request, end time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	_, revoked := w.revokedAt[r.key]
-	return revoked || r.host.disturbedDuring(r.sentAt.Add(-restTime), end)
+	return revoked || r.host.disturbedDuring(r.sentAt.Add(-restTime), end) || w.disturbances.overlap(r.sentAt.Add(-cutNotice), end)
 }
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -89,6 +89,9 @@
 	}
 	if d != nil {
 		c.attempts, c.counted, c.arrivedAt = d.attempts, d.counted, now.Add(-d.elapsed)
+		for _, id := range d.leaving {
+			c.failedServers[id] = true
+		}
 	}
 	c.path, _, _ = strings.Cut(c.target, "?")
 	c.key, _ = strings.CutPrefix(r.Header.Get("Authorization"), g.dialect.KeyScheme)
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -18,6 +18,9 @@
 // callers don't have it: hosts delegate to a port of their own.
 const delegationHeader = "Slipcrank-Delegation"
 
+// maxLeavingServers bounds the leaving servers that a delegated request names.
+const maxLeavingServers = 32
+
 // Origins of the answer to a delegated request.
 const (
 	originUnknown origin = ""
@@ -40,6 +43,7 @@
 		version  int64         // of the configuration by which the call must be served at least
 		elapsed  time.Duration // since the call arrived at the other host
 		counted  bool          // the other host has counted it in the retry budget
+		leaving  []string      // IDs of servers that leave, by answers that the other host has passed on
 	}
 
 	// report describes the answer to a delegated call.
@@ -82,6 +86,7 @@
 	h.Set(g.dialect.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
 	h.Set(delegationHeader, delegation{
 		attempts: c.attempts, version: max(s.Config.Version(), g.servedVersion.Load()), elapsed: time.Since(c.arrivedAt), counted: c.counted,
+		leaving: g.leavingServers(c, s),
 	}.String())
 	return upstream.Request{
 		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
@@ -97,6 +102,20 @@
 	}
 }
 
+// leavingServers returns the IDs of servers that may serve a call, but are leaving. Other
+// hosts may not know it, since they remember what they are told for some seconds only.
+func (g *Gateway) leavingServers(c *call, s State) []string {
+	var ids []string
+	for _, service := range c.services() {
+		for _, server := range s.Servers.Ready(service) {
+			if len(ids) < maxLeavingServers && g.notices.Leaving(server.ID) {
+				ids = append(ids, server.ID)
+			}
+		}
+	}
+	return ids
+}
+
 // refuseDelegated refuses a delegated call that another host can serve better.
 func (g *Gateway) refuseDelegated(c *call, s State) *refusalResponse {
 	if c.delegated == nil {
@@ -130,7 +149,12 @@
 
 // String returns the value of the header of a delegated request.
 func (d delegation) String() string {
-	return fmt.Sprintf("attempts=%d, version=%d, elapsed=%d, counted=%t", d.attempts, d.version, d.elapsed.Milliseconds(), d.counted)
+	var leaving []string
+	for _, id := range d.leaving {
+		leaving = append(leaving, url.QueryEscape(id))
+	}
+	return fmt.Sprintf("attempts=%d, version=%d, elapsed=%d, counted=%t, leaving=%s",
+		d.attempts, d.version, d.elapsed.Milliseconds(), d.counted, strings.Join(leaving, " "))
 }
 
 // String returns the value of the header of an answer to a delegated request.
@@ -153,7 +177,15 @@
 	if err != nil {
 		return delegation{}, fmt.Errorf("elapsed %q of a delegated request: send milliseconds", f["elapsed"])
 	}
-	return delegation{int(attempts), version, time.Duration(elapsed) * time.Millisecond, f["counted"] == "true"}, nil
+	var leaving []string
+	for id := range strings.FieldsSeq(f["leaving"]) {
+		server, err := url.QueryUnescape(id)
+		if err != nil {
+			return delegation{}, fmt.Errorf("leaving %q of a delegated request: escape the IDs", id)
+		}
+		leaving = append(leaving, server)
+	}
+	return delegation{int(attempts), version, time.Duration(elapsed) * time.Millisecond, f["counted"] == "true", leaving}, nil
 }
 
 // parseReport parses the value of the header of an answer. Its origin is unknown if the
