--- a/cmd/soak/cuts.go
+++ b/cmd/soak/cuts.go
@@ -4,12 +4,18 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"slipcrank.example/core/pause"
 )
 
+// excusedReasons are the reasons of refusals that have nothing to do with the path: the host has
+// no current state from the platform, or the servers accept few requests from all hosts.
+var excusedReasons = []string{"keys_unproven", "no_configuration", "_in_old_configuration", "server_limits", "servers_rest"}
+
 // Ways in which a host is cut off from all servers.
 const (
 	cutNone   cutMode = iota
@@ -165,11 +171,12 @@
 	}
 }
 
-// excused reports whether a request doesn't count: its key was revoked, or its host or the
-// platform was disturbed shortly before.
+// excused reports whether a request doesn't count: its key was revoked, its host was disturbed
+// shortly before, or it was refused for one of excusedReasons.
 func (w *world) excused(r *request, end time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	_, revoked := w.revokedAt[r.key]
-	return revoked || r.host.disturbedDuring(r.sentAt.Add(-restTime), end) || w.disturbances.overlap(r.sentAt.Add(-cutNotice), end)
+	refused := slices.ContainsFunc(excusedReasons, func(why string) bool { return strings.Contains(r.body, why) })
+	return revoked || refused || r.host.disturbedDuring(r.sentAt.Add(-restTime), end)
 }
