The soak compares cut hosts with others only while a host with a path is undisturbed

Change: a try counts while at least one host that isn't cut off is undisturbed, and a cut if 20 tries at the others do.

--- a/cmd/soak/cuts.go
+++ b/cmd/soak/cuts.go
@@ -35,6 +35,8 @@
 	cutAllowance    = 10
 	cutAllowedShare = 1.0 / 50
 	minCutShare     = 2.0 / 3
+	// minOthers is the least number of first tries at the others that are compared with.
+	minOthers = 20
 )
 
 type (
@@ -148,7 +150,7 @@
 		var cutOff, others cutCount
 		for _, r := range requests {
 			end := r.sentAt.Add(r.duration)
-			if r.sentAt.Before(c.from.Add(cutNotice)) || end.After(c.to) || w.excused(r, end) {
+			if r.sentAt.Before(c.from.Add(cutNotice)) || end.After(c.to) || w.excused(r, end) || !w.pathLeft(c, r, end) {
 				continue
 			}
 			n := &others
@@ -162,6 +164,9 @@
 		}
 		fmt.Printf("cut of %d hosts for %v: they served %d of %d first tries, the others %d of %d\n",
 			len(c.hosts), c.to.Sub(c.from).Round(time.Millisecond), cutOff.served, cutOff.sent, others.served, others.sent)
+		if others.sent < minOthers {
+			continue
+		}
 		failed := cutOff.sent - cutOff.served
 		allowed := cutAllowance + cutAllowedShare*float64(cutOff.sent+others.sent)
 		if float64(failed) > allowed && float64(cutOff.served*others.sent) < minCutShare*float64(others.served*cutOff.sent) {
@@ -171,6 +176,11 @@
 	}
 }
 
+// pathLeft reports whether a host that was not cut off was undisturbed during a request.
+func (w *world) pathLeft(c pastCut, r *request, end time.Time) bool {
+	return slices.ContainsFunc(w.hosts, func(h *host) bool { return !c.hosts[h.ip] && !h.disturbedDuring(r.sentAt.Add(-restTime), end) })
+}
+
 // excused reports whether a request doesn't count: its key was revoked, its host was disturbed
 // shortly before, or it was refused for one of excusedReasons.
 func (w *world) excused(r *request, end time.Time) bool {
