--- a/cmd/soak/cuts.go
+++ b/cmd/soak/cuts.go
@@ -57,7 +57,10 @@
 	}
 
 	// cutCount counts first tries, and those that were served.
-	cutCount struct{ sent, served int }
+	cutCount struct {
+		sent, served int
+		failed       map[string]int // by status and body
+	}
 )
 
 func newCuts() *cuts { return &cuts{active: map[string]cutMode{}} }
@@ -147,7 +150,7 @@
 	requests := w.requests
 	w.mu.Unlock()
 	for _, c := range w.cuts.all() {
-		var cutOff, others cutCount
+		cutOff, others := cutCount{failed: map[string]int{}}, cutCount{failed: map[string]int{}}
 		for _, r := range requests {
 			end := r.sentAt.Add(r.duration)
 			if r.sentAt.Before(c.from.Add(cutNotice)) || end.After(c.to) || w.excused(r, end) || !w.pathLeft(c, r, end) {
@@ -160,7 +163,9 @@
 			n.sent++
 			if r.seal != "" && !r.incomplete {
 				n.served++
+				continue
 			}
+			n.failed[fmt.Sprint(r.status, " ", r.body)]++
 		}
 		fmt.Printf("cut of %d hosts for %v: they served %d of %d first tries, the others %d of %d\n",
 			len(c.hosts), c.to.Sub(c.from).Round(time.Millisecond), cutOff.served, cutOff.sent, others.served, others.sent)
@@ -170,8 +175,8 @@
 		failed := cutOff.sent - cutOff.served
 		allowed := cutAllowance + cutAllowedShare*float64(cutOff.sent+others.sent)
 		if float64(failed) > allowed && float64(cutOff.served*others.sent) < minCutShare*float64(others.served*cutOff.sent) {
-			w.failf("hosts cut off from all servers at %v served %d of %d first tries, the others %d of %d",
-				c.from.Format("05.000"), cutOff.served, cutOff.sent, others.served, others.sent)
+			w.failf("hosts cut off from all servers at %v served %d of %d first tries, the others %d of %d; failed there: %v, at the others: %v",
+				c.from.Format("05.000"), cutOff.served, cutOff.sent, others.served, others.sent, cutOff.failed, others.failed)
 		}
 	}
 }
