One copy of the service with the highest weight, the reading of an answer, and the choice of controls

Cause: reading the whole change: the retry budget had its own loop for the heaviest service and the delegation another; the answer of another host was read by a copy of collect, without its bound on the size; the check whether other servers are reached stood in both interfaces; two counts of core/reach differed in a field; one place asked the scheduler where hostAlive does. Change: site.HeaviestService; readAnswer, which both use; reach.Controls and reach.AnyReached; one count; maps.DeleteFunc and the like. An answer of another host that exceeds 16 MiB is now refused as a server's is, where it would have been cut; other hosts don't send such answers. Behaviour otherwise as before.

--- a/core/limit/window.go
+++ b/core/limit/window.go
@@ -50,13 +50,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	heaviest := targets[0]
-	for _, t := range targets {
-		if t.Weight > heaviest.Weight {
-			heaviest = t
-		}
-	}
-	c, i := w.slot(heaviest.Service, now)
+	c, i := w.slot(site.HeaviestService(targets), now)
 	c.requests[i]++
 }
 
--- a/core/reach/peers.go
+++ b/core/reach/peers.go
@@ -30,7 +30,7 @@
 	return append(shuffled(local), shuffled(remote)...)
 }
 
-func shuffled(peers []Peer) []Peer {
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers
+func shuffled[T any](list []T) []T {
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
 }
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -17,6 +17,7 @@
 package reach
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -199,17 +200,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.group(group)
-	var out []string
-	for s := range p.failed {
-		out = append(out, s)
-	}
-	for s := range p.unopened {
-		if _, ok := p.failed[s]; !ok {
-			out = append(out, s)
-		}
-	}
-	slices.Sort(out)
-	return out
+	failing := maps.Clone(p.failed)
+	maps.Copy(failing, p.unopened)
+	return slices.Sorted(maps.Keys(failing))
 }
 
 // HeardOther reports whether another server than the given one was heard since a time.
@@ -347,20 +340,20 @@
 
 // serving returns how many servers were heard since a time, and have not failed after.
 func (p *path) serving(since time.Duration) int {
-	n := 0
-	for s, e := range p.servers {
-		if _, failed := p.failed[s]; !failed && e.heard > 0 && e.heard >= since {
-			n++
-		}
-	}
-	return n
+	return p.countSince(since, p.failed, func(e *evidence) time.Duration { return e.heard })
 }
 
-// opening returns to how many servers connections were opened since a time.
+// opening returns to how many servers connections were opened since a time, and have not
+// failed to open after.
 func (p *path) opening(since time.Duration) int {
+	return p.countSince(since, p.unopened, func(e *evidence) time.Duration { return e.opened })
+}
+
+// countSince returns how many servers that aren't excluded have a time of at least since.
+func (p *path) countSince(since time.Duration, excluded map[string]time.Duration, at func(*evidence) time.Duration) int {
 	n := 0
 	for s, e := range p.servers {
-		if _, failed := p.unopened[s]; !failed && e.opened > 0 && e.opened >= since {
+		if _, out := excluded[s]; !out && at(e) > 0 && at(e) >= since {
 			n++
 		}
 	}
@@ -368,18 +361,9 @@
 }
 
 func (p *path) retain(listed func(server string) bool) {
-	drop := func(s string) bool { return !listed(s) }
-	for s := range p.servers {
-		if drop(s) {
-			delete(p.servers, s)
-		}
-	}
+	maps.DeleteFunc(p.servers, func(s string, _ *evidence) bool { return !listed(s) })
 	for _, m := range []map[string]time.Duration{p.failed, p.unopened} {
-		for s := range m {
-			if drop(s) {
-				delete(m, s)
-			}
-		}
+		maps.DeleteFunc(m, func(s string, _ time.Duration) bool { return !listed(s) })
 	}
 	p.lost = p.lost && len(p.failed) > 0
 	p.closed = p.closed && len(p.unopened) > 0
--- a/core/site/site.go
+++ b/core/site/site.go
@@ -12,6 +12,7 @@
 package site
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -204,6 +205,15 @@
 	return w, ok
 }
 
+// HeaviestService returns the service with the highest weight, the first of several. It
+// returns the empty string if there are no targets.
+func HeaviestService(targets []Target) string {
+	if len(targets) == 0 {
+		return ""
+	}
+	return slices.MaxFunc(targets, func(a, b Target) int { return cmp.Compare(a.Weight, b.Weight) }).Service
+}
+
 // Pick returns the target service for x in [0, 1). The targets divide this
 // interval in proportion to their weights. It returns the empty string if the
 // route has no targets.
--- a/daemon/dispatch/suspects.go
+++ b/daemon/dispatch/suspects.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"syscall"
@@ -17,6 +16,7 @@
 	"slipcrank.example/core/fault"
 	"slipcrank.example/core/pause"
 	"slipcrank.example/core/quarantine"
+	"slipcrank.example/core/reach"
 	"slipcrank.example/core/route"
 	"slipcrank.example/daemon/control"
 	"slipcrank.example/daemon/event"
@@ -29,9 +29,6 @@
 	// witnessProbeTimeout bounds the same probe by a witness, for which no caller
 	// waits.
 	witnessProbeTimeout = 500 * time.Millisecond
-	// maxControlEngines is the number of other engines that are asked for their load to find
-	// out whether an engine that seems to have crashed is out of reach instead.
-	maxControlEngines = 8
 	// suspectRetryDelay precedes each further attempt at a suspect. Copies of a
 	// request that run at several daemons fail at the same time, and each daemon
 	// first has to receive the records of the others. Without the delay, a prompt
@@ -233,26 +230,12 @@
 // engine, of the same hall if that has one. Without a path to them, all ports may look
 // closed.
 func (d *Dispatcher) foundDown(v *control.View, addr string, timeout time.Duration) bool {
-	return d.portClosed(addr, timeout) && d.reachesOthers(controlEngines(v, addr), timeout)
-}
-
-// reachesOthers reports whether one of some engines answers, or there are none.
-func (d *Dispatcher) reachesOthers(addrs []string, timeout time.Duration) bool {
-	answers := make(chan bool, len(addrs))
-	for _, a := range addrs {
-		d.background(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), timeout)
-			defer cancel()
-			_, err := d.engines.Report(ctx, a)
-			answers <- err == nil
-		})
-	}
-	for range addrs {
-		if <-answers {
-			return true
-		}
-	}
-	return len(addrs) == 0
+	return d.portClosed(addr, timeout) && reach.AnyReached(controlEngines(v, addr), d.background, func(a string) bool {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		_, err := d.engines.Report(ctx, a)
+		return err == nil
+	})
 }
 
 // controlEngines returns a few other engines that must be reachable if the path to an
@@ -274,11 +257,7 @@
 			remote = append(remote, e.Addr)
 		}
 	}
-	if len(local) == 0 {
-		local = remote
-	}
-	rand.Shuffle(len(local), func(i, j int) { local[i], local[j] = local[j], local[i] })
-	return local[:min(maxControlEngines, len(local))]
+	return reach.Controls(local, remote)
 }
 
 // portClosed reports whether an engine refuses connections, or a proxy in front of it
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -185,7 +185,7 @@
 		opts = append(opts, gateway.WithDelegation(gateway.Delegation{
 			Pool:  upstream.New(upstream.WithDialTimeout(hostDialTimeout), upstream.WithMaxIdle(func(string) int { return maxIdleToHost })),
 			Peers: e.delegationPeers,
-			Alive: func(number uint32) bool { return e.scheduler.HostAlive(number, e.clock.Now()) },
+			Alive: func(number uint32) bool { return e.hostAlive()(number) },
 			Lost: func(number uint32, service string) bool {
 				return e.paths.lost(number, []string{service}, e.clock.Now())
 			},
--- a/daemon/entry/paths.go
+++ b/daemon/entry/paths.go
@@ -68,7 +68,7 @@
 // delegationPeers returns the hosts of the cell that have a path to the servers of the
 // services, in the order in which they are to be asked.
 func (e *Entry) delegationPeers(services []string) []reach.Peer {
-	n, own, now := e.neighbors.Load(), e.settings.Load(), e.clock.Now()
+	n, own, now, alive := e.neighbors.Load(), e.settings.Load(), e.clock.Now(), e.hostAlive()
 	port, err := netip.ParseAddrPort(own.Listen.Delegation)
 	if err != nil {
 		e.log.Write(event.InternalError, slog.String("doing", "delegate"), slog.String("error", err.Error()))
@@ -84,7 +84,7 @@
 			hallHosts++
 		}
 		addr, err := netip.ParseAddrPort(h.Addr)
-		if err != nil || !e.scheduler.HostAlive(h.Number, now) || e.paths.lost(h.Number, services, now) {
+		if err != nil || !alive(h.Number) || e.paths.lost(h.Number, services, now) {
 			continue // a malformed address is logged when the hosts change
 		}
 		peers = append(peers, reach.Peer{Number: h.Number, Hall: h.Hall, Addr: netip.AddrPortFrom(addr.Addr(), port.Port()).String()})
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -124,7 +124,7 @@
 	c.delegations[to.Number] = true
 	began := g.clock.Now()
 	out := g.sendToPeer(ctx, w, c, s, to)
-	out.took, out.server, out.service = g.clock.Now()-began, to.Addr, heaviestService(c.route.Targets)
+	out.took, out.server, out.service = g.clock.Now()-began, to.Addr, site.HeaviestService(c.route.Targets)
 	switch {
 	case out.result == answered:
 	case errors.Is(ctx.Err(), context.Canceled):
@@ -184,17 +184,13 @@
 // collectFromPeer reads an answer that another host has received from a server, and
 // forwards it whatever its status: that host has decided that it is final.
 func (g *Gateway) collectFromPeer(w http.ResponseWriter, c *call, a *upstream.Answer) outcome {
-	body, err := c.buffer.readAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	if errors.Is(err, errBuffersFull) {
-		g.metrics.Count("gateway_buffers_full", 1, "body", "answer")
-		return outcome{result: final, reason: "no_buffer_memory"}
-	}
+	out, err := g.readAnswer(c, a)
 	if err != nil {
 		return outcome{result: failed, reason: "host_broken", err: err}
 	}
-	a.Finish()
-	out := outcome{result: answered, answer: &bufferedAnswer{a.Status, a.Header, body}}
-	g.forwardAnswer(w, c, out)
+	if out.result == answered {
+		g.forwardAnswer(w, c, out)
+	}
 	return out
 }
 
@@ -239,21 +235,10 @@
 	}
 }
 
-// heaviestService returns the service with the highest weight.
-func heaviestService(targets []site.Target) string {
-	name, weight := "", -1.0
-	for _, t := range targets {
-		if t.Weight > weight {
-			name, weight = t.Service, t.Weight
-		}
-	}
-	return name
-}
-
 // relayHooks are called for the events of a stream. They may be nil.
 type relayHooks struct {
 	first func()                    // the first event has arrived
-	event func(pause time.Duration) // an event has arrived, after a pause; 0 for the first of an answer
+	event func(pause time.Duration) // an event has arrived, so long after the one before it or the head
 }
 
 // serverHooks returns hooks that record the events of a server's stream.
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -3,16 +3,15 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/pause"
 	"slipcrank.example/core/quarantine"
+	"slipcrank.example/core/reach"
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/upstream"
 )
@@ -22,9 +21,6 @@
 	// the maximum latency between halls, and short compared to callers' timeouts. The
 	// ports of crashed servers refuse connections within one round trip.
 	probeTimeout = 50 * time.Millisecond
-	// maxControlServers is the number of other servers that are probed to find out whether
-	// a server that seems to have crashed is out of reach instead.
-	maxControlServers = 8
 	// crashReportWait is the time for crash reports of other hosts to arrive: a few
 	// network latencies between halls, plus the time that hosts with a fifth of a core
 	// need to process them.
@@ -146,18 +142,8 @@
 // all at once. It is true if there are no other servers.
 func (g *Gateway) reachesOthers(server backend.Server) bool {
 	reached, _, _ := g.probes.Do("others than "+server.ID, func() (any, error) {
-		controls := g.controlServers(server)
-		var wg sync.WaitGroup
-		var reached atomic.Bool
-		for _, s := range controls {
-			wg.Go(func() {
-				if g.probe(s) == nil {
-					reached.Store(true)
-				}
-			})
-		}
-		wg.Wait()
-		return reached.Load() || len(controls) == 0, nil
+		start := func(f func()) { go f() }
+		return reach.AnyReached(g.controlServers(server), start, g.reachable), nil
 	})
 	return reached.(bool)
 }
@@ -186,13 +172,7 @@
 			others = append(others, s)
 		}
 	}
-	for _, list := range [][]backend.Server{near, far, others} {
-		if len(list) > 0 {
-			rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-			return list[:min(maxControlServers, len(list))]
-		}
-	}
-	return nil
+	return reach.Controls(near, far, others)
 }
 
 // portClosed reports whether a server's port refuses connections.
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -353,21 +353,33 @@
 	}
 }
 
-// collect reads an answer completely, and forwards it unless it is a failure.
-func (g *Gateway) collect(w http.ResponseWriter, c *call, a *upstream.Answer) outcome {
+// readAnswer reads an answer completely. It returns an error if the connection fails, and a
+// final outcome if the answer can't be buffered.
+func (g *Gateway) readAnswer(c *call, a *upstream.Answer) (outcome, error) {
 	body, err := c.buffer.readAll(io.LimitReader(a.Body, maxAnswerBytes+1))
 	if errors.Is(err, errBuffersFull) {
 		g.metrics.Count("gateway_buffers_full", 1, "body", "answer")
-		return outcome{result: final, reason: "no_buffer_memory"}
+		return outcome{result: final, reason: "no_buffer_memory"}, nil
 	}
 	if err != nil {
-		return g.failure(c, err, "answer")
+		return outcome{}, err
 	}
 	if len(body) > maxAnswerBytes {
-		return outcome{result: final, reason: "answer_too_large"}
+		return outcome{result: final, reason: "answer_too_large"}, nil
 	}
 	a.Finish()
-	out := outcome{result: answered, answer: &bufferedAnswer{a.Status, a.Header, body}}
+	return outcome{result: answered, answer: &bufferedAnswer{a.Status, a.Header, body}}, nil
+}
+
+// collect reads an answer completely, and forwards it unless it is a failure.
+func (g *Gateway) collect(w http.ResponseWriter, c *call, a *upstream.Answer) outcome {
+	out, err := g.readAnswer(c, a)
+	switch {
+	case err != nil:
+		return g.failure(c, err, "answer")
+	case out.result != answered:
+		return out
+	}
 	if a.Status >= http.StatusInternalServerError || meansNotRun(a.Status) {
 		out.result, out.reason = failed, "status_"+strconv.Itoa(a.Status)
 		return out
