--- a/cmd/soak/cuts.go
+++ b/cmd/soak/cuts.go
@@ -13,8 +13,9 @@
 )
 
 // excusedReasons are the reasons of refusals that have nothing to do with the path: the host has
-// no current state from the platform, or the servers accept few requests from all hosts.
-var excusedReasons = []string{"keys_unproven", "no_configuration", "_in_old_configuration", "server_limits", "servers_rest"}
+// no current state from the platform, the key isn't valid yet or any more, or the servers accept few
+// requests from all hosts.
+var excusedReasons = []string{"keys_unproven", "no_configuration", "_in_old_configuration", "server_limits", "servers_rest", "unknown_key"}
 
 // Ways in which a host is cut off from all servers.
 const (
@@ -35,6 +36,9 @@
 	cutAllowance    = 10
 	cutAllowedShare = 1.0 / 50
 	minCutShare     = 2.0 / 3
+	// noServerMargin extends the time for which a refusal shows that no server is left. Hosts
+	// learn at slightly different times of the last one that leaves.
+	noServerMargin = 100 * time.Millisecond
 	// minOthers is the least number of first tries at the others that are compared with.
 	minOthers = 20
 )
@@ -150,10 +154,11 @@
 	requests := w.requests
 	w.mu.Unlock()
 	for _, c := range w.cuts.all() {
+		noServer := c.timesWithoutServer(requests)
 		cutOff, others := cutCount{failed: map[string]int{}}, cutCount{failed: map[string]int{}}
 		for _, r := range requests {
 			end := r.sentAt.Add(r.duration)
-			if r.sentAt.Before(c.from.Add(cutNotice)) || end.After(c.to) || w.excused(r, end) || !w.pathLeft(c, r, end) {
+			if r.sentAt.Before(c.from.Add(cutNotice)) || end.After(c.to) || w.excused(r, end) || !w.pathLeft(c, r, end) || overlapsAny(noServer, r.sentAt, end) {
 				continue
 			}
 			n := &others
@@ -181,6 +186,23 @@
 	}
 }
 
+// timesWithoutServer returns the times in which hosts that weren't cut off refused requests since
+// no server was left: all were leaving, or in a hall that was evacuated. At the hosts that are cut
+// off the same reason may well be due to the cut.
+func (c pastCut) timesWithoutServer(requests []*request) []period {
+	var out []period
+	for _, r := range requests {
+		if !c.hosts[r.host.ip] && strings.Contains(r.body, "no_server") {
+			out = append(out, period{r.sentAt.Add(-noServerMargin), r.sentAt.Add(r.duration + noServerMargin)})
+		}
+	}
+	return out
+}
+
+func overlapsAny(ps []period, from, to time.Time) bool {
+	return slices.ContainsFunc(ps, func(p period) bool { return p.from.Before(to) && p.to.After(from) })
+}
+
 // pathLeft reports whether a host that was not cut off was undisturbed during a request.
 func (w *world) pathLeft(c pastCut, r *request, end time.Time) bool {
 	return slices.ContainsFunc(w.hosts, func(h *host) bool { return !c.hosts[h.ip] && !h.disturbedDuring(r.sentAt.Add(-restTime), end) })
