Log lines and metrics name the framing of a server's answer

Cause: SC1514 says 'answered' without saying how the server marked the end of its answer and where a stream ended, so a log can't tell a whole stream from one that was broken off. Change: Answer.Framing; 'framing' and 'partial' in SC1512 and SC1514, and a counter gateway_answers. Nothing decides by them.

--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -27,10 +27,14 @@
 // logEnd logs the end of a call and counts its result.
 func (g *Gateway) logEnd(c *call, resultLabel string, status int, out outcome) {
 	g.metrics.Count("gateway_requests", 1, "result", resultLabel, "status", strconv.Itoa(status))
+	if out.framing != "" {
+		g.metrics.Count("gateway_answers", 1, "framing", string(out.framing), "inside_event", strconv.FormatBool(out.partial > 0))
+	}
 	g.log.Write(event.RequestEnded, slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("route", c.route.Name),
 		slog.String("workspace", c.workspace.Name), slog.String("result", resultLabel), slog.Int("status", status),
 		slog.String("server", out.server),
 		slog.String("why", c.lastFailure), slog.Int("attempts", c.attempts), slog.String("last_event", c.lastEventID),
+		slog.String("framing", string(out.framing)), slog.Int("partial", out.partial),
 		slog.Duration("first", out.firstEvent), slog.Duration("pause", c.maxPause), slog.Duration("held", time.Since(c.arrivedAt)))
 }
 
@@ -41,6 +45,7 @@
 	attrs := []slog.Attr{
 		slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("why", out.reason),
 		slog.String("server", out.server), slog.Int("attempts", c.attempts), slog.Duration("took", out.took),
+		slog.String("framing", string(out.framing)), slog.Int("partial", out.partial),
 	}
 	if out.err != nil {
 		attrs = append(attrs, slog.String("error", errorKind(out.err)))
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -39,6 +39,9 @@
 		if errors.Is(err, io.EOF) && len(e) == 0 {
 			break
 		}
+		if err != nil {
+			out.partial = len(e)
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			failure := g.failure(c, err, "stream")
 			out.result, out.reason, out.connBroken, out.err = failure.result, "stream_broken", failure.connBroken, err
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -61,9 +61,11 @@
 		// connBroken reports whether the connection broke before the answer was
 		// complete.
 		connBroken bool
-		err        error         // of the connection, if it failed
-		took       time.Duration // the duration of the try
-		isolated   bool          // it ran on a server without other known suspects
+		framing    upstream.Framing // of the server's answer; empty if there was none
+		partial    int              // bytes of the event inside of which a stream ended
+		err        error            // of the connection, if it failed
+		took       time.Duration    // the duration of the try
+		isolated   bool             // it ran on a server without other known suspects
 	}
 
 	// bufferedAnswer is a server's complete answer.
@@ -313,10 +315,14 @@
 		return g.notRun(c, a)
 	}
 	c.mayHaveRun = true
+	var out outcome
 	if c.route.Kind == site.Stream && a.Status == http.StatusOK {
-		return g.relay(w, c, a, timer, g.serverHooks(c, p, c.exchange))
+		out = g.relay(w, c, a, timer, g.serverHooks(c, p, c.exchange))
+	} else {
+		out = g.collect(w, c, a)
 	}
-	return g.collect(w, c, a)
+	out.framing = a.Framing
+	return out
 }
 
 // failure converts an error of the given phase to an outcome.
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -64,6 +64,17 @@
 	readBufferBytes   = 4 << 10
 )
 
+// Framings of answers.
+const (
+	// FramedByLength and FramedByChunks tell a body that was broken off from a whole one:
+	// reading it fails.
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose has the body end with its connection. Unless the connection is reset,
+	// reading a body that was broken off doesn't fail.
+	FramedByClose Framing = "close"
+)
+
 var (
 	// ErrNotSent marks errors after which no byte of the request has left this host.
 	ErrNotSent = errors.New("nothing was sent to the backend server")
@@ -97,14 +108,18 @@
 		BeforeSend func() error
 	}
 
+	// Framing is how the end of an answer's body is marked.
+	Framing string
+
 	// Answer is the answer of a backend server. Its body is streamed. It must be
 	// closed.
 	Answer struct {
 		Status int
 		Header http.Header
 		// Length is the length of the body in bytes, or -1 if it is unknown.
-		Length int64
-		Body   io.Reader
+		Length  int64
+		Framing Framing
+		Body    io.Reader
 		// NewConnection reports that a connection was opened for the request.
 		NewConnection bool
 
@@ -250,16 +265,28 @@
 			continue
 		}
 		return &Answer{
-			Status: resp.StatusCode,
-			Header: resp.Header,
-			Length: resp.ContentLength,
-			Body:   resp.Body,
-			resp:   resp,
+			Status:  resp.StatusCode,
+			Header:  resp.Header,
+			Length:  resp.ContentLength,
+			Framing: framingOf(resp),
+			Body:    resp.Body,
+			resp:    resp,
 		}, nil
 	}
 	return nil, ErrIDMismatch
 }
 
+// framingOf returns the framing of a response. One without a body has the length 0.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByClose
+}
+
 // Finish records that the body was read to its end, so that Close may return the
 // connection to the pool.
 func (a *Answer) Finish() { a.complete = true }
--- a/daemon/upstream/upstream_test.go
+++ b/daemon/upstream/upstream_test.go
@@ -244,3 +244,29 @@
 		})
 	}
 }
+
+func TestAnswersTellTheirFraming(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answer string
+		want   upstream.Framing
+	}{
+		"length":             {okAnswer, upstream.FramedByLength},
+		"no body":            {"HTTP/1.1 204 No Content\r\n\r\n", upstream.FramedByLength},
+		"chunks":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", upstream.FramedByChunks},
+		"chunks and closing": {"HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", upstream.FramedByChunks},
+		"nothing":            {"HTTP/1.1 200 OK\r\n\r\nok", upstream.FramedByClose},
+		"HTTP/1.0":           {"HTTP/1.0 200 OK\r\n\r\nok", upstream.FramedByClose},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := serve(t, func(int) string { return tc.answer })
+			a, err := upstream.New().Send(context.Background(), addr, request())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Close()
+			if a.Framing != tc.want {
+				t.Errorf("the framing is %q, want %q", a.Framing, tc.want)
+			}
+		})
+	}
+}
