--- a/daemon/gateway/broken_test.go
+++ b/daemon/gateway/broken_test.go
@@ -218,3 +218,13 @@
 		}
 	}
 }
+
+// TestAnswerOfAnotherTypeArrivesWhole has a server answer a call of a stream by a document,
+// which has no events.
+func TestAnswerOfAnotherTypeArrivesWhole(t *testing.T) {
+	const document = `{"text": "fine"}`
+	f := start(t, plainReply(200, document, "Content-Type: application/json; charset=utf-8\r\n"))
+	if a := f.do("POST", "/stream/x", "b"); a.err != nil || a.status != 200 || a.body != document {
+		t.Errorf("got %d, %v, %q", a.status, a.err, a.body)
+	}
+}
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -176,7 +176,7 @@
 	}
 	c.attempts, c.mayHaveRun = spent, true
 	var out outcome
-	if c.route.Kind == site.Stream && a.Status == http.StatusOK {
+	if c.route.Kind == site.Stream && hasEvents(a) {
 		out = g.relay(w, c, a, timer, relayHooks{})
 	} else {
 		out = g.collectFromPeer(w, c, a)
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -446,7 +446,7 @@
 }
 
 func TestDrainRefusesCallsThatMayNotFinish(t *testing.T) {
-	f := start(t, plainReply(200, "fine"))
+	f := start(t, plainReply(200, "data: fine\n\n"))
 	now := time.Now()
 	for name, tc := range map[string]struct {
 		refuseFrom, end time.Duration
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -316,7 +316,7 @@
 	}
 	c.mayHaveRun = true
 	var out outcome
-	if c.route.Kind == site.Stream && a.Status == http.StatusOK {
+	if c.route.Kind == site.Stream && hasEvents(a) {
 		out = g.relay(w, c, a, timer, g.serverHooks(c, p, c.exchange))
 	} else {
 		out = g.collect(w, c, a)
