A broken stream to a caller of HTTP/1.0 ends by a reset

What callers saw: whatever broke off after its first event, by a reset, a missing chunk or a close, read as a complete answer to a caller of HTTP/1.0. Cause: such a caller gets no chunks; the close of its connection is the end of its answer. http.ErrAbortHandler, and the end of a process, close it like the end of a whole stream. TestStreamOfStoppedHostNeverLooksCompleteOverHTTP10 fails without the change. Why it works: from the head of a stream on, closing the connection resets it (SO_LINGER of 0), whoever closes it, also the kernel of a process that is killed. Only after the last event of a whole stream has been written is it closed in order again.

--- a/clients/web/reset.go
+++ b/clients/web/reset.go
@@ -10,3 +10,10 @@
 		_ = conn.SetLinger(0) // on failure, the connection is closed without a reset
 	}
 }
+
+// CloseInOrder undoes [ResetOnClose].
+func CloseInOrder(c net.Conn) {
+	if conn, ok := c.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(-1) // on failure, the connection has been closed already
+	}
+}
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -246,6 +246,7 @@
 		IdleTimeout:       idleTimeout,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       gateway.ConnContext,
 	}
 	ctx, e.cancel = context.WithCancel(ctx)
 	go e.serve(e.callerServer, listeners[0])
--- a/daemon/gateway/broken_test.go
+++ b/daemon/gateway/broken_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -59,7 +60,10 @@
 }
 
 // oldCaller speaks HTTP/1.0: to it the end of the connection is the end of the answer.
-func oldCaller(f *fixture, path string) answer {
+func oldCaller(f *fixture, path string) answer { return f.doOld(path, func() {}) }
+
+// doOld sends a request as a caller of HTTP/1.0, and calls begun when it has the first event.
+func (f *fixture) doOld(path string, begun func()) answer {
 	f.t.Helper()
 	c, err := net.Dial("tcp", strings.TrimPrefix(f.httpServer.URL, "http://"))
 	if err != nil {
@@ -71,8 +75,17 @@
 	if err != nil {
 		return answer{err: err}
 	}
+	first := make([]byte, len(formatEvent(1)))
+	n, err := io.ReadFull(a.Body, first)
+	begun()
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		err = nil // the answer is shorter
+	}
+	if err != nil {
+		return answer{a.StatusCode, a.Header, string(first[:n]), err, a.Close}
+	}
 	b, err := io.ReadAll(a.Body)
-	return answer{a.StatusCode, a.Header, string(b), err, a.Close}
+	return answer{a.StatusCode, a.Header, string(first[:n]) + string(b), err, a.Close}
 }
 
 // text returns the events after the given one.
@@ -228,3 +241,23 @@
 		t.Errorf("got %d, %v, %q", a.status, a.err, a.body)
 	}
 }
+
+// TestStreamOfStoppedHostNeverLooksCompleteOverHTTP10 has a host close the connections of its
+// callers while a stream is under way, as the end of its process does.
+func TestStreamOfStoppedHostNeverLooksCompleteOverHTTP10(t *testing.T) {
+	s := stream{framing: byChunks, lineEnd: "\n"}
+	s.cut = strings.Index(s.text(0), "id: 4")
+	stopped := make(chan struct{})
+	f := start(t, func(r *http.Request, w io.Writer) bool {
+		s.write(r, w)
+		<-stopped
+		return false
+	})
+	a := f.doOld("/stream/x", func() {
+		f.httpServer.CloseClientConnections()
+		close(stopped)
+	})
+	if a.status != http.StatusOK || a.err == nil {
+		t.Errorf("a stream that was broken off looks complete: %d, %q", a.status, a.body)
+	}
+}
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -49,6 +50,7 @@
 	connBroken    bool            // the connection of its last try broke
 	freshConn     bool            // send it on a new connection: a server was silent, so pooled ones may be dead
 	headSent      bool            // the head of an answer was sent to the caller
+	closeFramed   net.Conn        // the connection whose close ends a stream; nil if the stream has chunks
 	maxPause      time.Duration   // the longest time between two events
 	lastFailure   string          // reason of the last failure, for the log
 }
@@ -86,6 +88,7 @@
 		failedServers: map[string]bool{},
 		delegations:   map[uint32]bool{},
 		delegated:     d,
+		closeFramed:   closeFramed(r),
 	}
 	if d != nil {
 		c.attempts, c.counted, c.arrivedAt = d.attempts, d.counted, now.Add(-d.elapsed)
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -195,7 +195,9 @@
 	}, extra...)
 	f.gateway = gateway.New(dialect, func() gateway.State { return gateway.State{Config: f.config, Servers: f.view} },
 		upstream.New(), f.scheduler, budget, l, f.metrics, opts...)
-	f.httpServer = httptest.NewServer(f.gateway)
+	f.httpServer = httptest.NewUnstartedServer(f.gateway)
+	f.httpServer.Config.ConnContext = gateway.ConnContext
+	f.httpServer.Start()
 	t.Cleanup(f.httpServer.Close)
 	return f
 }
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -58,6 +58,11 @@
 		}
 	}
 	g.sendHead(w, c, a)
+	if err := control.Flush(); err != nil {
+		out.result, out.reason = callerGone, "caller_gone"
+		return out
+	}
+	c.endCloseFramed()
 	a.Finish()
 	out.result, out.answer = answered, &bufferedAnswer{status: a.Status}
 	return out
@@ -70,6 +75,7 @@
 	}
 	copyHeaders(w, a.Header)
 	g.setReport(w, c, originServer)
+	c.beginCloseFramed()
 	w.WriteHeader(a.Status)
 	c.headSent = true
 }
