A stream has its own framing, not the length that its first server announced

What callers saw: a stream that was resumed at another server broke off, or lost its last events, where the rest was longer or shorter than the first server had announced. Cause: the head of the first server's answer was forwarded with its Content-Length, which holds for that server's body only. Why it works: streams are forwarded in chunks (HTTP/1.0: until the close), whose end is written only after the last event of a whole stream.

--- a/daemon/gateway/broken_test.go
+++ b/daemon/gateway/broken_test.go
@@ -261,3 +261,30 @@
 		t.Errorf("a stream that was broken off looks complete: %d, %q", a.status, a.body)
 	}
 }
+
+// TestResumedStreamHasNoLengthOfItsFirstServer has the rest of a stream, from another server,
+// be longer or shorter than the first server announced.
+func TestResumedStreamHasNoLengthOfItsFirstServer(t *testing.T) {
+	for name, rest := range map[string]string{
+		"longer":  "id: 4\ndata: " + strings.Repeat("x", 200) + "\n\n",
+		"shorter": "id: 4\ndata: x\n\n",
+	} {
+		for caller, call := range map[string]caller{"HTTP/1.1": usualCaller, "HTTP/1.0": oldCaller} {
+			t.Run(name+", "+caller, func(t *testing.T) {
+				first := stream{framing: byLength, lineEnd: "\n"}
+				first.cut = strings.Index(first.text(0), "piece 4")
+				reply := func(r *http.Request, w io.Writer) bool {
+					if r.Header.Get("After-Event") == "" {
+						first.write(r, w)
+						return false
+					}
+					return plainReply(200, rest, "Content-Type: text/event-stream\r\n")(r, w)
+				}
+				want := formatEvent(1) + formatEvent(2) + formatEvent(3) + rest
+				if a := call(start(t, reply, reply), "/resume/x"); a.err != nil || a.body != want {
+					t.Errorf("got %d, %v, %q, want %q", a.status, a.err, a.body, want)
+				}
+			})
+		}
+	}
+}
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -74,6 +74,7 @@
 		return
 	}
 	copyHeaders(w, a.Header)
+	w.Header().Del("Content-Length") // the stream may be resumed at another server
 	g.setReport(w, c, originServer)
 	c.beginCloseFramed()
 	w.WriteHeader(a.Status)
