The old site's streams are relayed by whole events

What callers saw: where the old site broke a stream off inside an event, its lines ran together with the error event that reports it; a keepalive comment between two lines of an event ended the event early. Cause: the old site's stream was relayed line by line, and the end marker counted as soon as its line was there. Class: part of a message treated as a message. Why it works: the client passes on events, and drops the rest of a stream that breaks off; keepalives and the error stand between events.

--- a/clients/oldsite/oldsite.go
+++ b/clients/oldsite/oldsite.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	c := oldsite.New(web.New())
-//	err := c.Stream(ctx, addr, "/v1/completions", body, func(line []byte) error { ... })
+//	err := c.Stream(ctx, addr, "/v1/completions", body, func(event []byte) error { ... })
 package oldsite
 
 import (
@@ -19,14 +19,20 @@
 	"slipcrank.example/clients/web"
 )
 
-// maxLineBytes is the maximum length of one line of a stream.
-const maxLineBytes = 64 << 10
+const (
+	// maxLineBytes is the maximum length of one line of a stream.
+	maxLineBytes = 64 << 10
+	// maxEventBytes is the maximum length of one event of a stream.
+	maxEventBytes = 1 << 20
+)
 
 var (
 	doneLine = []byte("data: [DONE]")
 
 	// ErrTruncated is returned for a stream that ended without its end marker.
 	ErrTruncated = errors.New("the old site's stream ended without its end marker")
+	// ErrEventTooLarge is returned for a stream with an event of over 1 MiB.
+	ErrEventTooLarge = errors.New("the old site's stream has an event larger than 1 MiB")
 	// ErrNotSent is returned if nothing of a request was sent to the old site.
 	ErrNotSent = errors.New("no connection to the old site could be opened")
 )
@@ -58,10 +64,11 @@
 	return Answer{Status: a.StatusCode(), ContentType: string(a.Header.ContentType()), Body: b}, err
 }
 
-// Stream sends a request once and calls line for each line of the response, with
-// its line feed. It returns nil only if the stream had its end marker. A status other
-// than 200 is returned as a [*web.StatusError].
-func (c *Client) Stream(ctx context.Context, addr, path string, body []byte, line func([]byte) error) error {
+// Stream sends a request once and calls event for each event of the response, with the
+// empty line that ends it. It returns nil only if the stream had its end marker. What a
+// stream that breaks off holds of its next event is dropped. A status other than 200 is
+// returned as a [*web.StatusError].
+func (c *Client) Stream(ctx context.Context, addr, path string, body []byte, event func([]byte) error) error {
 	a, err := c.do(ctx, addr, path, body)
 	if err != nil {
 		return err
@@ -76,29 +83,46 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = a.CloseBodyStream() })
 	defer stop()
-	return copyLines(bufio.NewReaderSize(a.BodyStream(), maxLineBytes), line)
+	return copyEvents(bufio.NewReaderSize(a.BodyStream(), maxLineBytes), event)
 }
 
-// copyLines calls line for each line of r, and returns [ErrTruncated] if none of them
-// is the end marker.
-func copyLines(r *bufio.Reader, line func([]byte) error) error {
+// copyEvents calls event for each event of r, and returns [ErrTruncated] if none of them has
+// the end marker.
+func copyEvents(r *bufio.Reader, event func([]byte) error) error {
 	complete := false
+	var e []byte
 	for {
 		l, err := r.ReadSlice('\n')
-		if errors.Is(err, io.EOF) {
-			if !complete {
-				return ErrTruncated
-			}
+		switch {
+		case err != nil && complete:
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, io.EOF):
+			return ErrTruncated
+		case err != nil:
 			return errors.Wrap(err, "read the old site's stream")
 		}
-		complete = complete || bytes.Equal(bytes.TrimSpace(l), doneLine)
-		if err := line(l); err != nil {
+		if e = append(e, l...); len(e) > maxEventBytes {
+			return ErrEventTooLarge
+		}
+		if len(bytes.TrimRight(l, "\r\n")) > 0 {
+			continue
+		}
+		complete = complete || hasEndMarker(e)
+		if err := event(e); err != nil {
 			return err
 		}
+		e = nil
+	}
+}
+
+// hasEndMarker reports whether an event is the end marker.
+func hasEndMarker(e []byte) bool {
+	for l := range bytes.Lines(e) {
+		if bytes.Equal(bytes.TrimSpace(l), doneLine) {
+			return true
+		}
 	}
+	return false
 }
 
 // do sends a request once. The response is not returned to the pool of fasthttp,
--- a/daemon/callers/oldsite.go
+++ b/daemon/callers/oldsite.go
@@ -21,9 +21,9 @@
 	"slipcrank.example/daemon/dispatch"
 )
 
-// lineBufferSize is the number of lines of the old site's stream by which a slow
+// eventBufferSize is the number of events of the old site's stream by which a slow
 // caller may lag behind.
-const lineBufferSize = 64
+const eventBufferSize = 32
 
 // stableKey returns the key by which the site of a request is chosen: a key given by
 // the caller, or else a hash of the body, so that a repeated request goes to the same
@@ -80,21 +80,21 @@
 	return false, nil
 }
 
-// proxyStreamToOldSite relays a streamed answer line by line. If the old site breaks
+// proxyStreamToOldSite relays a streamed answer event by event. If the old site breaks
 // off the stream, the caller gets an error event and no end marker.
 func (s *Server) proxyStreamToOldSite(ctx context.Context, cancel context.CancelFunc, c *fasthttp.RequestCtx, addr string, d dispatch.Request) error {
-	lines := make(chan []byte, lineBufferSize)
+	events := make(chan []byte, eventBufferSize)
 	ended := make(chan error, 1)
 	err := s.pool.Submit(func() {
-		ended <- s.oldSite.Stream(ctx, addr, d.Path, d.Body, func(l []byte) error {
+		ended <- s.oldSite.Stream(ctx, addr, d.Path, d.Body, func(e []byte) error {
 			select {
-			case lines <- append([]byte(nil), l...):
+			case events <- e:
 				return nil
 			case <-ctx.Done():
 				return ctx.Err()
 			}
 		})
-		close(lines)
+		close(events)
 	})
 	if err != nil {
 		cancel()
@@ -105,7 +105,7 @@
 	c.SetBodyStreamWriter(func(w *bufio.Writer) {
 		defer s.inProgress.Add(-1)
 		defer cancel()
-		if !writeLines(w, lines) {
+		if !writeEvents(w, events) {
 			return
 		}
 		if err := <-ended; err != nil {
@@ -116,21 +116,18 @@
 	return nil
 }
 
-// writeLines writes lines until the channel is closed, and keepalive comments in
+// writeEvents writes events until the channel is closed, and keepalive comments in
 // between. It returns false if a write failed because the caller has disconnected.
-func writeLines(w *bufio.Writer, lines <-chan []byte) bool {
+func writeEvents(w *bufio.Writer, events <-chan []byte) bool {
 	t := time.NewTicker(keepaliveInterval)
 	defer t.Stop()
 	for {
 		select {
-		case l, ok := <-lines:
+		case e, ok := <-events:
 			if !ok {
-				return w.Flush() == nil
-			}
-			_, _ = w.Write(l)
-			if len(l) > 1 {
-				continue // flush only after the empty line that ends an event
+				return true
 			}
+			_, _ = w.Write(e)
 		case <-t.C:
 			_, _ = w.WriteString(": waiting\n\n")
 		}
