The stand-in and the soak know streams that end with their connection

Cause: the stand-ins framed every answer by chunks or a length, and the soak's callers spoke HTTP/1.1 only, so neither could find ORDER.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -59,13 +60,14 @@
 		}
 		n := lastAttempt.Add(1)
 		r.attempt, r.token = fmt.Sprintf("a%d", n), fmt.Sprintf("t%d", n)
-		w.send(t, r)
+		w.send(t, r, n%oldCallerInterval == 0)
 		w.checkAnswer(r)
 		time.Sleep(callerInterval)
 	}
 }
 
-func (w *world) send(t *http.Transport, r *request) {
+// send sends a request, and stores the answer in it.
+func (w *world) send(t *http.Transport, r *request, old bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline+2*answerSlack)
 	defer cancel()
 	d := platform.Dialect()
@@ -81,7 +83,11 @@
 	httpReq.Header.Set("Authorization", d.KeyScheme+r.key)
 	r.sentAt = time.Now()
 	defer func() { r.duration = time.Since(r.sentAt) }()
-	resp, err := t.RoundTrip(httpReq)
+	roundTrip := t.RoundTrip
+	if old {
+		roundTrip = sendOverHTTP10
+	}
+	resp, err := roundTrip(httpReq)
 	if err != nil {
 		r.incomplete = true
 		return
@@ -91,6 +97,47 @@
 	r.status, r.body, r.seal, r.incomplete = resp.StatusCode, string(body), resp.Header.Get(standin.SealHeader), err != nil
 }
 
+// sendOverHTTP10 sends a request on a connection of its own over HTTP/1.0: the end of the
+// connection may be the end of the answer.
+func sendOverHTTP10(r *http.Request) (*http.Response, error) {
+	c, err := (&net.Dialer{Timeout: time.Second}).DialContext(r.Context(), "tcp", r.URL.Host)
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(r.Context(), func() { _ = c.Close() })
+	fail := func(err error) (*http.Response, error) {
+		stop()
+		_ = c.Close()
+		return nil, err
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return fail(err)
+	}
+	fmt.Fprintf(c, "%s %s HTTP/1.0\r\nHost: %s\r\nContent-Length: %d\r\n", r.Method, r.URL.RequestURI(), r.Host, len(body))
+	_ = r.Header.Write(c) // reading the answer fails, too
+	_, _ = c.Write(append([]byte("\r\n"), body...))
+	resp, err := http.ReadResponse(bufio.NewReader(c), r)
+	if err != nil {
+		return fail(err)
+	}
+	resp.Body = &connBody{resp.Body, c, stop}
+	return resp, nil
+}
+
+// connBody is the body of an answer on a connection of its own.
+type connBody struct {
+	io.ReadCloser
+	conn net.Conn
+	stop func() bool
+}
+
+// Close closes the connection.
+func (b *connBody) Close() error {
+	b.stop()
+	return b.conn.Close()
+}
+
 // checkAnswer checks the answer to one request, and stores the request for the
 // checks at the end of the run.
 func (w *world) checkAnswer(r *request) {
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -65,7 +65,11 @@
 	// between must have been undisturbed before the host is required to send
 	// nothing to leaving servers.
 	undisturbedTime = 3 * time.Second
-	answerFaultRate = 0.05 // share of answers that are lost or truncated while a fault lasts
+	// Every unframedInterval-th stream of a server ends with its connection, and every
+	// oldCallerInterval-th request is sent over HTTP/1.0.
+	unframedInterval  = 2
+	oldCallerInterval = 4
+	answerFaultRate   = 0.3 // share of answers that are lost or truncated while a fault lasts
 )
 
 // Options configures a run.
@@ -234,6 +238,11 @@
 	defer s.mu.Unlock()
 	s.serverID = fmt.Sprintf("s%d-%d", s.number, len(s.servers)+1)
 	s.server = standin.NewServer(s.serverID, service)
+	streams := 0
+	s.server.SetUnframed(func() bool {
+		streams++
+		return streams%unframedInterval == 0
+	})
 	s.servers, s.startTimes = append(s.servers, s.server), append(s.startTimes, time.Now())
 	s.httpServer = &http.Server{Handler: s.server}
 	s.closed = make(chan struct{})
@@ -284,7 +293,7 @@
 		for {
 			r := &request{kind: "safe", key: w.validKey(), host: h}
 			r.attempt, r.token = fmt.Sprintf("p%d", lastAttempt.Add(1)), "probe"
-			w.send(t, r)
+			w.send(t, r, false)
 			if r.status == http.StatusOK && !r.incomplete {
 				break
 			}
