SC1411 tells where a configuration has spent its time

Cause: the logs couldn't tell a configuration that waited in the buffers between two hosts from one that waited for a processor. Change: an update between hosts has the time of its sending; SC1411 has the row's bytes, its age, the transit from host to host and the time until it was in force. Nothing decides by them.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -158,6 +158,7 @@
 			return errors.New("the stream was too slow; subscribe again")
 		}
 		for _, v := range coalesce(u, updates) {
+			v.Sent, _ = s.watcher.PlatformClock()
 			if err := stream.SendMsg(&v); err != nil {
 				return err
 			}
--- a/daemon/watch/apply.go
+++ b/daemon/watch/apply.go
@@ -151,14 +151,29 @@
 			continue
 		}
 		w.config, w.configRevision, w.configValue = c, row.Revision, row.Value
-		w.log.Write(event.ConfigInForce, slog.Int64("version", c.Version()), slog.Int64("revision", feed.Counter(row.Revision)),
-			slog.Int64("era", feed.Era(row.Revision)))
+		w.logConfigInForce(*r, row)
 		changed = true
 	}
 	r.batch.Rows = rows
 	return changed
 }
 
+// logConfigInForce logs the configuration in force, and where its row has spent its time since
+// the platform had it.
+func (w *Watcher) logConfigInForce(r read, row feed.Row) {
+	attrs := []slog.Attr{
+		slog.Int64("version", w.config.Version()), slog.Int64("revision", feed.Counter(row.Revision)), slog.Int64("era", feed.Era(row.Revision)),
+		slog.Int("bytes", len(row.Value)), slog.Bool("told", r.relayed),
+	}
+	if age, known := w.platformClock.Age(r.batch.Stamp, w.Now()); known {
+		attrs = append(attrs, slog.Duration("age", age))
+	}
+	if r.relayed {
+		attrs = append(attrs, slog.Duration("transit", r.transit), slog.Duration("applied_in", w.Now()-r.received))
+	}
+	w.log.Write(event.ConfigInForce, attrs...)
+}
+
 // isOtherConfig reports whether a row is a configuration, and not the row in force.
 func (w *Watcher) isOtherConfig(row feed.Row) bool {
 	return row.Key == w.tables.ConfigKey && !row.Gone && row.Revision != w.configRevision
--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -33,6 +33,9 @@
 		// Clock is an upper bound on the reading of the platform's monotonic clock at
 		// the time of sending. Only the first updates to a subscriber have it.
 		Clock time.Duration `cbor:"7,keyasint,omitempty"`
+		// Sent is the reading of the platform's monotonic clock at which the update was
+		// sent, 0 if the sender doesn't know it.
+		Sent time.Duration `cbor:"9,keyasint,omitempty"`
 	}
 
 	// table holds the known rows of a table, for new subscribers.
@@ -76,12 +79,17 @@
 	if u.Clock > 0 {
 		w.platformClock.Observe(sent, u.Clock)
 	}
-	w.deliver(ctx, read{
+	r := read{
 		table:    u.Table,
 		batch:    feed.Batch{Rows: u.Rows, Revision: u.Revision, Stamp: u.Stamp},
 		complete: u.Complete,
 		relayed:  true, returned: u.Returned,
-	})
+		received: w.Now(),
+	}
+	if u.Sent > 0 {
+		r.transit, _ = w.Age(u.Sent)
+	}
+	w.deliver(ctx, r)
 }
 
 // ObserveClock records a reading of the platform's monotonic clock from the answer to
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -191,6 +191,8 @@
 		// returned is the stamp at which the platform last returned, according to that
 		// host.
 		returned time.Duration
+		received time.Duration // local time at which an update of another host arrived
+		transit  time.Duration // from the sending of that update to its arrival
 	}
 )
 
