--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,8 +30,19 @@
 // the given function returns. If the function is nil or the version negative, the
 // platform doesn't answer.
 func newWatcher(t *testing.T, version func() int) *watch.Watcher {
+	t.Helper()
+	return newWatcherOf(t, version, 1)
+}
+
+// newWatcherOf does what newWatcher does, with configurations of at least the given size.
+// Between two versions only the number of the version changes.
+func newWatcherOf(t *testing.T, version func() int, bytes int) *watch.Watcher {
 	t.Helper()
 	start := time.Now()
+	rest := []byte{' '}
+	for random := rand.New(rand.NewPCG(1, 1)); len(rest) < bytes; {
+		rest = strconv.AppendUint(rest, random.Uint64(), 36)
+	}
 	answer := func(table string) (feed.Batch, error) {
 		if version == nil {
 			return feed.Batch{}, io.ErrUnexpectedEOF
@@ -40,7 +53,7 @@
 		}
 		b := feed.Batch{Revision: int64(v), Stamp: time.Since(start) + time.Hour}
 		if table == "configs" {
-			b.Rows = []feed.Row{{Key: "config", Value: []byte(strconv.Itoa(v)), Revision: int64(v)}}
+			b.Rows = []feed.Row{{Key: "config", Value: append(strconv.AppendInt(nil, int64(v), 10), rest...), Revision: int64(v)}}
 		}
 		return b, nil
 	}
@@ -58,7 +71,8 @@
 		watch.Tables{Config: "configs", ConfigKey: "config", Servers: "servers", Hosts: "hosts", PollWait: time.Second},
 		watch.Decoders{
 			Config: func(b []byte) (*site.Config, error) {
-				n, err := strconv.ParseInt(string(b), 10, 64)
+				version, _, _ := strings.Cut(string(b), " ")
+				n, err := strconv.ParseInt(version, 10, 64)
 				return site.New(n, nil, nil, nil, site.Limits{}), err
 			},
 			Server: func(key string, _ []byte) (backend.Server, error) { return backend.Server{ID: key}, nil },
--- /dev/null
+++ b/daemon/relay/slow_test.go
@@ -0,0 +1,96 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"slipcrank.example/core/pause"
+)
+
+// slowLink forwards the connections that it accepts to a server, and passes on a limited
+// number of bytes a second of what the server sends. It returns its address.
+func slowLink(t *testing.T, server string, bytesPerSecond int) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			client, err := l.Accept()
+			if err != nil {
+				return
+			}
+			upstream, err := net.Dial("tcp", server)
+			if err != nil {
+				_ = client.Close()
+				continue
+			}
+			go copyAndClose(upstream, client)
+			go copyAndClose(client, &slowReader{upstream, bytesPerSecond})
+		}
+	}()
+	return l.Addr().String()
+}
+
+func copyAndClose(to net.Conn, from io.Reader) {
+	_, _ = io.Copy(to, from) // ends with the test
+	_ = to.Close()
+}
+
+// slowReader reads a limited number of bytes a second.
+type slowReader struct {
+	io.Reader
+	bytesPerSecond int
+}
+
+// Read implements [io.Reader].
+func (r *slowReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b[:min(len(b), 4<<10)])
+	_ = pause.For(context.Background(), time.Duration(n)*time.Second/time.Duration(r.bytesPerSecond)) // never ends early
+	return n, err
+}
+
+// TestSmallChangesOfLargeConfigurationOnSlowLink has a large configuration change a little,
+// faster than a link can pass on the whole of it. What a change costs must depend on its own
+// size.
+func TestSmallChangesOfLargeConfigurationOnSlowLink(t *testing.T) {
+	const (
+		configBytes    = 40_000
+		bytesPerSecond = 100_000
+		versions       = 60
+		changeInterval = 50 * time.Millisecond
+		maxDelay       = 400 * time.Millisecond // as long as the whole takes
+	)
+	var current atomic.Int64
+	current.Store(1)
+	source := newWatcherOf(t, func() int { return int(current.Load()) }, configBytes)
+	host := newWatcher(t, nil)
+	receive(t, host, slowLink(t, serve(t, source), bytesPerSecond))
+	eventually(t, "the host has the first configuration", hasConfig(host, 1))
+	written := map[int64]time.Time{}
+	var slowest time.Duration
+	next := time.Now()
+	for v := int64(1); len(written) > 0 || v < versions; {
+		if now := time.Now(); v < versions && !now.Before(next) {
+			v, next = v+1, next.Add(changeInterval)
+			current.Store(v)
+			written[v] = now
+		}
+		for w, at := range written {
+			if host.State().Config.Version() >= w {
+				slowest = max(slowest, time.Since(at))
+				delete(written, w)
+			}
+		}
+		_ = pause.For(context.Background(), pollInterval) // never ends early
+	}
+	if slowest > maxDelay {
+		t.Errorf("a change took %v, want at most %v", slowest, maxDelay)
+	}
+}
