Tests of relays share one proxy

Cause: the test of slow links had brought a second accept loop beside that of slow openings. Change: one proxy with an opening delay and a limit of bytes a second. Measured: the package's tests pass.

--- a/daemon/relay/opening_test.go
+++ b/daemon/relay/opening_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"os"
@@ -9,15 +10,21 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/pause"
 )
 
-// openingDelay is how long a slow proxy waits until it forwards anything on a new
-// connection.
+// openingDelay is how long a new connection takes to open.
 const openingDelay = 1500 * time.Millisecond
 
-// startSlowProxy starts a proxy that forwards connections to an address after
-// openingDelay, and returns its own address.
-func startSlowProxy(t *testing.T, to string) string {
+// proxy is what lies between two hosts.
+type proxy struct {
+	openingDelay   time.Duration // until it forwards anything on a new connection
+	bytesPerSecond int           // of what the server sends, 0 for no limit
+}
+
+// start starts the proxy before an address, and returns its own address.
+func (p proxy) start(t *testing.T, to string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,29 +37,46 @@
 			if err != nil {
 				return
 			}
-			time.AfterFunc(openingDelay, func() { forward(c, to) })
+			time.AfterFunc(p.openingDelay, func() { p.forward(c, to) })
 		}
 	}()
 	return l.Addr().String()
 }
 
 // forward forwards a connection to an address until either side closes it.
-func forward(c net.Conn, to string) {
+func (p proxy) forward(c net.Conn, to string) {
 	d, err := net.Dial("tcp", to)
 	if err != nil {
 		_ = c.Close()
 		return
 	}
 	go func() { _, _ = io.Copy(d, c) }() // ends when the connection is closed
-	_, _ = io.Copy(c, d)
+	var answers io.Reader = d
+	if p.bytesPerSecond > 0 {
+		answers = &slowReader{d, p.bytesPerSecond}
+	}
+	_, _ = io.Copy(c, answers)
 	_ = c.Close()
 }
 
+// slowReader reads a limited number of bytes a second.
+type slowReader struct {
+	io.Reader
+	bytesPerSecond int
+}
+
+// Read implements [io.Reader].
+func (r *slowReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b[:min(len(b), 4<<10)])
+	_ = pause.For(context.Background(), time.Duration(n)*time.Second/time.Duration(r.bytesPerSecond)) // never ends early
+	return n, err
+}
+
 // TestSlowConnectionSetupDoesNotAgeProofs has a host receive updates over a connection
 // that takes long to open, which must not add to the age of the proofs.
 func TestSlowConnectionSetupDoesNotAgeProofs(t *testing.T) {
 	reader, last := newWatcher(t, func() int { return 3 }), newWatcher(t, nil)
-	receive(t, last, startSlowProxy(t, serve(t, reader)))
+	receive(t, last, proxy{openingDelay: openingDelay}.start(t, serve(t, reader)))
 	eventually(t, "the last host has the configuration", hasConfig(last, 3))
 	eventually(t, "the last host has a proof that is fresh", func() bool {
 		age, ok := last.ConfigAge()
@@ -114,7 +138,7 @@
 				return
 			}
 			if n > 0 { // the first one was opened to fill the queue
-				go forward(c, to)
+				go proxy{}.forward(c, to)
 			}
 		}
 	})
--- a/daemon/relay/slow_test.go
+++ b/daemon/relay/slow_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"testing"
 	"time"
@@ -14,51 +12,6 @@
 	"slipcrank.example/daemon/watch"
 )
 
-// slowLink forwards the connections that it accepts to a server, and passes on a limited
-// number of bytes a second of what the server sends. It returns its address.
-func slowLink(t *testing.T, server string, bytesPerSecond int) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			client, err := l.Accept()
-			if err != nil {
-				return
-			}
-			upstream, err := net.Dial("tcp", server)
-			if err != nil {
-				_ = client.Close()
-				continue
-			}
-			go copyAndClose(upstream, client)
-			go copyAndClose(client, &slowReader{upstream, bytesPerSecond})
-		}
-	}()
-	return l.Addr().String()
-}
-
-func copyAndClose(to net.Conn, from io.Reader) {
-	_, _ = io.Copy(to, from) // ends with the test
-	_ = to.Close()
-}
-
-// slowReader reads a limited number of bytes a second.
-type slowReader struct {
-	io.Reader
-	bytesPerSecond int
-}
-
-// Read implements [io.Reader].
-func (r *slowReader) Read(b []byte) (int, error) {
-	n, err := r.Reader.Read(b[:min(len(b), 4<<10)])
-	_ = pause.For(context.Background(), time.Duration(n)*time.Second/time.Duration(r.bytesPerSecond)) // never ends early
-	return n, err
-}
-
 // configSource is a host that is told of configurations of a given size.
 type configSource struct {
 	*watch.Watcher
@@ -96,7 +49,7 @@
 	)
 	source, host := newConfigSource(t, configBytes), newWatcher(t, nil)
 	source.put(1)
-	receive(t, host, slowLink(t, serve(t, source.Watcher), bytesPerSecond))
+	receive(t, host, proxy{bytesPerSecond: bytesPerSecond}.start(t, serve(t, source.Watcher)))
 	eventually(t, "the host has the first configuration", hasConfig(host, 1))
 	written := map[int64]time.Time{}
 	var slowest time.Duration
