Broken streams, read again: a name, and the gateway's usage

Cause: a function had the name of a field, and the usage lacked what callers of HTTP/1.0 need. Change: names and comments.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -88,7 +88,7 @@
 		failedServers: map[string]bool{},
 		delegations:   map[uint32]bool{},
 		delegated:     d,
-		closeFramed:   closeFramed(r),
+		closeFramed:   closeFramedConn(r),
 	}
 	if d != nil {
 		c.attempts, c.counted, c.arrivedAt = d.attempts, d.counted, now.Add(-d.elapsed)
--- a/daemon/gateway/close.go
+++ b/daemon/gateway/close.go
@@ -18,9 +18,9 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// closeFramed returns the connection of a request if a stream in answer to it ends with the
+// closeFramedConn returns the connection of a request if a stream in answer to it ends with the
 // connection, and nil otherwise.
-func closeFramed(r *http.Request) net.Conn {
+func closeFramedConn(r *http.Request) net.Conn {
 	if r.ProtoAtLeast(1, 1) {
 		return nil // gets chunks
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -11,7 +11,7 @@
 // # Usage
 //
 //	g := gateway.New(dialect, watcher.State, pool, scheduler, ...)
-//	http.Server{Handler: g}
+//	http.Server{Handler: g, ConnContext: gateway.ConnContext}
 package gateway
 
 import (
