Packed values, read again: a test of large ones, the package comment

Cause: values of 2 MB were packed but never unpacked in a test. Change: that test, and the order of the package comment.

--- a/daemon/relay/pack_test.go
+++ b/daemon/relay/pack_test.go
@@ -74,13 +74,17 @@
 func TestChangeCostsBytesOfTheChange(t *testing.T) {
 	const maxShare = 0.002 // of the whole value
 	for _, entries := range []int{1000, 10_000, 50_000} {
-		p := newPacker(newPackings())
+		p, u := newPacker(newPackings()), newUnpacker()
 		size := func(value []byte) int {
 			m, err := p.pack(watch.Update{Table: "configs", Rows: []feed.Row{{Key: "k", Value: value}}})
 			if err != nil {
 				t.Fatal(err)
 			}
-			return len(m.Packed[0].Data)
+			n := len(m.Packed[0].Data)
+			if got, err := u.unpack(m); err != nil || !bytes.Equal(got.Rows[0].Value, value) {
+				t.Fatalf("%d entries didn't arrive: %v", entries, err)
+			}
+			return n
 		}
 		size(valueOf(entries, 1))
 		value := valueOf(entries, 2)
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -4,11 +4,13 @@
 //
 // A stream starts with all rows of the tables whose digests differ between server
 // and client, and continues with each change and each proof that nothing has
-// changed. A large value, such as the configuration, is sent as its difference to the
-// one that the same stream had before, so that a change costs the bytes of the change. Each update carries the reading of the platform's monotonic clock at
+// changed. Each update carries the reading of the platform's monotonic clock at
 // which it was true. The client can therefore determine its age as if it had asked
 // the platform itself, however many hosts have forwarded it.
 //
+// A large value, such as the configuration, is sent as its difference to the one that
+// the same stream had before, so that a change costs the bytes of the change.
+//
 // The transport is gRPC with messages in CBOR, which needs no generated code.
 //
 // # Usage
