--- a/daemon/gateway/broken_test.go
+++ b/daemon/gateway/broken_test.go
@@ -94,11 +94,6 @@
 	return strings.ReplaceAll(all, "\n", s.lineEnd)
 }
 
-// offset returns the offset of a part of the first answer.
-func (s stream) offset(part string) int {
-	return strings.Index(s.text(0), strings.ReplaceAll(part, "\n", s.lineEnd))
-}
-
 // write writes the events after the one that the request names, broken off at the cut.
 func (s stream) write(r *http.Request, w io.Writer) {
 	after, _ := strconv.Atoi(r.Header.Get("After-Event"))
