A fuzz test of packed values

Cause: values between hosts are differences now; a garbled one must not be taken for another value. Change: FuzzUnpack, seeded with three messages.

--- a/daemon/relay/pack_test.go
+++ b/daemon/relay/pack_test.go
@@ -116,3 +116,43 @@
 		t.Errorf("error %v, want errWrongBase", err)
 	}
 }
+
+// FuzzUnpack checks that a message that another host has garbled is rejected or gives an
+// update, and that no value is taken for another one.
+func FuzzUnpack(f *testing.F) {
+	p := newPacker(newPackings())
+	c := encoding.GetCodec(codec.Name)
+	first := valueOf(400, 1)
+	for n := range 3 {
+		m, err := p.pack(watch.Update{Table: "configs", Rows: []feed.Row{{Key: "k", Value: valueOf(400, n+1)}}})
+		if err != nil {
+			f.Fatal(err)
+		}
+		b, err := c.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m message
+		if err := c.Unmarshal(b, &m); err != nil {
+			return
+		}
+		u := newUnpacker()
+		u.values[rowID{"configs", "k"}] = first
+		got, err := u.unpack(&m)
+		if err != nil {
+			return
+		}
+		digests := map[int]uint64{} // the last one of each row counts
+		for _, v := range m.Packed {
+			digests[v.Row] = v.Digest
+		}
+		for row, digest := range digests {
+			if digestOf(got.Rows[row].Value) != digest {
+				t.Errorf("row %d has another value than was sent", row)
+			}
+		}
+	})
+}
