A test of the platform's return doesn't race a poll

Its first update of another host came at the very moment at which a poll that had begun before ended, so both had the same stamp; where the poll came first, the update was no newer than what was known, and its server was never listed. Change: the test begins half a second later; what it checks is the same.

--- a/daemon/watch/return_test.go
+++ b/daemon/watch/return_test.go
@@ -41,7 +41,7 @@
 		t.Run(name, func(t *testing.T) {
 			runWatcher(t, func(s *fakeStore, w *watch.Watcher) {
 				w.SetPolling(watch.PollNothing, time.Second)
-				sleep(time.Second)
+				sleep(1500 * time.Millisecond) // a poll that began before has ended after 1 s
 				clock := func() time.Duration { return time.Since(s.start) + time.Hour }
 				relay := func(table string, returned time.Duration, rows ...feed.Row) {
 					w.Receive(context.Background(), watch.Update{
