--- a/clients/oldsite/oldsite_test.go
+++ b/clients/oldsite/oldsite_test.go
@@ -12,8 +12,7 @@
 	"slipcrank.example/clients/web"
 )
 
-// TestBrokenStreamOfTheOldSiteNeverLooksComplete has the old site break a stream off, in each
-// framing and at any byte.
+// TestBrokenStreamOfTheOldSiteNeverLooksComplete cuts a stream at each byte, in each framing.
 func TestBrokenStreamOfTheOldSiteNeverLooksComplete(t *testing.T) {
 	const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: [DONE]\n\n"
 	heads := map[string]string{
--- a/daemon/gateway/broken_test.go
+++ b/daemon/gateway/broken_test.go
@@ -227,8 +227,7 @@
 	}
 }
 
-// TestAnswerOfAnotherTypeArrivesWhole has a server answer a call of a stream by a document,
-// which has no events.
+// TestAnswerOfAnotherTypeArrivesWhole: a document in answer to a call of a stream has no events.
 func TestAnswerOfAnotherTypeArrivesWhole(t *testing.T) {
 	const document = `{"text": "fine"}`
 	f := start(t, plainReply(200, document, "Content-Type: application/json; charset=utf-8\r\n"))
@@ -237,8 +236,7 @@
 	}
 }
 
-// TestStreamOfStoppedHostNeverLooksCompleteOverHTTP10 has a host close the connections of its
-// callers while a stream is under way, as the end of its process does.
+// TestStreamOfStoppedHostNeverLooksCompleteOverHTTP10: a host's end closes its callers' connections.
 func TestStreamOfStoppedHostNeverLooksCompleteOverHTTP10(t *testing.T) {
 	s := stream{framing: byChunks, lineEnd: "\n"}
 	s.cut = strings.Index(s.text(0), "id: 4")
@@ -257,8 +255,7 @@
 	}
 }
 
-// TestResumedStreamHasNoLengthOfItsFirstServer has the rest of a stream, from another server,
-// be longer or shorter than the first server announced.
+// TestResumedStreamHasNoLengthOfItsFirstServer: the rest may be longer or shorter than announced.
 func TestResumedStreamHasNoLengthOfItsFirstServer(t *testing.T) {
 	for name, rest := range map[string]string{
 		"longer":  "id: 4\ndata: " + strings.Repeat("x", 200) + "\n\n",
