--- a/daemon/relay/pack_test.go
+++ b/daemon/relay/pack_test.go
@@ -69,8 +69,7 @@
 	properties.TestingRun(t)
 }
 
-// TestChangeCostsBytesOfTheChange changes one entry of large values. What is sent must not
-// grow with the value by more than the few bytes that skip an unchanged part of it.
+// TestChangeCostsBytesOfTheChange allows for the few bytes that skip an unchanged part.
 func TestChangeCostsBytesOfTheChange(t *testing.T) {
 	const maxShare = 0.002 // of the whole value
 	for _, entries := range []int{1000, 10_000, 50_000} {
@@ -94,8 +93,7 @@
 	}
 }
 
-// TestValueWithoutItsBaseIsRejected has a client miss a message: what follows must not be
-// taken for a difference to the value that it has.
+// TestValueWithoutItsBaseIsRejected has a client miss a message.
 func TestValueWithoutItsBaseIsRejected(t *testing.T) {
 	p, u := newPacker(newPackings()), newUnpacker()
 	var messages []*message
--- a/daemon/relay/slow_test.go
+++ b/daemon/relay/slow_test.go
@@ -36,9 +36,7 @@
 	s.Receive(context.Background(), u, s.Now())
 }
 
-// TestSmallChangesOfLargeConfigurationOnSlowLink has a large configuration change a little,
-// faster than a link can pass on the whole of it. What a change costs must depend on its own
-// size.
+// TestSmallChangesOfLargeConfigurationOnSlowLink: changes come faster than the link passes on the whole.
 func TestSmallChangesOfLargeConfigurationOnSlowLink(t *testing.T) {
 	const (
 		configBytes    = 40_000
