A line that fills the read buffer doesn't end its event

What callers saw: nothing was reported. A stream that a server broke off right behind a line of exactly 8,192 bytes, or a multiple, looked complete. Cause: readEvent read such a line in two parts, the second of which is the line feed alone, and took that for the empty line that ends an event. Why it works: what is compared with the empty line is the whole line, from its start, however many reads it took. The bound of 1 MiB is the same.

--- a/daemon/gateway/events.go
+++ b/daemon/gateway/events.go
@@ -63,24 +63,21 @@
 // what it has read of the event.
 func readEvent(r *bufio.Reader) ([]byte, error) {
 	var e []byte
+	lineStart := 0
 	for {
-		line, err := r.ReadSlice('\n')
-		e = append(e, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			err = nil
-			if len(e) <= maxEventBytes {
-				continue
-			}
-		}
-		if err != nil {
-			return e, err
-		}
-		if len(e) > maxEventBytes {
+		part, err := r.ReadSlice('\n')
+		e = append(e, part...)
+		switch {
+		case len(e) > maxEventBytes:
 			return e, errEventTooLarge
-		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue // the rest of the line follows
+		case err != nil:
+			return e, err
+		case len(bytes.TrimRight(e[lineStart:], "\r\n")) == 0:
 			return e, nil
 		}
+		lineStart = len(e)
 	}
 }
 
--- a/daemon/gateway/events_internal_test.go
+++ b/daemon/gateway/events_internal_test.go
@@ -44,3 +44,19 @@
 		}
 	})
 }
+
+// TestLineThatFillsTheBufferDoesNotEndItsEvent cuts streams right after lines about as long as the read buffer.
+func TestLineThatFillsTheBufferDoesNotEndItsEvent(t *testing.T) {
+	for _, n := range []int{readBufferBytes - 1, readBufferBytes, readBufferBytes + 1, 2*readBufferBytes - 1, 2 * readBufferBytes} {
+		for _, lineEnd := range []string{"\n", "\r\n"} {
+			line := "data: " + strings.Repeat("x", n-len("data: ")) + lineEnd
+			r := newEventReader(&upstream.Answer{Body: strings.NewReader("id: 1\n\n" + line), Framing: upstream.FramedByClose})
+			if _, err := r.next(); err != nil {
+				t.Fatal(err)
+			}
+			if e, err := r.next(); !errors.Is(err, errInsideEvent) {
+				t.Errorf("a line of %d bytes and %q: got an event of %d bytes, %v, want errInsideEvent", n, lineEnd, len(e), err)
+			}
+		}
+	}
+}
