One reader of events for servers and for the old site

Cause: the change had written the loop that reads an event a second time, in the client of the old site, beside that of the gateway. Change: web.ReadEvent serves both; each keeps its bounds (1 MiB an event, 64 KiB a line of the old site). Behaviour and tests are as before. Measured: the tests of the gateway, the old site and its callers pass.

--- a/clients/oldsite/oldsite.go
+++ b/clients/oldsite/oldsite.go
@@ -19,20 +19,14 @@
 	"slipcrank.example/clients/web"
 )
 
-const (
-	// maxLineBytes is the maximum length of one line of a stream.
-	maxLineBytes = 64 << 10
-	// maxEventBytes is the maximum length of one event of a stream.
-	maxEventBytes = 1 << 20
-)
+// maxLineBytes is the maximum length of one line of a stream.
+const maxLineBytes = 64 << 10
 
 var (
 	doneLine = []byte("data: [DONE]")
 
 	// ErrTruncated is returned for a stream that ended without its end marker.
 	ErrTruncated = errors.New("the old site's stream ended without its end marker")
-	// ErrEventTooLarge is returned for a stream with an event of over 1 MiB.
-	ErrEventTooLarge = errors.New("the old site's stream has an event larger than 1 MiB")
 	// ErrNotSent is returned if nothing of a request was sent to the old site.
 	ErrNotSent = errors.New("no connection to the old site could be opened")
 )
@@ -83,16 +77,14 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = a.CloseBodyStream() })
 	defer stop()
-	return copyEvents(bufio.NewReaderSize(a.BodyStream(), maxLineBytes), event)
+	return copyEvents(bufio.NewReader(a.BodyStream()), event)
 }
 
 // copyEvents calls event for each event of r, and returns [ErrTruncated] if none of them has
 // the end marker.
 func copyEvents(r *bufio.Reader, event func([]byte) error) error {
-	complete := false
-	var e []byte
-	for {
-		l, err := r.ReadSlice('\n')
+	for complete := false; ; {
+		e, err := web.ReadEvent(r, maxLineBytes)
 		switch {
 		case err != nil && complete:
 			return nil
@@ -101,17 +93,10 @@
 		case err != nil:
 			return errors.Wrap(err, "read the old site's stream")
 		}
-		if e = append(e, l...); len(e) > maxEventBytes {
-			return ErrEventTooLarge
-		}
-		if len(bytes.TrimRight(l, "\r\n")) > 0 {
-			continue
-		}
 		complete = complete || hasEndMarker(e)
 		if err := event(e); err != nil {
 			return err
 		}
-		e = nil
 	}
 }
 
--- a/daemon/gateway/events.go
+++ b/daemon/gateway/events.go
@@ -10,18 +10,16 @@
 
 	"github.com/cockroachdb/errors"
 
+	"slipcrank.example/clients/web"
 	"slipcrank.example/daemon/upstream"
 )
 
 const (
-	// maxEventBytes bounds the size of one stream event.
-	maxEventBytes   = 1 << 20
 	readBufferBytes = 8 << 10
 	eventStreamType = "text/event-stream"
 )
 
 var (
-	errEventTooLarge = errors.New("stream event larger than 1 MiB")
 	// errInsideEvent and errNoEvent report streams that ended without an error of the
 	// connection, but were broken off.
 	errInsideEvent = errors.Wrap(io.ErrUnexpectedEOF, "stream ended inside an event")
@@ -45,7 +43,7 @@
 // next returns the next event including the empty line that ends it. It returns io.EOF only
 // at the end of a whole stream.
 func (r *eventReader) next() ([]byte, error) {
-	e, err := readEvent(r.lines)
+	e, err := web.ReadEvent(r.lines, web.MaxEventBytes)
 	switch {
 	case err == nil:
 		r.events++
@@ -59,28 +57,6 @@
 	return nil, err
 }
 
-// readEvent reads one event including the empty line that ends it. With an error it returns
-// what it has read of the event.
-func readEvent(r *bufio.Reader) ([]byte, error) {
-	var e []byte
-	lineStart := 0
-	for {
-		part, err := r.ReadSlice('\n')
-		e = append(e, part...)
-		switch {
-		case len(e) > maxEventBytes:
-			return e, errEventTooLarge
-		case errors.Is(err, bufio.ErrBufferFull):
-			continue // the rest of the line follows
-		case err != nil:
-			return e, err
-		case len(bytes.TrimRight(e[lineStart:], "\r\n")) == 0:
-			return e, nil
-		}
-		lineStart = len(e)
-	}
-}
-
 // eventID returns the numeric ID of an event, or "" if it has none.
 func eventID(e []byte) string {
 	for line := range bytes.Lines(e) {
