--- a/daemon/relay/pack.go
+++ b/daemon/relay/pack.go
@@ -1,13 +1,13 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/klauspost/compress/zstd"
 
-	"slipcrank.example/core/feed"
 	"slipcrank.example/daemon/watch"
 )
 
@@ -78,7 +78,7 @@
 			continue
 		}
 		if m.Packed == nil {
-			m.Rows = append([]feed.Row(nil), u.Rows...)
+			m.Rows = slices.Clone(u.Rows)
 		}
 		id := rowID{u.Table, r.Key}
 		v, err := p.packings.get(p.values[id], r.Value)
