The digest of a base is kept with it

Cause: each message to each client hashed the value that the client had, which was hashed when it was sent, and each client did the same again: at a source with 38 clients 11 MB for a configuration of 300 KB. Change: the digest is stored beside the value on both sides.

--- a/daemon/relay/pack.go
+++ b/daemon/relay/pack.go
@@ -39,15 +39,21 @@
 	// rowID identifies a row on a stream.
 	rowID struct{ table, key string }
 
+	// base is the last value of a row on a stream, empty for none, and its digest.
+	base struct {
+		value  []byte
+		digest uint64
+	}
+
 	// packer packs the values of one stream.
 	packer struct {
-		values   map[rowID][]byte // that the client has
+		bases    map[rowID]base // that the client has
 		packings *packings
 	}
 
 	// unpacker unpacks the values of one stream.
 	unpacker struct {
-		values map[rowID][]byte
+		bases map[rowID]base
 	}
 
 	// packings keeps the newest packings. It is safe for concurrent use.
@@ -66,9 +72,9 @@
 
 func newPackings() *packings { return &packings{data: map[packingID][]byte{}} }
 
-func newPacker(p *packings) *packer { return &packer{values: map[rowID][]byte{}, packings: p} }
+func newPacker(p *packings) *packer { return &packer{bases: map[rowID]base{}, packings: p} }
 
-func newUnpacker() *unpacker { return &unpacker{values: map[rowID][]byte{}} }
+func newUnpacker() *unpacker { return &unpacker{bases: map[rowID]base{}} }
 
 // pack returns the message for an update, which it leaves unchanged.
 func (p *packer) pack(u watch.Update) (*message, error) {
@@ -81,12 +87,12 @@
 			m.Rows = slices.Clone(u.Rows)
 		}
 		id := rowID{u.Table, r.Key}
-		v, err := p.packings.get(p.values[id], r.Value)
+		v, err := p.packings.get(p.bases[id], r.Value)
 		if err != nil {
 			return nil, err
 		}
 		v.Row = i
-		p.values[id], m.Rows[i].Value = r.Value, nil
+		p.bases[id], m.Rows[i].Value = base{r.Value, v.Digest}, nil
 		m.Packed = append(m.Packed, v)
 	}
 	return m, nil
@@ -100,31 +106,31 @@
 			return watch.Update{}, errors.Newf("packed value of row %d of %d", v.Row, len(m.Rows))
 		}
 		id := rowID{m.Table, m.Rows[v.Row].Key}
-		base := p.values[id]
-		if digestOf(base) != v.Base {
+		last := p.bases[id]
+		if last.digest != v.Base {
 			return watch.Update{}, errWrongBase
 		}
-		value, err := decompress(base, v.Data)
+		value, err := decompress(last.value, v.Data)
 		if err != nil {
 			return watch.Update{}, errors.Wrap(err, "unpack a value")
 		}
-		if digestOf(value) != v.Digest {
+		if xxhash.Sum64(value) != v.Digest {
 			return watch.Update{}, errWrongBase
 		}
-		p.values[id], m.Rows[v.Row].Value = value, value
+		p.bases[id], m.Rows[v.Row].Value = base{value, v.Digest}, value
 	}
 	return m.Update, nil
 }
 
-// get returns a value packed by its base, which is empty for none.
-func (p *packings) get(base, value []byte) (packedValue, error) {
-	id := packingID{digestOf(base), digestOf(value)}
+// get returns a value packed by its base.
+func (p *packings) get(b base, value []byte) (packedValue, error) {
+	id := packingID{b.digest, xxhash.Sum64(value)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	data, ok := p.data[id]
 	if !ok {
 		var err error
-		if data, err = compress(base, value); err != nil {
+		if data, err = compress(b.value, value); err != nil {
 			return packedValue{}, errors.Wrap(err, "pack a value")
 		}
 		p.add(id, data)
@@ -142,14 +148,6 @@
 	p.data[id] = data
 }
 
-// digestOf returns the digest of a value, 0 for none.
-func digestOf(value []byte) uint64 {
-	if len(value) == 0 {
-		return 0
-	}
-	return xxhash.Sum64(value)
-}
-
 const (
 	// dictionaryID is the number of the dictionary in compressed values. Each has one at most.
 	dictionaryID = 1
--- a/daemon/relay/pack_test.go
+++ b/daemon/relay/pack_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
@@ -138,7 +139,7 @@
 			return
 		}
 		u := newUnpacker()
-		u.values[rowID{"configs", "k"}] = first
+		u.bases[rowID{"configs", "k"}] = base{first, xxhash.Sum64(first)}
 		got, err := u.unpack(&m)
 		if err != nil {
 			return
@@ -148,7 +149,7 @@
 			digests[v.Row] = v.Digest
 		}
 		for row, digest := range digests {
-			if digestOf(got.Rows[row].Value) != digest {
+			if xxhash.Sum64(got.Rows[row].Value) != digest {
 				t.Errorf("row %d has another value than was sent", row)
 			}
 		}
