Decide for scarce room: spread placements, late callers, urgency, price

Cause: past the capacity of the engines, less is served in time than at the capacity. Each host expects all placements that it doesn't know yet on each engine (400 a second times 10 ms are four of twelve slots), although the best engine had 0.13 unknown ones; so a fifth of the slots stays empty. All hosts draw from the same three engines, and callers who were refused before take the slots of those who can be served in time.

Change: settings of scarcity, each off by default. placement: spread draws the lead among ten free slots for each unknown placement, expects unknown ones in the same proportion, by a measured delay of news, and refuses a stream whose slot others probably take first; a host that hears from less than half of the others draws from all engines. late_callers: yield has callers who can only be late yield while nine tenths of the slots are in use; refusals are told to other hosts (message kind 15), so that they recognize who returns. urgency: ranked and price: demand follow from the same counts (core/demand). The emulator has several hosts that learn of each other's placements after a delay.

--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -21,6 +21,8 @@
 import (
 	"cmp"
 	"time"
+
+	"slipcrank.example/core/demand"
 )
 
 // Reasons for a refusal.
@@ -31,6 +33,11 @@
 	QueueTooLong Reason = "queue_too_long"
 	// EnginesBusy means that the request displaces work of more value than its own.
 	EnginesBusy Reason = "engines_busy"
+	// LateCaller means that the caller has waited too long to be served in time, and that
+	// the engines have no room for more than callers who can be.
+	LateCaller Reason = "late_caller"
+	// MoreUrgent means that more urgent requests of the same service are served less often.
+	MoreUrgent Reason = "more_urgent_first"
 	// OverShare means that the request would be served if its workspace did not
 	// use much more of the engines than others.
 	OverShare Reason = "workspace_over_share"
@@ -62,6 +69,20 @@
 	// maxRetryAfterFraction is the fraction of their remaining time after which callers
 	// still retry: a third, less the network round trip and the jitter of refusals.
 	maxRetryAfterFraction = 0.2
+	// scarceSlotsUsed is the fraction of slots in use from which on callers who can't be served
+	// in time yield to others: engines are full in turn, so each slot is wanted by a caller
+	// who can.
+	scarceSlotsUsed = 0.9
+	// maxLateRisk is the greatest risk that others take the free slots first. A slot that is
+	// left free is taken within milliseconds while slots are scarce, whereas a late answer
+	// takes a slot as long as one in time.
+	maxLateRisk = 0.1
+	// maxUrgencyLag is by how much less often more urgent requests may be served than those of
+	// a priority, as a fraction of all: operators accept a difference of a twentieth.
+	maxUrgencyLag = 0.05
+	// minOwnShare is how often a priority is served at least, compared with all requests: one
+	// that is served less than a quarter as often counts as starved.
+	minOwnShare = 0.35
 	// reservedObjectiveFraction is the fraction of the latency objective, about one or
 	// two queue positions, that workspaces over their share leave to others when no
 	// slots are free.
@@ -78,12 +99,19 @@
 		Stream bool
 		// TimeLeft is the time until the caller's deadline.
 		TimeLeft time.Duration
-		// Objective is the maximum time to the first event that counts as in time.
-		Objective time.Duration
+		// Objective is the maximum time to the first event that counts as in time, and Waited
+		// how long the caller had waited for it before this attempt.
+		Objective, Waited time.Duration
 		// FirstToken is the predicted time from now to the first token, and
 		// IdleFirstToken the prediction for idle engines; both are zero for plain
 		// services.
 		FirstToken, IdleFirstToken time.Duration
+		// Served are the fractions of requests of the service that are admitted; its zero
+		// value counts as unknown.
+		Served demand.Shares
+		// LateRisk is the probability that the first event is late because other requests
+		// take the engine's free slots first.
+		LateRisk float64
 		// DisplacedRatio is the value of the work that the request displaces on the
 		// engines, divided by the value of the request.
 		DisplacedRatio float64
@@ -98,6 +126,8 @@
 		DisplacedWeight float64
 		OverShare       bool
 		SlotScarcity    float64
+		// SlotsUsed is the fraction of all slots that the request can't use.
+		SlotsUsed float64
 	}
 
 	// Refusal says why a request isn't served, and after how long its caller may
@@ -109,7 +139,7 @@
 
 	// Policy is an immutable set of enabled rules.
 	Policy struct {
-		late, displaced, shares bool
+		late, displaced, shares, yield, slotRisk, urgency bool
 	}
 )
 
@@ -128,6 +158,18 @@
 // the engines that a request's workspace uses.
 func (p Policy) WithShares(on bool) Policy { p.shares = on; return p }
 
+// WithYield returns a copy that does or doesn't refuse streams that can't be in time
+// any more, in favor of others, while slots are scarce.
+func (p Policy) WithYield(on bool) Policy { p.yield = on; return p }
+
+// WithSlotRisk returns a copy that does or doesn't refuse streams whose slots others would
+// probably take first.
+func (p Policy) WithSlotRisk(on bool) Policy { p.slotRisk = on; return p }
+
+// WithUrgency returns a copy that does or doesn't refuse requests while more urgent ones of
+// the same service are served less often.
+func (p Policy) WithUrgency(on bool) Policy { p.urgency = on; return p }
+
 // Decide reports whether a request is refused, and returns the refusal.
 func (p Policy) Decide(r Request) (Refusal, bool) {
 	if !p.shares {
@@ -147,14 +189,29 @@
 	switch {
 	case r.FirstToken > r.TimeLeft:
 		return Refusal{NoTime, noTimeRetryAfter}, true
-	case p.late && r.lateFromQueue():
-		return r.refuse(QueueTooLong, r.FirstToken), true
+	case p.late && p.remaining(r).lateFromQueue():
+		return r.refuse(QueueTooLong, p.queueTime(r)), true
+	case p.slotRisk && r.risksSlot():
+		return r.refuse(QueueTooLong, p.queueTime(r)), true
+	case p.yield && r.mustYield():
+		return r.refuse(LateCaller, r.TimeLeft), true
+	case p.urgency && r.precedesMoreUrgent():
+		return r.refuse(MoreUrgent, max(r.FirstToken, minBusyRetryAfter)), true
 	case p.displaced && r.DisplacedRatio > r.maxDisplacedRatio():
 		return r.refuse(EnginesBusy, max(r.FirstToken, minBusyRetryAfter)), true
 	}
 	return Refusal{}, false
 }
 
+// remaining returns the request with the part of its objective that is left, where callers who
+// return are told apart. One of whose objective nothing is left is judged like a new one.
+func (p Policy) remaining(r Request) Request {
+	if p.yield && r.Waited < r.Objective {
+		r.Objective -= r.Waited
+	}
+	return r
+}
+
 // lateFromQueue reports whether the queue makes the first event late, or whether the
 // request would take the room in the queue that larger prompts need.
 func (r Request) lateFromQueue() bool {
@@ -164,6 +221,42 @@
 	return r.FirstToken > r.Objective || r.FirstToken-r.IdleFirstToken > r.maxWait()
 }
 
+// queueTime returns after how long a caller who is refused for the queue may retry. A stream that
+// yields to others when it returns is better served after the load has passed: it is late
+// either way, and refused for good if it returns too soon.
+func (p Policy) queueTime(r Request) time.Duration {
+	if p.yield && r.slotsScarce() {
+		return r.TimeLeft
+	}
+	return r.FirstToken
+}
+
+// risksSlot reports whether a stream that could be in time would probably find its slot taken.
+func (r Request) risksSlot() bool {
+	return r.Stream && r.Waited < r.Objective && r.LateRisk > maxLateRisk
+}
+
+// mustYield reports whether the caller has waited too long to be served in time while
+// others who can be want the slot. Serving both kinds alike serves as many requests, but
+// fewer in time: past the capacity, most slots then go to callers who were refused before.
+func (r Request) mustYield() bool {
+	return r.Stream && r.Waited >= r.Objective && r.slotsScarce()
+}
+
+// precedesMoreUrgent reports whether the request would be served although more urgent ones are
+// served less often than those of its own priority. A priority that is itself served much less
+// often than all requests is never starved for more urgent ones.
+func (r Request) precedesMoreUrgent() bool {
+	s := r.Served
+	return s.Own-s.Urgent > maxUrgencyLag && s.Own > minOwnShare*s.All
+}
+
+// slotsScarce reports whether the request competes with others for the last slots. Long prompts
+// compete for the engines' time instead.
+func (r Request) slotsScarce() bool {
+	return r.EnginesFilled < minReservingFill && r.SlotsUsed >= scarceSlotsUsed
+}
+
 // maxWait returns how long the request may wait in the queue. If all prompts could use
 // their whole objective, queues would settle where those of usual length are just in
 // time. The largest take longer and wait for the busiest of several engines, so they
--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"slipcrank.example/core/admission"
+	"slipcrank.example/core/demand"
 )
 
 const ms = time.Millisecond
@@ -131,3 +132,40 @@
 		})
 	}
 }
+
+// TestScarcityRules checks the rules that apply while callers ask for more than there is room
+// for. Each guards against the loss that its name says.
+func TestScarcityRules(t *testing.T) {
+	all := admission.Default().WithYield(true).WithSlotRisk(true).WithUrgency(true)
+	for name, tc := range map[string]struct {
+		change func(*admission.Request)
+		reason admission.Reason // empty if served
+	}{
+		"in time":                           {func(*admission.Request) {}, ""},
+		"late caller, slots free":           {func(r *admission.Request) { r.Waited = time.Second }, ""},
+		"late caller takes a scarce slot":   {func(r *admission.Request) { r.Waited, r.SlotsUsed = time.Second, 0.95 }, admission.LateCaller},
+		"new caller, slots scarce":          {func(r *admission.Request) { r.SlotsUsed = 0.95 }, ""},
+		"long prompt of a late caller":      {func(r *admission.Request) { r.Waited, r.SlotsUsed, r.EnginesFilled = time.Second, 0.95, 0.6 }, ""},
+		"returns too late for the queue":    {func(r *admission.Request) { r.Waited, r.FirstToken = 200*ms, 150*ms }, admission.QueueTooLong},
+		"others take the slot first":        {func(r *admission.Request) { r.LateRisk = 0.2 }, admission.QueueTooLong},
+		"others may take the slot first":    {func(r *admission.Request) { r.LateRisk = 0.05 }, ""},
+		"more urgent ones are refused":      {func(r *admission.Request) { r.Served = demand.Shares{Own: 1, Urgent: 0.8, All: 0.9} }, admission.MoreUrgent},
+		"more urgent ones are served":       {func(r *admission.Request) { r.Served = demand.Shares{Own: 0.9, Urgent: 0.9, All: 0.9} }, ""},
+		"less urgent ones would be starved": {func(r *admission.Request) { r.Served = demand.Shares{Own: 0.2, Urgent: 0.1, All: 0.7} }, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := short
+			tc.change(&r)
+			no, refused := all.Decide(r)
+			if refused != (tc.reason != "") || no.Reason != tc.reason {
+				t.Errorf("refused %v: %q, want %q", refused, no.Reason, tc.reason)
+			}
+			if tc.reason != "" && (no.RetryAfter <= 0 || no.RetryAfter > r.TimeLeft/3) {
+				t.Errorf("Retry-After %v of %v, want up to a third", no.RetryAfter, r.TimeLeft)
+			}
+			if _, refused := admission.Default().Decide(r); refused && tc.reason != admission.QueueTooLong {
+				t.Error("refused although the rules are off")
+			}
+		})
+	}
+}
--- a/core/emulate/emulate.go
+++ b/core/emulate/emulate.go
@@ -6,8 +6,8 @@
 // model: in each pass an engine prefills prompts in order of arrival, as much as
 // fits into the pass, and decodes answers for the first requests whose prompts are
 // prefilled, one for each slot. A single host makes all decisions and knows the
-// state of all engines, and nothing fails. So the simulation says nothing about
-// faults or stale views.
+// state of all engines, unless the scenario has several hosts, which learn of each
+// other's placements after a delay. Nothing fails but engines that are taken away.
 //
 // The same scenario and seed give the same result.
 //
@@ -43,6 +43,9 @@
 // highest value of a request, as given by the scoring rules of the deployments.
 const lateValue, maxValue = 0.25, 4
 
+// impatientRetry is how soon callers come back that don't wait as they are told.
+const impatientRetry = 100 * time.Millisecond
+
 type (
 	// Load describes requests of one kind.
 	Load struct {
@@ -80,6 +83,17 @@
 		// Wait is how long callers wait for an answer, from their first attempt.
 		Wait  time.Duration `yaml:"wait" validate:"gt=0s"`
 		Loads []Load        `yaml:"loads" validate:"min=1,dive"`
+		// Hosts is the number of hosts, of which a random one places each attempt; 0
+		// counts as 1. They learn of each other's placements after NewsDelay.
+		Hosts     int           `yaml:"hosts" validate:"gte=0,lte=1000"`
+		NewsDelay time.Duration `yaml:"news_delay" validate:"gte=0s"`
+		// From LeaveAt on, the last Leaving engines get no further requests.
+		Leaving int           `yaml:"leaving" validate:"gte=0"`
+		LeaveAt time.Duration `yaml:"leave_at" validate:"gte=0s"`
+		// AtOnce makes refused callers retry at once, not when they are told to.
+		AtOnce bool `yaml:"at_once"`
+		// Policy is the policy of the hosts' schedulers.
+		Policy schedule.Policy `yaml:"-"`
 	}
 
 	// Rule decides whether a request is refused, and how; retry is set if it was
@@ -155,7 +169,12 @@
 // simulate runs a scenario to its end and returns its requests in order of arrival.
 func simulate(s Scenario, rule Rule, seed uint64) []*request {
 	random := rand.New(rand.NewPCG(seed, 2))
-	f := newFleet(s.Engine, schedule.New(1, schedule.WithRandom(random.Float64)))
+	f := newFleet(s.Engine, s.NewsDelay)
+	for i := range max(s.Hosts, 1) {
+		sc := schedule.New(uint32(i+1), schedule.WithRandom(random.Float64))
+		sc.SetPolicy(s.Policy)
+		f.hosts = append(f.hosts, &host{sc})
+	}
 	servers := f.servers(s.Engines)
 	requests := s.requests(seed)
 	pending := slices.Clone(requests)
@@ -163,8 +182,15 @@
 		r := pending[0]
 		pending = pending[1:]
 		f.run(servers, r.attempt)
-		refusal, refused := f.admit(servers, r, s.Wait, rule)
+		taking := servers
+		if s.Leaving > 0 && r.attempt >= s.LeaveAt {
+			taking = servers[:s.Engines-s.Leaving]
+		}
+		refusal, refused := f.admit(taking, f.pickHost(random), r, s.Wait, rule)
 		if refused && !r.retried {
+			if s.AtOnce {
+				refusal.RetryAfter = impatientRetry
+			}
 			r.retried, r.attempt = true, r.attempt+refusal.RetryAfter
 			n, _ := slices.BinarySearchFunc(pending, r.attempt, func(o *request, attempt time.Duration) int { return cmp.Compare(o.attempt, attempt) })
 			pending = slices.Insert(pending, n, r)
@@ -174,23 +200,31 @@
 	return requests
 }
 
+// pickHost returns the host that places an attempt.
+func (f *fleet) pickHost(random *rand.Rand) *host {
+	if len(f.hosts) == 1 {
+		return f.hosts[0]
+	}
+	return f.hosts[random.IntN(len(f.hosts))]
+}
+
 // admit chooses servers for a request and starts it on them, unless the rule refuses
 // it.
-func (f *fleet) admit(servers []backend.Server, r *request, wait time.Duration, rule Rule) (admission.Refusal, bool) {
-	p, _ := f.scheduler.Place(r.attempt, site.Service{Name: serviceName, Engine: &f.engine}, servers, schedule.Request{
+func (f *fleet) admit(servers []backend.Server, h *host, r *request, wait time.Duration, rule Rule) (admission.Refusal, bool) {
+	p, _ := h.scheduler.Place(r.attempt, site.Service{Name: serviceName, Engine: &f.engine}, servers, schedule.Request{
 		Work: r.work, Objective: r.load.Objective - (r.attempt - r.arrived), Gap: r.load.Gap,
 		Workspace: schedule.HashWorkspace(r.workspace),
 	})
 	refusal, refused := rule(admission.Request{
-		Stream: true, TimeLeft: wait - (r.attempt - r.arrived), Objective: r.load.Objective,
+		Stream: true, TimeLeft: wait - (r.attempt - r.arrived), Objective: r.load.Objective, Waited: r.attempt - r.arrived, LateRisk: p.LateRisk, SlotsUsed: p.SlotsUsed,
 		FirstToken: p.FirstToken, IdleFirstToken: p.IdleFirstToken, DisplacedRatio: p.DisplacedRatio, EnginesFilled: p.EnginesFilled, SpareFraction: p.SpareFraction,
 		DisplacedWeight: p.Share.DisplacedWeight, OverShare: p.Share.OverShare, SlotScarcity: p.SlotScarcity,
 	}, r.retried)
 	if refused {
-		f.scheduler.RecordEnd(p.ID)
+		h.scheduler.RecordEnd(p.ID)
 		return refusal, true
 	}
-	f.start(r, p)
+	f.start(r, h, p)
 	return refusal, false
 }
 
--- a/core/emulate/fleet.go
+++ b/core/emulate/fleet.go
@@ -1,6 +1,7 @@
 package emulate
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -20,6 +21,7 @@
 		work             schedule.Work
 		arrived, attempt time.Duration // times of the first and of the latest attempt
 		retried          bool          // the first attempt was refused
+		host             *host         // that placed it
 		placement        schedule.Placement
 		partsLeft        int           // parts of the prompt yet to be prefilled
 		tokensLeft       int           // tokens of the answer yet to be decoded
@@ -40,17 +42,53 @@
 		passEnd    time.Duration // of the pass under way
 	}
 
-	// fleet is all engines of a simulation.
+	// fleet is all engines of a simulation, and the hosts that place requests on them.
 	fleet struct {
 		engine    site.Engine
-		scheduler *schedule.Scheduler
+		hosts     []*host
+		newsDelay time.Duration
+		news      []report // on the way to other hosts
 		engines   map[string]*engineState
 		now       time.Duration
 	}
+
+	// host is a host with its own knowledge of the placements.
+	host struct {
+		scheduler *schedule.Scheduler
+	}
+
+	// report is a change of a placement on its way from one host to all others.
+	report struct {
+		from  *host
+		at    time.Duration // of its arrival
+		apply func(*schedule.Scheduler, time.Duration)
+	}
 )
 
-func newFleet(e site.Engine, sc *schedule.Scheduler) *fleet {
-	return &fleet{engine: e, scheduler: sc, engines: map[string]*engineState{}}
+func newFleet(e site.Engine, newsDelay time.Duration) *fleet {
+	return &fleet{engine: e, newsDelay: newsDelay, engines: map[string]*engineState{}}
+}
+
+// tell reports a change at a time to all hosts but one, which knows of it.
+func (f *fleet) tell(from *host, at time.Duration, apply func(*schedule.Scheduler, time.Duration)) {
+	if len(f.hosts) > 1 {
+		f.news = append(f.news, report{from, at + f.newsDelay, apply})
+	}
+}
+
+// deliver applies the reports that arrive until a time, in the order of their arrival.
+func (f *fleet) deliver(until time.Duration) {
+	slices.SortStableFunc(f.news, func(a, b report) int { return cmp.Compare(a.at, b.at) })
+	n := 0
+	for ; n < len(f.news) && f.news[n].at <= until; n++ {
+		r := f.news[n]
+		for _, h := range f.hosts {
+			if h != r.from {
+				r.apply(h.scheduler, r.at)
+			}
+		}
+	}
+	f.news = f.news[n:]
 }
 
 // servers adds engines to the fleet and returns them as servers for the scheduler.
@@ -65,9 +103,13 @@
 }
 
 // start queues a placed request on its engines.
-func (f *fleet) start(r *request, p schedule.Placement) {
+func (f *fleet) start(r *request, h *host, p schedule.Placement) {
 	k := len(p.Helpers) + 1
-	r.placement, r.partsLeft, r.tokensLeft = p, k, r.work.Answer
+	r.host, r.placement, r.partsLeft, r.tokensLeft = h, p, k, r.work.Answer
+	f.tell(h, r.attempt, func(sc *schedule.Scheduler, at time.Duration) {
+		p.PlacedAt = at
+		sc.AddRemote(p)
+	})
 	for _, id := range append([]string{p.Lead}, p.Helpers...) {
 		e := f.engines[id]
 		e.prefilling = append(e.prefilling, &part{r, f.prefillTime(r.work.Prompt) / time.Duration(k)})
@@ -92,6 +134,7 @@
 		}
 	}
 	f.now = until
+	f.deliver(until)
 }
 
 // decode ends a pass: requests that are decoding get their tokens. It returns the
@@ -121,7 +164,8 @@
 // addTokens adds the tokens of one pass to the answer of a request.
 func (f *fleet) addTokens(r *request, now time.Duration) {
 	if r.lastTokens == 0 {
-		f.scheduler.RecordStart(r.placement.ID, now)
+		r.host.scheduler.RecordStart(r.placement.ID, now)
+		f.tell(r.host, now, func(sc *schedule.Scheduler, at time.Duration) { sc.RecordStart(r.placement.ID, at) })
 		r.late = now-r.arrived > r.load.Objective
 	} else {
 		r.late = r.late || now-r.lastTokens > r.load.Gap
@@ -129,7 +173,8 @@
 	r.lastTokens, r.tokensLeft = now, r.tokensLeft-max(f.engine.StepsPerPass, 1)
 	if r.tokensLeft <= 0 {
 		r.done = true
-		f.scheduler.RecordEnd(r.placement.ID)
+		r.host.scheduler.RecordEnd(r.placement.ID)
+		f.tell(r.host, now, func(sc *schedule.Scheduler, _ time.Duration) { sc.RecordEnd(r.placement.ID) })
 	}
 }
 
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -34,15 +34,18 @@
 
 	// choice is a request and the engines that may run it.
 	choice struct {
-		engine     *site.Engine
-		request    Request
-		value      float64
-		random     float64 // in [0, 1)
-		states     []*state
-		leadStates []*state // of engines that may lead
-		locality   float64  // how much the own hall is preferred, from 0 to 1
-		openFirst  bool     // the first stream as sensitive as this may open an engine of the own hall
-		scratch    *scratch
+		engine        *site.Engine
+		request       Request
+		value         float64
+		random        float64 // in [0, 1)
+		states        []*state
+		leadStates    []*state // of engines that may lead
+		locality      float64  // how much the own hall is preferred, from 0 to 1
+		openFirst     bool     // the first stream as sensitive as this may open an engine of the own hall
+		spread        bool     // the lead is drawn from as many engines as have slotsToSpread free slots
+		slotsToSpread float64
+		knowsLittle   bool // the lead is drawn from all engines with a free slot
+		scratch       *scratch
 	}
 
 	// scratch is working memory that is reused from one choice to the next. Each
@@ -54,8 +57,9 @@
 		states                []*state
 		leadStates            []*state
 		candidates            []candidate
-		helpers               []*state
+		helpers, drawn        []*state
 		workspaceTimes        workspaceTimes
+		probabilities         []float64
 	}
 
 	// candidate is an engine with the cost of its choice.
@@ -68,17 +72,19 @@
 // choose sets the servers and predictions of p to the plan with the least cost that
 // is led by one of the leads.
 func (sc *Scheduler) choose(now time.Duration, e *site.Engine, servers, leads []*backend.Server, r Request, p *Placement) {
-	c := choice{engine: e, request: r, value: Value(e, r.Work), random: sc.random(), scratch: &sc.scratch}
+	c := choice{engine: e, request: r, value: Value(e, r.Work), random: sc.random(), spread: sc.policy.spread, knowsLittle: sc.knowsLittle(), scratch: &sc.scratch}
 	sc.predictStates(&c, now, servers, leads, p.Service)
 	best := c.best()
 	p.Lead, p.FirstToken, p.MemoryShares = best.lead.server.ID, best.firstToken, best.memoryShares
 	p.Fits = best.fits
+	p.SlotsUsed = c.slotUse()
+	p.LateRisk = best.lead.slotWaitRisk(r.Objective - r.Waited - best.prefill)
 	p.EnginesFilled = float64(r.Work.Prompt+r.Work.Answer) / float64(usableMemory(e))
 	p.SpareFraction = max(1-float64(maxHelpers+1)/float64(len(servers)), 0)
 	p.IdleFirstToken = idlePrefillTime(e, r.Work.Prompt, len(servers))
 	p.PassTime = passTime(e, best.lead.running+1, best.lead.context+r.Work.Prompt)
 	p.LeadRunning, p.LeadBacklog = best.lead.running, best.lead.backlog
-	p.DisplacedRatio = (best.harm + displacedValue(e, c.states, r)) / (c.value * retainedValue(best.firstToken, r.Objective))
+	p.DisplacedRatio = (best.harm + sc.displacedValue(e, c.states, r, p.Service)) / (c.value * retainedValue(best.firstToken, r.Objective))
 	p.Share, p.SlotScarcity = sc.workspaceShare(e, servers, r), slotScarcity(slotUtilization(c.states))
 	for _, h := range best.helpers {
 		p.Helpers = append(p.Helpers, h.server.ID)
@@ -92,18 +98,21 @@
 		s.pool = make([]state, len(servers))
 	}
 	s.states, s.leadStates = s.states[:0], s.leadStates[:0]
-	unseen := sc.unseenPlacements(service, now)
+	first := 0 // in the order of engines
+	if c.knowsLittle {
+		first = int(c.random * float64(len(servers)))
+	}
 	for i, server := range servers {
 		st := &s.pool[i]
 		sc.predictState(st, now, c.engine, server)
-		st.unseen = unseen
-		st.position = float64(i) / float64(len(servers))
+		st.position = float64((i+first)%len(servers)) / float64(len(servers))
 		s.states = append(s.states, st)
 		if len(s.leadStates) < len(leads) && leads[len(s.leadStates)].ID == server.ID {
 			s.leadStates = append(s.leadStates, st) // leads and servers are in the same order
 		}
 	}
 	c.states, c.leadStates = s.states, s.leadStates
+	sc.expectUnseen(c, service, now)
 	c.locality = ramp(minIdleFraction, localIdleFraction, idleFraction(c.states))
 	c.openFirst = c.locality > 0 && c.mayOpenFirst()
 }
@@ -202,20 +211,59 @@
 // least cost, so that hosts that choose at the same moment don't all take the same
 // engine.
 func (c *choice) pickLead(part time.Duration) *state {
+	if c.knowsLittle {
+		if s := drawByFreeSlots(c.leadStates, c.random); s != nil {
+			return s
+		}
+	}
+	limit := maxLeadDraw
+	if c.spread {
+		limit = len(c.leadStates)
+	}
 	candidates := c.scratch.candidates[:0]
 	for _, s := range c.leadStates {
 		cost := s.lostValue(s.pause(part)) + s.leadCost(c.engine, c.request, c.value) + c.hallCost(s) +
 			s.firstTokenCost(s.timeToPrefill(part), c.request.Objective, c.value)
-		candidates = insertCandidate(candidates, candidate{cost, s}, maxLeadDraw)
+		candidates = insertCandidate(candidates, candidate{cost, s}, limit)
 	}
 	c.scratch.candidates = candidates
-	near := 1
-	for near < len(candidates) && candidates[near].cost <= candidates[0].cost+leadMargin*c.value && candidates[near].state.mayReplace(candidates[0].state) {
+	near, margin := 1, leadMargin
+	if c.spread {
+		margin = spreadMargin
+	}
+	for near < len(candidates) && candidates[near].cost <= candidates[0].cost+margin*c.value && candidates[near].state.mayReplace(candidates[0].state) {
 		near++
 	}
+	if c.spread && candidates[0].state.freeSlots() > 0 {
+		s := &c.scratch.drawn
+		*s = (*s)[:0]
+		for free := 0; len(*s) < near && (len(*s) < maxLeadDraw || float64(free) < c.slotsToSpread); {
+			o := candidates[len(*s)].state
+			*s = append(*s, o)
+			free += o.freeSlots()
+		}
+		return drawByFreeSlots(*s, c.random)
+	}
 	return candidates[int(c.random*float64(near))].state
 }
 
+// drawByFreeSlots draws one of the engines with a probability in proportion to its free
+// slots, or returns nil if none has any. random is in [0, 1).
+func drawByFreeSlots(states []*state, random float64) *state {
+	free := 0
+	for _, s := range states {
+		free += s.freeSlots()
+	}
+	drawn := int(random * float64(free))
+	for _, s := range states {
+		if drawn < s.freeSlots() {
+			return s
+		}
+		drawn -= s.freeSlots()
+	}
+	return nil
+}
+
 // addHelpers adds the k-1 engines with the least cost as helpers to a plan, each for
 // a part that takes the given prefill time.
 func (c *choice) addHelpers(p *plan, k int, part time.Duration) {
--- a/core/schedule/displacement.go
+++ b/core/schedule/displacement.go
@@ -39,7 +39,11 @@
 // displacedValue returns the value of the work that engines could do instead of
 // a request. Prefill time grows with the square of the prompt's length and value
 // only linearly, so it exceeds the value of the longest prompts first.
-func displacedValue(e *site.Engine, states []*state, r Request) float64 {
+// Where the price of an engine's time is known, it is that of the request's engine time.
+func (sc *Scheduler) displacedValue(e *site.Engine, states []*state, r Request, service string) float64 {
+	if price, ok := sc.prices[service]; ok {
+		return price * EngineTime(e, r.Work).Seconds()
+	}
 	var busy float64
 	for _, s := range states {
 		busy += min(float64(s.backlog)/float64(busyBacklog), 1)
@@ -59,6 +63,22 @@
 	return float64(running) / float64(max(slots, 1))
 }
 
+// slotUse returns the fraction of all slots that the request can't use: those that are taken, and
+// those of engines that can't serve it in time because of prompts that they have yet to prefill.
+func (c *choice) slotUse() float64 {
+	part := prefillTime(c.engine, c.request.Work.Prompt, 1)
+	running, slots := 0, 0
+	for _, s := range c.states {
+		slots += s.server.Slots
+		if s.pause(part) > c.request.Gap || s.timeToPrefill(part) > c.request.Objective {
+			running += s.server.Slots
+			continue
+		}
+		running += min(s.running, s.server.Slots)
+	}
+	return float64(running) / float64(max(slots, 1))
+}
+
 // slotScarcity returns how scarce slots are when the fraction use of them is taken, from 0 to 1.
 func slotScarcity(use float64) float64 { return ramp(scarceSlotUse, exhaustedSlotUse, use) }
 
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -58,10 +58,17 @@
 		// Objective is the time left until the first event is late, Gap the
 		// longest pause between events that is in time.
 		Objective, Gap time.Duration
+		// Waited is how long the caller had waited before this attempt, in addition to the
+		// time that Objective accounts for.
+		Waited time.Duration
 		// Hall is the data hall in which the request arrived.
 		Hall string
 		// Workspace identifies the workspace of the request, by [HashWorkspace].
 		Workspace uint32
+		// Priority is the operator's priority; 0 is the most urgent. Returning reports that
+		// the request was refused before.
+		Priority  int
+		Returning bool
 		// Avoid are servers on which the request has failed.
 		Avoid map[string]bool
 		// LeadOnly are servers that may lead the request, but not help with a
@@ -104,15 +111,23 @@
 		// HeadHash and Isolated are those of the [Request].
 		HeadHash uint64
 		Isolated bool
-		// Retry reports that a server has got the request before.
-		Retry bool
-		Work  Work
+		// Retry reports that a server has got the request before, Returning that it was
+		// refused before.
+		Retry, Returning bool
+		// Priority is the operator's priority of the request; 0 is the most urgent.
+		Priority int
+		Work     Work
 		// Objective is the time from PlacedAt until the first event is late.
 		Objective time.Duration
 		Gap       time.Duration
 		PlacedAt  time.Duration
 		// FirstToken is the predicted time from PlacedAt to the first token.
 		FirstToken time.Duration
+		// SlotsUsed is the fraction of all slots that the request can't use.
+		SlotsUsed float64
+		// LateRisk is the probability that the first token is late because other requests
+		// take the lead's free slots first.
+		LateRisk float64
 		// IdleFirstToken is the same prediction for idle servers.
 		IdleFirstToken time.Duration
 		// PassTime is the expected duration of the lead's passes.
@@ -150,8 +165,12 @@
 		paces          map[string]pace
 		firstTokens    map[string]time.Duration // time of a server's last first token of any request
 		remoteRates    map[string]rate          // placements of other hosts, by service
+		delay          measuredDelay            // until other hosts know of a placement
 		lastContact    map[uint32]time.Duration // by other host
-		random         func() float64           // in [0, 1)
+		policy         Policy
+		prices         map[string]float64 // of a second of an engine, by service
+		heardFraction  float64            // of the listed other hosts
+		random         func() float64     // in [0, 1)
 		scratch        scratch
 	}
 
@@ -184,6 +203,7 @@
 		paces:          map[string]pace{},
 		firstTokens:    map[string]time.Duration{},
 		remoteRates:    map[string]rate{},
+		heardFraction:  1,
 		random:         rand.Float64,
 		lastContact:    map[uint32]time.Duration{},
 	}
@@ -209,7 +229,7 @@
 	p := &Placement{
 		Service: s.Name, Workspace: r.Workspace, Share: WorkspaceShare{DisplacedWeight: 1}, Work: r.Work,
 		Objective: r.Objective, Gap: r.Gap, PlacedAt: now,
-		HeadHash: r.HeadHash, Isolated: r.Isolated,
+		HeadHash: r.HeadHash, Isolated: r.Isolated, Priority: r.Priority, Returning: r.Returning,
 	}
 	if s.Engine == nil || r.Work.Prompt == 0 {
 		p.Fits = true
@@ -330,7 +350,7 @@
 	defer sc.mu.Unlock()
 	var st state
 	sc.predictState(&st, now, e, &s)
-	st.unseen = sc.unseenPlacements(s.Service, now)
+	st.unseen = sc.unseenEverywhere(s.Service, now)
 	return st.pause(0) + st.slotWait()
 }
 
--- a/core/schedule/share.go
+++ b/core/schedule/share.go
@@ -114,6 +114,9 @@
 	}
 }
 
+// EngineTime returns how long a request keeps one engine busy, from its prefill to its end.
+func EngineTime(e *site.Engine, w Work) time.Duration { return engineTime(e, w, false) }
+
 // engineTime returns how long a request keeps one engine busy: the whole engine
 // during its prefill, unless that is over, and one slot's part of it during decode.
 func engineTime(e *site.Engine, w Work, prefilled bool) time.Duration {
--- a/core/schedule/slots.go
+++ b/core/schedule/slots.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// propagationDelay is the time until other hosts know of a placement: the
+	// propagationDelay is the assumed time until other hosts know of a placement: the
 	// network delay between halls, and the time until a host with a fifth of a
 	// core reads the message. Such hosts send their messages 2 to 10 ms after the
 	// decision.
@@ -39,23 +39,6 @@
 	return math.Exp(-float64(max(now-r.updatedAt, 0)) / float64(rateWindow))
 }
 
-// unseenProbabilities returns the probabilities of 0, 1, 2 .. placements that
-// other hosts have made but that this host hasn't learned of. All hosts rank
-// engines alike, so requests that arrive at the same time go to the same few
-// engines; each engine is therefore expected to get all unseen placements.
-func unseenProbabilities(perSecond float64) []float64 {
-	mean := perSecond * propagationDelay.Seconds()
-	var ps []float64
-	p := math.Exp(-mean)
-	for n := 1; ; n++ {
-		ps = append(ps, p)
-		p *= mean / float64(n)
-		if p < minProbability && float64(n) > mean {
-			return ps
-		}
-	}
-}
-
 // turnover returns the mean time between two ends of requests on the engine once
 // all its slots are taken. It assumes that each running request decodes its
 // expected number of tokens, and that nothing but the present backlog is
@@ -108,9 +91,3 @@
 	}
 	return min(sum, 1)
 }
-
-// unseenPlacements returns the probabilities of the numbers of placements of a
-// service that this host hasn't learned of.
-func (sc *Scheduler) unseenPlacements(service string, now time.Duration) []float64 {
-	return unseenProbabilities(sc.remoteRates[service].perSecond(now))
-}
--- a/core/schedule/state.go
+++ b/core/schedule/state.go
@@ -100,6 +100,9 @@
 	}
 }
 
+// freeSlots returns the number of slots that no request takes.
+func (s *state) freeSlots() int { return max(s.server.Slots-s.running, 0) }
+
 // pause returns how long streams on the engine pause if it prefills its backlog and
 // so much more.
 func (s *state) pause(prefill time.Duration) time.Duration {
--- a/core/schedule/weights.go
+++ b/core/schedule/weights.go
@@ -44,6 +44,10 @@
 	// drawn as lead, and maxLeadDraw the number of engines drawn from.
 	leadMargin  = 0.05
 	maxLeadDraw = 3
+	// spreadMargin takes the place of leadMargin where placements are spread: it covers what
+	// engines in use differ by, so that the draw isn't limited to a few of them, but not the
+	// cost of the first sensitive stream on an engine.
+	spreadMargin = 0.18
 	// otherHallCost is the cost of an engine in another hall, so that the loss of the
 	// way there breaks few requests. It exceeds leadMargin. It counts in full while at
 	// least localIdleFraction of the engines are idle, and not at all below
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -176,6 +176,7 @@
 		gateway.WithHosts(e.witnessHosts),
 		gateway.WithServerFailureHook(func(server string) { n.SendFailure(e.startNumber, server) }),
 		gateway.WithGrants(e.grants.Take),
+		gateway.WithScarcity(e.scarcity()),
 		gateway.WithNotices(e.notices, gateway.NoticeSender{
 			SendLimit:   func(server string, l notice.Limit) { n.SendLimit(e.startNumber, server, l) },
 			SendLeaving: func(server string) { n.SendLeaving(e.startNumber, server) },
@@ -197,6 +198,7 @@
 	}
 	e.gateway = gateway.New(p.Dialect, e.gatewayState, e.pool, e.scheduler, budget, e.log, e.metrics, opts...)
 	n.SetSuspectsHandler(e.applySuspects)
+	n.SetRefusalHandler(e.gateway.ReceiveRefusal)
 	n.SetPathHandler(func(host uint32, lost []string) { e.paths.set(host, lost, e.clock.Now()) })
 	n.SetJoinHandlers(news.JoinHandlers{Refer: e.refer, Source: e.applySource})
 	n.SetNoticeHandlers(news.NoticeHandlers{
@@ -346,10 +348,12 @@
 			e.sendSuspects(0)
 			e.exchange.SendHeartbeat(e.startNumber)
 			e.sendRunning(contacts)
+			e.updateScarcity()
 		case <-tick.C:
 			e.detectSuspension()
 			e.scheduler.Expire(e.clock.Now())
 			e.gateway.Maintain(time.Now())
+			e.updateScarcity()
 			e.logProof()
 			e.chooseSources(&st)
 			routes = e.chooseRoutes(chooser, routes)
--- a/daemon/gateway/admit.go
+++ b/daemon/gateway/admit.go
@@ -15,10 +15,14 @@
 	if c.attempts > 0 || c.mayHaveRun {
 		return nil
 	}
-	decision, refused := g.admission.Decide(admission.Request{
+	decision, refused := g.scarcity.Policy().Decide(admission.Request{
 		Stream:          c.route.Kind == site.Stream,
 		TimeLeft:        time.Until(c.deadline),
 		Objective:       c.route.Objective,
+		Waited:          c.waited,
+		LateRisk:        p.LateRisk,
+		SlotsUsed:       p.SlotsUsed,
+		Served:          g.scarcity.Ledger.Shares(p.Service, c.priority(), g.clock.Now()),
 		FirstToken:      p.FirstToken,
 		IdleFirstToken:  p.IdleFirstToken,
 		DisplacedRatio:  p.DisplacedRatio,
@@ -35,6 +39,7 @@
 	if decision.Reason == admission.OverShare {
 		g.recordOverShare(c, p)
 	}
+	g.countRefused(c, p.Service)
 	g.metrics.Count("gateway_postponed", 1, "route", c.route.Name)
 	return refuse(http.StatusServiceUnavailable, string(decision.Reason), decision.RetryAfter)
 }
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -43,6 +43,8 @@
 	failedServers map[string]bool // by ID
 	unreached     int             // tries that failed on the way to a server or back
 	delegations   map[uint32]bool // hosts to which the call was delegated, by number
+	returning     bool            // it was refused before, by this host or another
+	waited        time.Duration   // time from the first attempt until this one arrived
 	counted       bool            // the call counts in the retry budget
 	exchange      *exchange       // of the current try
 	mayHaveRun    bool            // it may have run, or may still be running
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -24,7 +24,6 @@
 
 	"golang.org/x/sync/singleflight"
 
-	"slipcrank.example/core/admission"
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/boottime"
 	"slipcrank.example/core/grant"
@@ -69,7 +68,7 @@
 		dialect            Dialect
 		state              func() State
 		freshness          Freshness
-		admission          admission.Policy
+		scarcity           Scarcity
 		pool               *upstream.Pool
 		scheduler          *schedule.Scheduler
 		budget             *limit.RetryWindow
@@ -187,7 +186,7 @@
 	g := &Gateway{
 		dialect: d, state: state, pool: pool, scheduler: scheduler, budget: budget, log: log, metrics: metrics,
 		freshness:       Freshness{KeysTrusted: always, ConfigCurrent: always, ConfigAge: zeroAge, ServersAge: zeroAge},
-		admission:       admission.Default(),
+		scarcity:        defaultScarcity(),
 		onPlaced:        func(schedule.Placement) {},
 		onStarted:       func(schedule.ID) {},
 		onEnded:         func(schedule.ID) {},
@@ -240,6 +239,7 @@
 	defer buffer.release()
 	c, refusal := g.readCall(w, r, buffer, now, d)
 	if refusal == nil {
+		g.recognize(c)
 		refusal = g.refuseIfBlocked(c)
 	}
 	if refusal == nil {
@@ -361,8 +361,11 @@
 	p, ok := g.scheduler.Place(g.clock.Now(), service, available, schedule.Request{
 		Work:         c.work,
 		Objective:    c.route.Objective - time.Since(c.arrivedAt),
+		Waited:       c.waited,
 		Gap:          c.route.Gap,
 		Workspace:    schedule.HashWorkspace(c.workspace.Name),
+		Priority:     c.priority(),
+		Returning:    c.returning,
 		Hall:         g.hall,
 		Avoid:        c.failedServers,
 		LeadOnly:     g.notices.LimitedServers(available, g.clock.Now()),
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -96,10 +96,7 @@
 // urgency returns the rank of a call at an engine: interactive requests before others,
 // and within both groups by the operator's priority.
 func urgency(c *call) int {
-	n := c.route.Priority
-	if c.workspace.Priority >= 0 {
-		n = c.workspace.Priority
-	}
+	n := c.priority()
 	if c.route.Objective > maxInteractiveObjective {
 		n += nonInteractiveOffset
 	}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -103,6 +103,7 @@
 	defer g.scheduler.RecordEnd(p.ID)
 	server, _ := s.Servers.Get(p.Lead)
 	p.Retry = c.attempts > 0
+	g.countAdmitted(p)
 	g.onPlaced(p)
 	defer g.onEnded(p.ID)
 	reservation, err := g.reserveMemory(ctx, s, p)
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -31,6 +31,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"slipcrank.example/core/broadcast"
+	"slipcrank.example/core/demand"
 	"slipcrank.example/core/grant"
 	"slipcrank.example/core/notice"
 	"slipcrank.example/core/quarantine"
@@ -76,6 +77,8 @@
 	kindRunning kind = 13
 	// kindPath reports to which services' servers the sender has no path.
 	kindPath kind = 14
+	// kindRefusal reports a refused request.
+	kindRefusal kind = 15
 )
 
 type (
@@ -95,6 +98,7 @@
 		notices   NoticeHandlers
 		joins     JoinHandlers
 		paths     func(host uint32, lost []string)
+		refusals  func(r demand.Refusal)
 
 		mu           sync.Mutex
 		lastReceived map[netip.AddrPort]time.Duration
@@ -128,6 +132,14 @@
 		AgeMS       int64         `cbor:"31,keyasint,omitempty"`
 		Decoding    bool          `cbor:"32,keyasint,omitempty"`
 		Services    []string      `cbor:"33,keyasint,omitempty"`
+		// Priority is one more than the operator's priority; 0 if the sender doesn't know it.
+		Priority  int   `cbor:"34,keyasint,omitempty"`
+		Returning bool  `cbor:"35,keyasint,omitempty"`
+		LeftMS    int64 `cbor:"36,keyasint,omitempty"`
+		WaitedMS  int64 `cbor:"37,keyasint,omitempty"`
+		EngineMS  int64 `cbor:"38,keyasint,omitempty"`
+		// Value is in thousandths.
+		Value int64 `cbor:"39,keyasint,omitempty"`
 
 		Suspects []quarantine.Record `cbor:"16,keyasint,omitempty"`
 
@@ -169,6 +181,7 @@
 		lastReceived: map[netip.AddrPort]time.Duration{},
 		suspects:     func(uint32, []quarantine.Record) {},
 		paths:        func(uint32, []string) {},
+		refusals:     func(demand.Refusal) {},
 		joins: JoinHandlers{
 			Refer:  func(netip.AddrPort, JoinRequest) string { return "" },
 			Source: func(netip.AddrPort, string) {},
@@ -231,6 +244,7 @@
 		ObjectiveMS: p.Objective.Milliseconds(),
 		FirstMS:     p.FirstToken.Milliseconds(), Service: p.Service, Shares: shares,
 		Workspace: p.Workspace, HeadHash: p.HeadHash, Isolated: p.Isolated, Retry: p.Retry,
+		Priority: p.Priority + 1, Returning: p.Returning,
 	}
 }
 
@@ -249,6 +263,7 @@
 		FirstToken: time.Duration(m.FirstMS) * time.Millisecond,
 		PlacedAt:   now - time.Duration(m.AgeMS)*time.Millisecond,
 		HeadHash:   m.HeadHash, Isolated: m.Isolated, Retry: m.Retry, Decoding: m.Decoding,
+		Priority: max(m.Priority-1, 0), Returning: m.Returning,
 	}
 }
 
@@ -391,6 +406,9 @@
 // forwarders send back, since the scheduler already has their content.
 func (n *Exchange) apply(m message, from netip.AddrPort) {
 	if m.Host == n.scheduler.Host() {
+		if m.Kind == kindPlacement {
+			n.scheduler.RecordReturn(schedule.ID{Host: m.Host, Number: m.Number}, n.now())
+		}
 		return
 	}
 	n.scheduler.RecordContact(m.Host, n.now())
@@ -410,6 +428,8 @@
 		n.scheduler.RecordRemoteFailure(m.Host, m.Lead, n.now())
 	case kindPath:
 		n.paths(m.Host, m.Services)
+	case kindRefusal:
+		n.applyRefusal(m, from)
 	case kindSuspects:
 		n.suspects(m.Host, m.Suspects)
 	case kindGrantRequest, kindGrantReply, kindLimit, kindLeaving:
--- a/daemon/news/news_test.go
+++ b/daemon/news/news_test.go
@@ -20,8 +20,8 @@
 const testTimeout = 20 * time.Second
 
 // listen returns an exchange on a free port, the scheduler that it updates, and its
-// address.
-func listen(t *testing.T, host uint32) (*news.Exchange, *schedule.Scheduler, netip.AddrPort) {
+// address. The functions set it up before it runs.
+func listen(t *testing.T, host uint32, setUp ...func(*news.Exchange)) (*news.Exchange, *schedule.Scheduler, netip.AddrPort) {
 	t.Helper()
 	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
@@ -31,6 +31,9 @@
 	s := schedule.New(host)
 	start := time.Now()
 	n := news.New(c, s, decision.New(io.Discard), func() time.Duration { return time.Since(start) })
+	for _, f := range setUp {
+		f(n)
+	}
 	go n.Run()
 	t.Cleanup(func() { _ = n.Close() })
 	return n, s, addr
--- a/daemon/settings/entry.go
+++ b/daemon/settings/entry.go
@@ -18,6 +18,26 @@
 	// RefuseUnproven.
 	UnprovenKeys string
 
+	// Scarcity says how a host decides while callers ask for more than the engines have room
+	// for. It takes effect when the settings change.
+	Scarcity struct {
+		// Placement says how engines are chosen that are equally good: ranked, in an order
+		// common to all hosts, or spread over all of them by their free slots. The empty
+		// value means ranked.
+		Placement string `yaml:"placement" validate:"omitempty,oneof=ranked spread"`
+		// LateCallers says whether callers who were refused before, and can't be served in
+		// time any more, are treated like others (equal) or yield to them. The empty value
+		// means equal.
+		LateCallers string `yaml:"late_callers" validate:"omitempty,oneof=equal yield"`
+		// Urgency says whether requests are admitted by their length alone, or less urgent
+		// ones are refused while more urgent ones of the same service are served less often
+		// (ranked). The empty value means length.
+		Urgency string `yaml:"urgency" validate:"omitempty,oneof=length ranked"`
+		// Price says whether an engine's time has a fixed value once engines are busy, or
+		// one that follows from demand. The empty value means fixed.
+		Price string `yaml:"price" validate:"omitempty,oneof=fixed demand"`
+	}
+
 	// Entry has the settings of a daemon that serves as an entry host for plain
 	// backend servers. It is an immutable value.
 	Entry struct {
@@ -30,8 +50,9 @@
 		Regions map[string]string `yaml:"regions"`
 		Listen  EntryListen       `yaml:"listen"`
 		// Platform is the IP address and port of the platform's store.
-		Platform string `yaml:"platform" validate:"required,ipport"`
-		Bounds   Bounds `yaml:"bounds"`
+		Platform string   `yaml:"platform" validate:"required,ipport"`
+		Bounds   Bounds   `yaml:"bounds"`
+		Scarcity Scarcity `yaml:"scarcity"`
 		// Link is the bandwidth of the host's network link in Mbit/s, 0 if it is
 		// unknown. Hosts with faster links relay to others what they read from
 		// the platform.
@@ -91,6 +112,21 @@
 	}
 )
 
+// Spreads reports whether equally good engines are chosen by their free slots.
+func (s Scarcity) Spreads() bool { return s.Placement == "spread" }
+
+// Yields reports whether callers who can't be served in time yield to others.
+func (s Scarcity) Yields() bool { return s.LateCallers == "yield" }
+
+// Ranks reports whether admission follows the operators' priorities.
+func (s Scarcity) Ranks() bool { return s.Urgency == "ranked" }
+
+// Prices reports whether the value of an engine's time follows from demand.
+func (s Scarcity) Prices() bool { return s.Price == "demand" }
+
+// Counts reports whether any rule needs the counts of demand.
+func (s Scarcity) Counts() bool { return s.Yields() || s.Ranks() || s.Prices() }
+
 // LoadEntry reads the settings of an entry host from a file and validates them.
 func LoadEntry(path string) (Entry, error) {
 	b, err := readFile(path, "give a file that can be read")
