Shares by priority are compared only where both are known

Change: counts of admitted requests decay over eight seconds, and a priority of fewer than ten requests is not compared.

--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -18,6 +18,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -38,7 +39,11 @@
 	// what its refusal predicts: the network delays of both attempts, and the time until a
 	// busy host reads a request. Other requests with the same content have other deadlines.
 	deadlineTolerance = 200 * time.Millisecond
-	// minRequests is the number of requests from which on the share of a priority is known.
+	// shareWindow is the time constant by which the counts of admitted requests decay. Operators
+	// judge over seconds whether a kind of request is starved.
+	shareWindow = 8 * time.Second
+	// minRequests is the decayed number of requests from which on the share of a priority is
+	// known: with fewer, one refusal changes it by more than a tenth.
 	minRequests = 10
 )
 
@@ -72,8 +77,7 @@
 	// Shares are the fractions of requests that are admitted.
 	Shares struct {
 		// Own is that of requests of the same priority, Urgent the lowest of any more
-		// urgent one, and All that of all requests of the service. A fraction of few
-		// requests counts as 1.
+		// urgent one, and All that of all requests of the service.
 		Own, Urgent, All float64
 	}
 
@@ -90,18 +94,25 @@
 		at      time.Duration
 	}
 
+	// counts are exponentially decayed numbers of requests.
+	counts struct {
+		asked, admitted float64
+		at              time.Duration // of the last change
+	}
+
 	// Ledger counts demand by service. It is safe for concurrent use.
 	Ledger struct {
 		mu       sync.Mutex
-		entries  map[string][]entry // by service, in order of time
-		refusals map[uint64]refused // the latest, by identity
-		since    time.Duration      // of the first count; zero without any
+		entries  map[string][]entry        // by service, in order of time
+		counts   map[string]map[int]counts // by service and priority
+		refusals map[uint64]refused        // the latest, by identity
+		since    time.Duration             // of the first count; zero without any
 	}
 )
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{entries: map[string][]entry{}, refusals: map[uint64]refused{}}
+	return &Ledger{entries: map[string][]entry{}, counts: map[string]map[int]counts{}, refusals: map[uint64]refused{}}
 }
 
 // Admit counts an admitted request.
@@ -155,6 +166,17 @@
 		l.since = max(e.at, 1)
 	}
 	l.entries[service] = append(l.entries[service], e)
+	if l.counts[service] == nil {
+		l.counts[service] = map[int]counts{}
+	}
+	c := l.counts[service][e.priority].decayed(e.at)
+	if e.asked {
+		c.asked++
+	}
+	if e.admitted {
+		c.admitted++
+	}
+	l.counts[service][e.priority] = c
 }
 
 // Expire drops what is older than the window. It must be called regularly.
@@ -176,42 +198,42 @@
 	}
 }
 
-// Shares returns the fractions of requests of a service that were admitted in the window, from
-// the view of a priority.
-func (l *Ledger) Shares(service string, priority int, now time.Duration) Shares {
+// Shares returns the fractions of requests of a service that are admitted, from the view of a
+// priority. It reports false if too few requests of that priority, or of more urgent ones, were
+// counted to compare them.
+func (l *Ledger) Shares(service string, priority int, now time.Duration) (Shares, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	type count struct{ asked, admitted int }
-	var all count
-	byPriority := map[int]count{}
-	for _, e := range l.entries[service] {
-		if now-e.at > window {
-			continue
-		}
-		c := byPriority[e.priority]
-		if e.asked {
-			c.asked++
-			all.asked++
-		}
-		if e.admitted {
-			c.admitted++
-			all.admitted++
-		}
-		byPriority[e.priority] = c
-	}
-	share := func(c count) float64 {
-		if c.asked < minRequests {
-			return 1
-		}
-		return min(float64(c.admitted)/float64(c.asked), 1)
+	var all counts
+	byPriority := l.counts[service]
+	for _, c := range byPriority {
+		c = c.decayed(now)
+		all.asked += c.asked
+		all.admitted += c.admitted
 	}
-	s := Shares{Own: share(byPriority[priority]), Urgent: 1, All: share(all)}
+	s, compared := Shares{Urgent: 1, All: all.share()}, false
 	for p, c := range byPriority {
-		if p < priority {
-			s.Urgent = min(s.Urgent, share(c))
+		if c = c.decayed(now); p < priority && c.asked >= minRequests {
+			s.Urgent, compared = min(s.Urgent, c.share()), true
 		}
 	}
-	return s
+	own := byPriority[priority].decayed(now)
+	s.Own = own.share()
+	return s, compared && own.asked >= minRequests
+}
+
+// decayed returns the counts with the weight that they have at a time.
+func (c counts) decayed(now time.Duration) counts {
+	f := math.Exp(-float64(max(now-c.at, 0)) / float64(shareWindow))
+	return counts{asked: c.asked * f, admitted: c.admitted * f, at: now}
+}
+
+// share returns the fraction of the requests asked for that were admitted, or 1 without any.
+func (c counts) share() float64 {
+	if c.asked == 0 {
+		return 1
+	}
+	return min(c.admitted/c.asked, 1)
 }
 
 // Price returns what a second of an engine is worth: the value per engine time of the last
--- a/core/emulate/emulate.go
+++ b/core/emulate/emulate.go
@@ -74,6 +74,8 @@
 		// their workspaces.
 		Workspaces int    `yaml:"workspaces" validate:"gte=0,lte=20000"`
 		Group      string `yaml:"group"`
+		// Priority is the operator's priority; 0 is the most urgent.
+		Priority int `yaml:"priority" validate:"gte=0"`
 	}
 
 	// Scenario is a set of engines with the loads on them: an immutable value.
@@ -94,6 +96,9 @@
 		AtOnce bool `yaml:"at_once"`
 		// Policy is the policy of the hosts' schedulers.
 		Policy schedule.Policy `yaml:"-"`
+		// Counted makes the hosts count admitted and refused requests by priority. All hosts
+		// know all counts at once.
+		Counted bool `yaml:"counted"`
 	}
 
 	// Rule decides whether a request is refused, and how; retry is set if it was
@@ -170,6 +175,7 @@
 func simulate(s Scenario, rule Rule, seed uint64) []*request {
 	random := rand.New(rand.NewPCG(seed, 2))
 	f := newFleet(s.Engine, s.NewsDelay)
+	f.counted = s.Counted
 	for i := range max(s.Hosts, 1) {
 		sc := schedule.New(uint32(i+1), schedule.WithRandom(random.Float64))
 		sc.SetPolicy(s.Policy)
@@ -216,14 +222,17 @@
 		Workspace: schedule.HashWorkspace(r.workspace),
 	})
 	refusal, refused := rule(admission.Request{
+		Served: f.served(r),
 		Stream: true, TimeLeft: wait - (r.attempt - r.arrived), Objective: r.load.Objective, Waited: r.attempt - r.arrived, LateRisk: p.LateRisk, SlotsUsed: p.SlotsUsed,
 		FirstToken: p.FirstToken, IdleFirstToken: p.IdleFirstToken, DisplacedRatio: p.DisplacedRatio, EnginesFilled: p.EnginesFilled, SpareFraction: p.SpareFraction,
 		DisplacedWeight: p.Share.DisplacedWeight, OverShare: p.Share.OverShare, SlotScarcity: p.SlotScarcity,
 	}, r.retried)
 	if refused {
 		h.scheduler.RecordEnd(p.ID)
+		f.countRefused(r)
 		return refusal, true
 	}
+	f.countAdmitted(r)
 	f.start(r, h, p)
 	return refusal, false
 }
--- a/core/emulate/fleet.go
+++ b/core/emulate/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"slipcrank.example/core/backend"
+	"slipcrank.example/core/demand"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/core/site"
 )
@@ -50,6 +51,8 @@
 		news      []report // on the way to other hosts
 		engines   map[string]*engineState
 		now       time.Duration
+		counted   bool
+		ledger    *demand.Ledger
 	}
 
 	// host is a host with its own knowledge of the placements.
@@ -66,7 +69,7 @@
 )
 
 func newFleet(e site.Engine, newsDelay time.Duration) *fleet {
-	return &fleet{engine: e, newsDelay: newsDelay, engines: map[string]*engineState{}}
+	return &fleet{engine: e, newsDelay: newsDelay, engines: map[string]*engineState{}, ledger: demand.NewLedger()}
 }
 
 // tell reports a change at a time to all hosts but one, which knows of it.
@@ -91,6 +94,31 @@
 	f.news = f.news[n:]
 }
 
+// served returns the fractions of admitted requests from the view of a request, if they are
+// counted and known.
+func (f *fleet) served(r *request) demand.Shares {
+	if s, ok := f.ledger.Shares(serviceName, r.load.Priority, r.attempt); ok && f.counted {
+		return s
+	}
+	return demand.Shares{}
+}
+
+// countAdmitted counts an admitted request. One that returns was counted as asked for before.
+func (f *fleet) countAdmitted(r *request) {
+	count := f.ledger.Admit
+	if r.retried {
+		count = f.ledger.AdmitReturning
+	}
+	count(serviceName, r.load.Priority, demand.Work{}, r.attempt)
+}
+
+// countRefused counts a request that is refused for the first time.
+func (f *fleet) countRefused(r *request) {
+	if !r.retried {
+		f.ledger.Refuse(demand.Refusal{Service: serviceName, Priority: r.load.Priority}, r.attempt)
+	}
+}
+
 // servers adds engines to the fleet and returns them as servers for the scheduler.
 func (f *fleet) servers(n int) []backend.Server {
 	var ss []backend.Server
--- a/daemon/gateway/admit.go
+++ b/daemon/gateway/admit.go
@@ -22,7 +22,7 @@
 		Waited:          c.waited,
 		LateRisk:        p.LateRisk,
 		SlotsUsed:       p.SlotsUsed,
-		Served:          g.scarcity.Ledger.Shares(p.Service, c.priority(), g.clock.Now()),
+		Served:          g.served(c, p.Service),
 		FirstToken:      p.FirstToken,
 		IdleFirstToken:  p.IdleFirstToken,
 		DisplacedRatio:  p.DisplacedRatio,
--- a/daemon/gateway/scarcity.go
+++ b/daemon/gateway/scarcity.go
@@ -75,6 +75,16 @@
 	count(p.Service, p.Priority, workOf(e, p.Work), g.clock.Now())
 }
 
+// served returns the fractions of requests of a service that are admitted, or the zero value if
+// they can't be compared by priority.
+func (g *Gateway) served(c *call, service string) demand.Shares {
+	shares, known := g.scarcity.Ledger.Shares(service, c.priority(), g.clock.Now())
+	if !known {
+		return demand.Shares{}
+	}
+	return shares
+}
+
 // countRefused counts a call that the policy has refused, and reports it to other hosts.
 func (g *Gateway) countRefused(c *call, service string) {
 	g.metrics.Count("gateway_refused_by_priority", 1, "priority", strconv.Itoa(c.priority()))
