--- a/core/admission/admission.go
+++ b/core/admission/admission.go
@@ -80,8 +80,12 @@
 	// maxUrgencyLag is by how much less often more urgent requests may be served than those of
 	// a priority, as a fraction of all: operators accept a difference of a twentieth.
 	maxUrgencyLag = 0.05
-	// minOwnShare is how often a priority is served at least, compared with all requests: one
-	// that is served less than a quarter as often counts as starved.
+	// busySlotsUsed is the fraction of slots in use from which on less urgent requests may be
+	// refused for more urgent ones. Below it, refusals have other causes.
+	busySlotsUsed = 0.75
+	// minOwnShare is how often a priority is served at least, compared with all requests.
+	// Operators take one that is served less than a quarter as often for starved; the
+	// difference allows for counts that lag.
 	minOwnShare = 0.35
 	// reservedObjectiveFraction is the fraction of the latency objective, about one or
 	// two queue positions, that workspaces over their share leave to others when no
@@ -233,7 +237,7 @@
 
 // risksSlot reports whether a stream that could be in time would probably find its slot taken.
 func (r Request) risksSlot() bool {
-	return r.Stream && r.Waited < r.Objective && r.LateRisk > maxLateRisk
+	return r.Stream && r.EnginesFilled < minReservingFill && r.Waited < r.Objective && r.LateRisk > maxLateRisk
 }
 
 // mustYield reports whether the caller has waited too long to be served in time while
@@ -248,7 +252,7 @@
 // often than all requests is never starved for more urgent ones.
 func (r Request) precedesMoreUrgent() bool {
 	s := r.Served
-	return s.Own-s.Urgent > maxUrgencyLag && s.Own > minOwnShare*s.All
+	return r.SlotsUsed >= busySlotsUsed && s.Own-s.Urgent > maxUrgencyLag && s.Own > minOwnShare*s.All
 }
 
 // slotsScarce reports whether the request competes with others for the last slots. Long prompts
--- a/core/demand/demand.go
+++ b/core/demand/demand.go
@@ -18,6 +18,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -45,6 +46,8 @@
 	// minRequests is the decayed number of requests from which on the share of a priority is
 	// known: with fewer, one refusal changes it by more than a tenth.
 	minRequests = 10
+	// minCount is the decayed number of requests below which a priority is forgotten.
+	minCount = 0.01
 )
 
 type (
@@ -81,7 +84,8 @@
 		Own, Urgent, All float64
 	}
 
-	// entry is a counted request. A request that returns is asked for only once.
+	// entry is a counted request. A request that returns is asked for only once. Its work counts
+	// again when it is admitted, since it returns after the window in which it was refused.
 	entry struct {
 		at              time.Duration
 		priority        int
@@ -106,13 +110,13 @@
 		entries  map[string][]entry        // by service, in order of time
 		counts   map[string]map[int]counts // by service and priority
 		refusals map[uint64]refused        // the latest, by identity
-		since    time.Duration             // of the first count; zero without any
+		since    map[string]time.Duration  // of the first count, by service
 	}
 )
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{entries: map[string][]entry{}, counts: map[string]map[int]counts{}, refusals: map[uint64]refused{}}
+	return &Ledger{entries: map[string][]entry{}, counts: map[string]map[int]counts{}, refusals: map[uint64]refused{}, since: map[string]time.Duration{}}
 }
 
 // Admit counts an admitted request.
@@ -136,7 +140,7 @@
 	if _, again := l.returning(r.Identity, r.TimeLeft, now); !again {
 		l.add(r.Service, entry{at: now, priority: r.Priority, work: r.Work, asked: true})
 	}
-	if r.Identity != 0 && len(l.refusals) < maxRefusals {
+	if _, known := l.refusals[r.Identity]; r.Identity != 0 && (known || len(l.refusals) < maxRefusals) {
 		l.refusals[r.Identity] = refused{r, now}
 	}
 }
@@ -162,10 +166,13 @@
 }
 
 func (l *Ledger) add(service string, e entry) {
-	if l.since == 0 {
-		l.since = max(e.at, 1)
+	if len(l.entries[service]) == 0 {
+		l.since[service] = e.at
 	}
 	l.entries[service] = append(l.entries[service], e)
+	if e.priority < 0 {
+		return // not known
+	}
 	if l.counts[service] == nil {
 		l.counts[service] = map[int]counts{}
 	}
@@ -187,10 +194,17 @@
 		n := slices.IndexFunc(es, func(e entry) bool { return now-e.at <= window })
 		if n < 0 {
 			delete(l.entries, service)
+			delete(l.since, service)
 			continue
 		}
 		l.entries[service] = slices.Clone(es[n:])
 	}
+	for service, byPriority := range l.counts {
+		maps.DeleteFunc(byPriority, func(_ int, c counts) bool { return c.decayed(now).asked < minCount })
+		if len(byPriority) == 0 {
+			delete(l.counts, service)
+		}
+	}
 	for id, r := range l.refusals {
 		if now-r.at > refusalTTL {
 			delete(l.refusals, id)
@@ -242,13 +256,14 @@
 func (l *Ledger) Price(service string, engines int, now time.Duration) (float64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	span := min(now-l.since, window)
-	if l.since == 0 || span < minSpan {
+	since, counted := l.since[service]
+	span := min(now-since, window)
+	if !counted || span < minSpan {
 		return 0, false
 	}
 	var works []Work
 	for _, e := range l.entries[service] {
-		if e.asked && now-e.at <= window && e.work.EngineTime > 0 {
+		if now-e.at <= window && e.work.EngineTime > 0 {
 			works = append(works, e.work)
 		}
 	}
--- a/core/schedule/displacement.go
+++ b/core/schedule/displacement.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+	"math"
 	"time"
 
 	"slipcrank.example/core/site"
@@ -66,11 +68,11 @@
 // slotUse returns the fraction of all slots that the request can't use: those that are taken, and
 // those of engines that can't serve it in time because of prompts that they have yet to prefill.
 func (c *choice) slotUse() float64 {
-	part := prefillTime(c.engine, c.request.Work.Prompt, 1)
+	gap := cmp.Or(c.request.Gap, math.MaxInt64)
 	running, slots := 0, 0
 	for _, s := range c.states {
 		slots += s.server.Slots
-		if s.pause(part) > c.request.Gap || s.timeToPrefill(part) > c.request.Objective {
+		if s.backlog > 0 && (s.pause(0) > gap || s.timeToPrefill(0) > c.request.Objective) {
 			running += s.server.Slots
 			continue
 		}
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -112,9 +112,10 @@
 		HeadHash uint64
 		Isolated bool
 		// Retry reports that a server has got the request before, Returning that it was
-		// refused before.
-		Retry, Returning bool
-		// Priority is the operator's priority of the request; 0 is the most urgent.
+		// refused before, and Counted that an earlier placement of it was reported.
+		Retry, Returning, Counted bool
+		// Priority is the operator's priority of the request; 0 is the most urgent, -1
+		// that of a placement by a host that doesn't report it.
 		Priority int
 		Work     Work
 		// Objective is the time from PlacedAt until the first event is late.
@@ -243,17 +244,19 @@
 	return *p, true
 }
 
-// AddRemote records a placement made by another host.
-func (sc *Scheduler) AddRemote(p Placement) {
+// AddRemote records a placement made by another host, and reports whether it is new.
+func (sc *Scheduler) AddRemote(p Placement) bool {
 	sc.mu.Lock()
 	defer sc.mu.Unlock()
-	if _, ok := sc.placements[p.ID]; !ok {
+	_, known := sc.placements[p.ID]
+	if !known {
 		// The rate estimates placements that this host doesn't know yet, so its
 		// own don't count. If they did, those that it refuses under overload
 		// would keep slots empty.
 		sc.remoteRates[p.Service] = sc.remoteRates[p.Service].increment(p.PlacedAt)
 		sc.add(&p)
 	}
+	return !known
 }
 
 // AddRunning records a placement that another host made before this host was in
--- a/core/schedule/unseen.go
+++ b/core/schedule/unseen.go
@@ -79,7 +79,8 @@
 	}
 	total := sc.remoteRates[service].perSecond(now) * sc.newsDelay(now).Seconds()
 	c.slotsToSpread = slotsPerUnseen * total
-	opened, free := 0, 0 // free slots of the engines with sensitive streams, and of all
+	drawn := max(c.slotsToSpread, float64(maxLeadDraw*c.engine.Slots))
+	opened, free := 0, 0 // free slots of the engines with streams, and of all
 	for _, s := range c.states {
 		free += s.freeSlots()
 		if s.tightestGap > 0 {
@@ -92,9 +93,9 @@
 		switch {
 		case total == 0:
 		case opened > 0 && s.tightestGap > 0:
-			mean = total * float64(s.freeSlots()) / min(float64(opened), c.slotsToSpread)
+			mean = total * float64(s.freeSlots()) / min(float64(opened), drawn)
 		case opened == 0 && free > 0:
-			mean = total * float64(s.freeSlots()) / min(float64(free), c.slotsToSpread)
+			mean = total * float64(s.freeSlots()) / min(float64(free), drawn)
 		}
 		start := len(probabilities)
 		probabilities = appendPoisson(probabilities, mean)
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -199,6 +199,7 @@
 	e.gateway = gateway.New(p.Dialect, e.gatewayState, e.pool, e.scheduler, budget, e.log, e.metrics, opts...)
 	n.SetSuspectsHandler(e.applySuspects)
 	n.SetRefusalHandler(e.gateway.ReceiveRefusal)
+	n.SetPlacementHandler(e.gateway.CountPlacement)
 	n.SetPathHandler(func(host uint32, lost []string) { e.paths.set(host, lost, e.clock.Now()) })
 	n.SetJoinHandlers(news.JoinHandlers{Refer: e.refer, Source: e.applySource})
 	n.SetNoticeHandlers(news.NoticeHandlers{
@@ -262,6 +263,7 @@
 		go e.serve(e.delegated, listeners[4])
 	}
 	e.startJoining()
+	e.updateScarcity()
 	go e.watcher.Run(ctx)
 	go e.exchange.Run()
 	go e.announce(ctx)
--- a/daemon/entry/scarcity.go
+++ b/daemon/entry/scarcity.go
@@ -29,11 +29,7 @@
 // the counts of demand are incomplete, so there is no price.
 func (e *Entry) updateScarcity() {
 	s := e.settings.Load().Scarcity
-	n := e.neighbors.Load()
-	heard := 1.0
-	if listed := len(n.peers); listed > 0 {
-		heard = float64(n.hosts.CountOthers(e.hostAlive())) / float64(listed)
-	}
+	heard := e.heardFraction()
 	e.scheduler.SetPolicy(schedule.Policy{}.WithSpread(s.Spreads()))
 	e.scheduler.SetHeardFraction(heard)
 	e.metrics.Set("scarcity_hosts_heard_percent", int64(100*heard))
@@ -44,3 +40,16 @@
 	}
 	e.scheduler.SetPrices(prices)
 }
+
+// heardFraction returns the fraction of the listed other hosts of the cell from which messages
+// have arrived recently. A host that hasn't read the list yet knows of none.
+func (e *Entry) heardFraction() float64 {
+	n := e.neighbors.Load()
+	switch {
+	case len(n.listed) == 0:
+		return 0
+	case len(n.peers) == 0:
+		return 1
+	}
+	return float64(n.hosts.CountOthers(e.hostAlive())) / float64(len(n.peers))
+}
--- a/daemon/gateway/admit.go
+++ b/daemon/gateway/admit.go
@@ -39,7 +39,7 @@
 	if decision.Reason == admission.OverShare {
 		g.recordOverShare(c, p)
 	}
-	g.countRefused(c, p.Service)
+	g.countRefused(c, p.Service, decision.Reason)
 	g.metrics.Count("gateway_postponed", 1, "route", c.route.Name)
 	return refuse(http.StatusServiceUnavailable, string(decision.Reason), decision.RetryAfter)
 }
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -45,6 +45,7 @@
 	delegations   map[uint32]bool // hosts to which the call was delegated, by number
 	returning     bool            // it was refused before, by this host or another
 	waited        time.Duration   // time from the first attempt until this one arrived
+	demandCounted bool            // an earlier placement of it counts in the ledger
 	counted       bool            // the call counts in the retry budget
 	exchange      *exchange       // of the current try
 	mayHaveRun    bool            // it may have run, or may still be running
@@ -65,7 +66,8 @@
 func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, buffer *bodyBuffer, now time.Time, d *delegation) (*call, *refusalResponse) {
 	s := g.state()
 	if s.Config == nil {
-		return nil, refuse(http.StatusServiceUnavailable, "no_configuration", startupRetryAfter)
+		left := callTimeout(r.Header.Get(g.dialect.Deadline), 0)
+		return nil, refuse(http.StatusServiceUnavailable, "no_configuration", min(startupRetryAfter, time.Duration(startupRetryFraction*float64(left))))
 	}
 	body, err := readBody(w, r, buffer, s.Config.Limits().BodyBytes, now.Add(callTimeout(r.Header.Get(g.dialect.Deadline), 0)))
 	if errors.Is(err, errBuffersFull) {
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -95,7 +95,6 @@
 // this host requests no grant that would be denied.
 func (g *Gateway) ReceivePlacement(p schedule.Placement) {
 	g.budget.AddReported(p.Service, p.Retry, time.Now())
-	g.countAdmitted(p)
 	now := g.clock.Now()
 	if l := g.notices.Limit(p.Lead, now); l.Limited {
 		g.notices.CloseUntil(p.Lead, now+grant.RequestInterval(l.Rate), now)
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -14,9 +14,13 @@
 
 // Retry-After times of refusals.
 const (
-	// startupRetryAfter is about how long a daemon needs to receive its first
-	// configuration.
-	startupRetryAfter = 300 * time.Millisecond
+	// startupRetryAfter is how long the hosts of a large fleet that all start at once need to
+	// receive their first configuration. Callers meet a host without one only then, since
+	// the balancer prefers hosts that are ready.
+	startupRetryAfter = 700 * time.Millisecond
+	// startupRetryFraction is the fraction of their time after which callers still return: a
+	// third, less the jitter.
+	startupRetryFraction = 0.2
 	// otherHostRetryAfter makes a caller try another host at once. Each host has its
 	// own connection to the platform, so another one may be able to serve the call.
 	otherHostRetryAfter = 100 * time.Millisecond
--- a/daemon/gateway/scarcity.go
+++ b/daemon/gateway/scarcity.go
@@ -55,13 +55,14 @@
 		return
 	}
 	if r, ok := g.scarcity.Ledger.Returning(uint64(c.headHash), time.Until(c.deadline), g.clock.Now()); ok {
-		c.returning, c.waited = true, r.Waited
+		c.returning, c.waited = true, max(r.Waited-time.Since(c.arrivedAt), 0)
 	}
 }
 
-// countAdmitted counts a placement of this host or another in the ledger.
-func (g *Gateway) countAdmitted(p schedule.Placement) {
-	if p.Retry || p.Work.Prompt == 0 || !g.scarcity.Counts() {
+// CountPlacement counts a placement of this host or another in the ledger, unless an earlier one
+// of the same request was counted.
+func (g *Gateway) CountPlacement(p schedule.Placement) {
+	if p.Retry || p.Counted || p.Work.Prompt == 0 || !g.scarcity.Counts() {
 		return
 	}
 	e := g.engine(p.Service)
@@ -85,11 +86,12 @@
 	return shares
 }
 
-// countRefused counts a call that the policy has refused, and reports it to other hosts.
-func (g *Gateway) countRefused(c *call, service string) {
+// countRefused counts a call that the policy has refused, and reports it to other hosts. A caller
+// without time, or of a workspace over its share, says nothing about what the engines have room for.
+func (g *Gateway) countRefused(c *call, service string, why admission.Reason) {
 	g.metrics.Count("gateway_refused_by_priority", 1, "priority", strconv.Itoa(c.priority()))
 	e := g.engine(service)
-	if e == nil || !g.scarcity.Counts() {
+	if e == nil || c.demandCounted || why == admission.NoTime || why == admission.OverShare || !g.scarcity.Counts() {
 		return
 	}
 	r := demand.Refusal{
@@ -100,9 +102,9 @@
 	g.scarcity.SendRefusal(r)
 }
 
-// ReceiveRefusal counts a request that another host has refused.
+// ReceiveRefusal counts a request that another host has refused, of a service with engines.
 func (g *Gateway) ReceiveRefusal(r demand.Refusal) {
-	if g.scarcity.Counts() {
+	if g.scarcity.Counts() && g.engine(r.Service) != nil {
 		g.scarcity.Ledger.Refuse(r, g.clock.Now())
 	}
 }
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -103,7 +103,9 @@
 	defer g.scheduler.RecordEnd(p.ID)
 	server, _ := s.Servers.Get(p.Lead)
 	p.Retry = c.attempts > 0
-	g.countAdmitted(p)
+	p.Counted = c.demandCounted
+	c.demandCounted = true
+	g.CountPlacement(p)
 	g.onPlaced(p)
 	defer g.onEnded(p.ID)
 	reservation, err := g.reserveMemory(ctx, s, p)
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -100,6 +100,8 @@
 		paths     func(host uint32, lost []string)
 		refusals  func(r demand.Refusal)
 
+		placements func(p schedule.Placement)
+
 		mu           sync.Mutex
 		lastReceived map[netip.AddrPort]time.Duration
 	}
@@ -139,7 +141,8 @@
 		WaitedMS  int64 `cbor:"37,keyasint,omitempty"`
 		EngineMS  int64 `cbor:"38,keyasint,omitempty"`
 		// Value is in thousandths.
-		Value int64 `cbor:"39,keyasint,omitempty"`
+		Value   int64 `cbor:"39,keyasint,omitempty"`
+		Counted bool  `cbor:"40,keyasint,omitempty"`
 
 		Suspects []quarantine.Record `cbor:"16,keyasint,omitempty"`
 
@@ -182,6 +185,7 @@
 		suspects:     func(uint32, []quarantine.Record) {},
 		paths:        func(uint32, []string) {},
 		refusals:     func(demand.Refusal) {},
+		placements:   func(schedule.Placement) {},
 		joins: JoinHandlers{
 			Refer:  func(netip.AddrPort, JoinRequest) string { return "" },
 			Source: func(netip.AddrPort, string) {},
@@ -244,7 +248,7 @@
 		ObjectiveMS: p.Objective.Milliseconds(),
 		FirstMS:     p.FirstToken.Milliseconds(), Service: p.Service, Shares: shares,
 		Workspace: p.Workspace, HeadHash: p.HeadHash, Isolated: p.Isolated, Retry: p.Retry,
-		Priority: p.Priority + 1, Returning: p.Returning,
+		Priority: p.Priority + 1, Returning: p.Returning, Counted: p.Counted,
 	}
 }
 
@@ -263,7 +267,7 @@
 		FirstToken: time.Duration(m.FirstMS) * time.Millisecond,
 		PlacedAt:   now - time.Duration(m.AgeMS)*time.Millisecond,
 		HeadHash:   m.HeadHash, Isolated: m.Isolated, Retry: m.Retry, Decoding: m.Decoding,
-		Priority: max(m.Priority-1, 0), Returning: m.Returning,
+		Priority: max(m.Priority-1, -1), Returning: m.Returning, Counted: m.Counted,
 	}
 }
 
@@ -416,7 +420,9 @@
 	switch m.Kind {
 	case kindPlacement:
 		p := m.placement(n.now())
-		n.scheduler.AddRemote(p)
+		if n.scheduler.AddRemote(p) {
+			n.placements(p)
+		}
 		n.notices.Placement(p)
 	case kindRunning:
 		n.scheduler.AddRunning(m.placement(n.now()))
--- a/daemon/news/refusal_test.go
+++ b/daemon/news/refusal_test.go
@@ -27,6 +27,8 @@
 		}, true},
 		"no service":       {demand.Refusal{Priority: 1}, false},
 		"negative value":   {demand.Refusal{Service: "model", Work: demand.Work{Value: -1}}, false},
+		"impossible value": {demand.Refusal{Service: "model", Work: demand.Work{Value: 1e9, EngineTime: time.Hour}}, false},
+		"endless waiting":  {demand.Refusal{Service: "model", Waited: 48 * time.Hour}, false},
 		"negative waiting": {demand.Refusal{Service: "model", Waited: -time.Second}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/settings/entry.go
+++ b/daemon/settings/entry.go
@@ -22,8 +22,9 @@
 	// for. It takes effect when the settings change.
 	Scarcity struct {
 		// Placement says how engines are chosen that are equally good: ranked, in an order
-		// common to all hosts, or spread over all of them by their free slots. The empty
-		// value means ranked.
+		// common to all hosts, or spread over them by their free slots; with spread, streams
+		// whose slots others would probably take first are refused. The empty value means
+		// ranked.
 		Placement string `yaml:"placement" validate:"omitempty,oneof=ranked spread"`
 		// LateCallers says whether callers who were refused before, and can't be served in
 		// time any more, are treated like others (equal) or yield to them. The empty value
