Scarce engine time is logged, and placements with what they were decided by

SC1523 says when the work asked of a service begins or ceases to exceed its engines' time; SC1511 has the used slots, the risk, the priority and whether the caller returns.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -69,6 +69,7 @@
 		state              func() State
 		freshness          Freshness
 		scarcity           Scarcity
+		scarceServices     map[string]bool // as last logged; used by UpdatePrices only
 		pool               *upstream.Pool
 		scheduler          *schedule.Scheduler
 		budget             *limit.RetryWindow
@@ -187,6 +188,7 @@
 		dialect: d, state: state, pool: pool, scheduler: scheduler, budget: budget, log: log, metrics: metrics,
 		freshness:       Freshness{KeysTrusted: always, ConfigCurrent: always, ConfigAge: zeroAge, ServersAge: zeroAge},
 		scarcity:        defaultScarcity(),
+		scarceServices:  map[string]bool{},
 		onPlaced:        func(schedule.Placement) {},
 		onStarted:       func(schedule.ID) {},
 		onEnded:         func(schedule.ID) {},
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -79,7 +79,8 @@
 	g.log.Write(event.RequestPlaced, slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("route", c.route.Name),
 		slog.String("server", p.Lead), slog.Int("readers", len(p.Helpers)), slog.Int("shares", len(p.MemoryShares)),
 		slog.Float64("price", p.Share.DisplacedWeight), slog.Bool("over_share", p.Share.OverShare), slog.Float64("full", p.SlotScarcity),
-		slog.Float64("displaces", p.DisplacedRatio), slog.Int("lead_runs", p.LeadRunning), slog.Duration("lead_reads", p.LeadBacklog),
+		slog.Float64("displaces", p.DisplacedRatio), slog.Int("priority", p.Priority), slog.Bool("returning", p.Returning), slog.Float64("used", p.SlotsUsed), slog.Float64("risk", p.LateRisk),
+		slog.Int("lead_runs", p.LeadRunning), slog.Duration("lead_reads", p.LeadBacklog),
 		slog.Int("prompt", c.work.Prompt), slog.Duration("predicted", p.FirstToken), slog.Duration("idle", p.IdleFirstToken),
 		slog.Int64("configuration", s.Config.Version()), slog.Duration("proof_age", g.freshness.ConfigAge()),
 		slog.Duration("servers_age", g.freshness.ServersAge()))
--- a/daemon/gateway/scarcity.go
+++ b/daemon/gateway/scarcity.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"log/slog"
 	"math"
 	"strconv"
 	"time"
@@ -9,6 +10,7 @@
 	"slipcrank.example/core/demand"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/core/site"
+	"slipcrank.example/daemon/event"
 )
 
 // Scarcity holds what the gateway needs to decide while callers ask for more than the engines
@@ -119,8 +121,16 @@
 	return svc.Engine
 }
 
+// logScarce logs when the work asked of a service begins or ceases to exceed its engines' time.
+func (g *Gateway) logScarce(service string, price float64) {
+	if scarce := price > 0; scarce != g.scarceServices[service] {
+		g.scarceServices[service] = scarce
+		g.log.Write(event.EngineTimeScarce, slog.String("service", service), slog.Bool("scarce", scarce), slog.Float64("value_per_second", price))
+	}
+}
+
 // UpdatePrices expires the ledger, and returns the price of a second of an engine for each
-// service whose demand is known.
+// service whose demand is known. It must be called regularly, and not concurrently.
 func (g *Gateway) UpdatePrices() map[string]float64 {
 	now := g.clock.Now()
 	g.scarcity.Ledger.Expire(now)
@@ -138,6 +148,7 @@
 			continue
 		}
 		prices[name] = price
+		g.logScarce(name, price)
 		g.metrics.Set("scarcity_price_millivalue", int64(math.Round(1000*price)), "service", name)
 	}
 	return prices
