Placements are spread only as far as unknown ones need

Hosts that know little drew blindly, also engines known to be slow.

Change: the draw of before holds while its engines have ten free slots for each unknown placement, and is widened otherwise. Hosts that know little draw from all engines that aren't known to make the request late.

--- a/core/emulate/emulate.go
+++ b/core/emulate/emulate.go
@@ -222,10 +222,10 @@
 		Workspace: schedule.HashWorkspace(r.workspace),
 	})
 	refusal, refused := rule(admission.Request{
-		Served: f.served(r),
-		Stream: true, TimeLeft: wait - (r.attempt - r.arrived), Objective: r.load.Objective, Waited: r.attempt - r.arrived, LateRisk: p.LateRisk, SlotsUsed: p.SlotsUsed,
+		Stream: true, TimeLeft: wait - (r.attempt - r.arrived), Objective: r.load.Objective, Waited: r.attempt - r.arrived,
 		FirstToken: p.FirstToken, IdleFirstToken: p.IdleFirstToken, DisplacedRatio: p.DisplacedRatio, EnginesFilled: p.EnginesFilled, SpareFraction: p.SpareFraction,
 		DisplacedWeight: p.Share.DisplacedWeight, OverShare: p.Share.OverShare, SlotScarcity: p.SlotScarcity,
+		Served: f.served(r), LateRisk: p.LateRisk, SlotsUsed: p.SlotsUsed,
 	}, r.retried)
 	if refused {
 		h.scheduler.RecordEnd(p.ID)
--- a/core/emulate/fleet.go
+++ b/core/emulate/fleet.go
@@ -72,8 +72,8 @@
 	return &fleet{engine: e, newsDelay: newsDelay, engines: map[string]*engineState{}, ledger: demand.NewLedger()}
 }
 
-// tell reports a change at a time to all hosts but one, which knows of it.
-func (f *fleet) tell(from *host, at time.Duration, apply func(*schedule.Scheduler, time.Duration)) {
+// broadcast reports a change at a time to all hosts but one, which knows of it.
+func (f *fleet) broadcast(from *host, at time.Duration, apply func(*schedule.Scheduler, time.Duration)) {
 	if len(f.hosts) > 1 {
 		f.news = append(f.news, report{from, at + f.newsDelay, apply})
 	}
@@ -134,7 +134,7 @@
 func (f *fleet) start(r *request, h *host, p schedule.Placement) {
 	k := len(p.Helpers) + 1
 	r.host, r.placement, r.partsLeft, r.tokensLeft = h, p, k, r.work.Answer
-	f.tell(h, r.attempt, func(sc *schedule.Scheduler, at time.Duration) {
+	f.broadcast(h, r.attempt, func(sc *schedule.Scheduler, at time.Duration) {
 		p.PlacedAt = at
 		sc.AddRemote(p)
 	})
@@ -193,7 +193,7 @@
 func (f *fleet) addTokens(r *request, now time.Duration) {
 	if r.lastTokens == 0 {
 		r.host.scheduler.RecordStart(r.placement.ID, now)
-		f.tell(r.host, now, func(sc *schedule.Scheduler, at time.Duration) { sc.RecordStart(r.placement.ID, at) })
+		f.broadcast(r.host, now, func(sc *schedule.Scheduler, at time.Duration) { sc.RecordStart(r.placement.ID, at) })
 		r.late = now-r.arrived > r.load.Objective
 	} else {
 		r.late = r.late || now-r.lastTokens > r.load.Gap
@@ -202,7 +202,7 @@
 	if r.tokensLeft <= 0 {
 		r.done = true
 		r.host.scheduler.RecordEnd(r.placement.ID)
-		f.tell(r.host, now, func(sc *schedule.Scheduler, _ time.Duration) { sc.RecordEnd(r.placement.ID) })
+		f.broadcast(r.host, now, func(sc *schedule.Scheduler, _ time.Duration) { sc.RecordEnd(r.placement.ID) })
 	}
 }
 
--- a/core/schedule/choose.go
+++ b/core/schedule/choose.go
@@ -43,8 +43,8 @@
 		locality      float64  // how much the own hall is preferred, from 0 to 1
 		openFirst     bool     // the first stream as sensitive as this may open an engine of the own hall
 		spread        bool     // the lead is drawn from as many engines as have slotsToSpread free slots
-		slotsToSpread float64
-		knowsLittle   bool // the lead is drawn from all engines with a free slot
+		slotsToSpread float64  // ten for each placement that isn't known yet
+		knowsLittle   bool     // most of what runs on the engines is unknown
 		scratch       *scratch
 	}
 
@@ -100,7 +100,7 @@
 	s.states, s.leadStates = s.states[:0], s.leadStates[:0]
 	first := 0 // in the order of engines
 	if c.knowsLittle {
-		first = int(c.random * float64(len(servers)))
+		first = int(sc.random() * float64(len(servers))) // independent of the draw of the lead
 	}
 	for i, server := range servers {
 		st := &s.pool[i]
@@ -209,13 +209,9 @@
 
 // pickLead draws the lead from the engines that would lead the prompt for nearly the
 // least cost, so that hosts that choose at the same moment don't all take the same
-// engine.
+// engine. Where placements are spread, it draws from enough engines that few of the
+// placements made at the same moment meet.
 func (c *choice) pickLead(part time.Duration) *state {
-	if c.knowsLittle {
-		if s := drawByFreeSlots(c.leadStates, c.random); s != nil {
-			return s
-		}
-	}
 	limit := maxLeadDraw
 	if c.spread {
 		limit = len(c.leadStates)
@@ -227,26 +223,51 @@
 		candidates = insertCandidate(candidates, candidate{cost, s}, limit)
 	}
 	c.scratch.candidates = candidates
-	near, margin := 1, leadMargin
-	if c.spread {
-		margin = spreadMargin
-	}
-	for near < len(candidates) && candidates[near].cost <= candidates[0].cost+margin*c.value && candidates[near].state.mayReplace(candidates[0].state) {
-		near++
-	}
-	if c.spread && candidates[0].state.freeSlots() > 0 {
-		s := &c.scratch.drawn
-		*s = (*s)[:0]
-		for free := 0; len(*s) < near && (len(*s) < maxLeadDraw || float64(free) < c.slotsToSpread); {
-			o := candidates[len(*s)].state
-			*s = append(*s, o)
-			free += o.freeSlots()
+	near := min(c.countNear(candidates, leadMargin), maxLeadDraw)
+	if c.spread && freeSlots(candidates[:near]) < c.slotsToSpread {
+		margin := spreadMargin
+		if c.knowsLittle {
+			margin = unknownMargin
+		}
+		if s := c.drawSpread(candidates[:c.countNear(candidates, margin)]); s != nil {
+			return s
 		}
-		return drawByFreeSlots(*s, c.random)
 	}
 	return candidates[int(c.random*float64(near))].state
 }
 
+// countNear returns how many of the candidates, which are sorted by cost, cost at most margin
+// more than the first, as a fraction of the request's value, and may replace it.
+func (c *choice) countNear(candidates []candidate, margin float64) int {
+	n := 1
+	for n < len(candidates) && candidates[n].cost <= candidates[0].cost+margin*c.value && candidates[n].state.mayReplace(candidates[0].state) {
+		n++
+	}
+	return n
+}
+
+// drawSpread draws the lead by free slots from the cheapest candidates that have as many of them
+// as the placements made at the same moment need, or returns nil if none has any.
+func (c *choice) drawSpread(candidates []candidate) *state {
+	drawn := c.scratch.drawn[:0]
+	for free := 0.0; len(drawn) < len(candidates) && free < c.slotsToSpread; {
+		s := candidates[len(drawn)].state
+		drawn = append(drawn, s)
+		free += float64(s.freeSlots())
+	}
+	c.scratch.drawn = drawn
+	return drawByFreeSlots(drawn, c.random)
+}
+
+// freeSlots returns the number of free slots of all candidates.
+func freeSlots(candidates []candidate) float64 {
+	free := 0
+	for _, o := range candidates {
+		free += o.state.freeSlots()
+	}
+	return float64(free)
+}
+
 // drawByFreeSlots draws one of the engines with a probability in proportion to its free
 // slots, or returns nil if none has any. random is in [0, 1).
 func drawByFreeSlots(states []*state, random float64) *state {
--- a/core/schedule/policy.go
+++ b/core/schedule/policy.go
@@ -10,10 +10,10 @@
 	spread bool
 }
 
-// WithSpread returns a copy that does or doesn't spread placements: leads are drawn from all
-// engines that cost nearly the least, by their free slots, and from all with a free slot
-// while this host has heard from few other hosts. The placements that other hosts make at
-// the same time are then expected to be spread alike.
+// WithSpread returns a copy that does or doesn't spread placements: leads are drawn by their
+// free slots from enough engines that cost nearly the least, and from all that aren't known to
+// be slow while this host has heard from few other hosts. The placements that other hosts
+// make at the same time are then expected to be spread alike.
 func (p Policy) WithSpread(on bool) Policy { p.spread = on; return p }
 
 // SetPolicy sets the policy of the scheduler.
@@ -23,14 +23,6 @@
 	sc.policy = p
 }
 
-// HeardFraction returns the fraction of the listed other hosts from which messages have
-// arrived recently.
-func (sc *Scheduler) HeardFraction() float64 {
-	sc.mu.Lock()
-	defer sc.mu.Unlock()
-	return sc.heardFraction
-}
-
 // KnowsLittle reports whether this host has heard from too few other hosts to judge engines by
 // what it knows.
 func (sc *Scheduler) KnowsLittle() bool {
@@ -55,7 +47,7 @@
 	sc.prices = byService
 }
 
-// knowsLittle reports whether leads are drawn from all engines: a host that knows little of what the
+// knowsLittle reports whether leads are drawn from nearly all engines: a host that knows little of what the
 // others have placed would otherwise choose the first engines of the common order, as all
 // hosts that know as little do.
 func (sc *Scheduler) knowsLittle() bool {
--- a/core/schedule/unseen.go
+++ b/core/schedule/unseen.go
@@ -79,7 +79,10 @@
 	}
 	total := sc.remoteRates[service].perSecond(now) * sc.newsDelay(now).Seconds()
 	c.slotsToSpread = slotsPerUnseen * total
-	drawn := max(c.slotsToSpread, float64(maxLeadDraw*c.engine.Slots))
+	if c.knowsLittle {
+		c.slotsToSpread = math.Inf(1)
+	}
+	drawn := max(slotsPerUnseen*total, float64(maxLeadDraw*c.engine.Slots))
 	opened, free := 0, 0 // free slots of the engines with streams, and of all
 	for _, s := range c.states {
 		free += s.freeSlots()
--- a/core/schedule/weights.go
+++ b/core/schedule/weights.go
@@ -48,6 +48,10 @@
 	// engines in use differ by, so that the draw isn't limited to a few of them, but not the
 	// cost of the first sensitive stream on an engine.
 	spreadMargin = 0.18
+	// unknownMargin takes the place of spreadMargin on hosts that know little: it covers the
+	// first sensitive stream on an engine and the way to another hall, but not an engine that
+	// is known to make the request late.
+	unknownMargin = 0.4
 	// otherHallCost is the cost of an engine in another hall, so that the loss of the
 	// way there breaks few requests. It exceeds leadMargin. It counts in full while at
 	// least localIdleFraction of the engines are idle, and not at all below
