--- a/core/limit/window.go
+++ b/core/limit/window.go
@@ -26,6 +26,15 @@
 		services map[string]*counts
 	}
 
+	// Balance is what a budget knew when it was asked for a retry.
+	Balance struct {
+		Requests int     // to the service within the span
+		Retries  int     // to the service within the span, without the one asked for
+		Allowed  float64 // of these
+		// Age is the time since the budget was created: it knows of nothing earlier.
+		Age time.Duration
+	}
+
 	// counts holds the requests and retries in each slot of the window, and the
 	// slot's number since the start.
 	counts struct {
@@ -66,25 +75,26 @@
 	c.requests[i]++
 }
 
-// Spend takes one retry from a service's budget, and reports whether there was
-// one left.
-func (w *RetryWindow) Spend(service string, now time.Time) bool {
+// Spend takes one retry from a service's budget. It returns what the budget knew before, and
+// whether there was one left.
+func (w *RetryWindow) Spend(service string, now time.Time) (Balance, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	c, i := w.slot(service, now)
-	var requests, retries int
+	b := Balance{Age: now.Sub(w.start)}
 	oldest := c.number[i] - windowSlots + 1
 	for j := range windowSlots {
 		if c.number[j] >= oldest {
-			requests += c.requests[j]
-			retries += c.retries[j]
+			b.Requests += c.requests[j]
+			b.Retries += c.retries[j]
 		}
 	}
-	if float64(retries+1) > w.share*float64(requests)+w.slack() {
-		return false
+	b.Allowed = w.share*float64(b.Requests) + w.slack()
+	if float64(b.Retries+1) > b.Allowed {
+		return b, false
 	}
 	c.retries[i]++
-	return true
+	return b, true
 }
 
 // slot returns the counts of a service and the index of the slot for now, which it
--- a/core/limit/window_test.go
+++ b/core/limit/window_test.go
@@ -67,7 +67,7 @@
 				if second != outage && random.Float64() >= failing {
 					continue
 				}
-				ok := windows[host].Spend("s", begin.Add(now))
+				_, ok := windows[host].Spend("s", begin.Add(now))
 				if ok {
 					retries = append(retries, now)
 					reports = append(reports, report{now + latency, host, true})
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"slipcrank.example/core/limit"
 	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/core/site"
@@ -47,6 +48,7 @@
 	waited        time.Duration   // time from the first attempt until this one arrived
 	demandCounted bool            // an earlier placement of it counts in the ledger
 	counted       bool            // the call counts in the retry budget
+	balance       limit.Balance   // of the retry budget when the last retry was asked for
 	exchange      *exchange       // of the current try
 	mayHaveRun    bool            // it may have run, or may still be running
 	copiesFailed  bool            // several copies of it have failed together
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -325,7 +325,9 @@
 		c.lastFailure += ",attempts_used"
 		return false
 	}
-	if !g.budget.Spend(out.service, time.Now()) {
+	var ok bool
+	if c.balance, ok = g.budget.Spend(out.service, time.Now()); !ok {
+		g.metrics.Count("gateway_retries_denied", 1, "service", out.service)
 		c.lastFailure += ",retry_budget_used"
 		return false
 	}
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"slipcrank.example/core/limit"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/event"
 )
@@ -47,6 +48,10 @@
 		slog.String("server", out.server), slog.Int("attempts", c.attempts), slog.Duration("took", out.took),
 		slog.String("framing", string(out.framing)), slog.Int("partial", out.partial),
 	}
+	if c.balance != (limit.Balance{}) {
+		attrs = append(attrs, slog.Group("budget", slog.Int("requests", c.balance.Requests), slog.Int("retries", c.balance.Retries),
+			slog.Float64("allowed", c.balance.Allowed), slog.Duration("age", c.balance.Age)))
+	}
 	if out.err != nil {
 		attrs = append(attrs, slog.String("error", errorKind(out.err)))
 	}
