Stop closes the readiness and the operators' listeners too

A host that was stopped inside a process kept two of its listeners, so that it couldn't be started again at its address: a test that restarts hosts failed with "address already in use", as did the second run of a test with -count=2.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -102,16 +102,18 @@
 		relayClient  *relay.Client
 		relayServer  *relay.Server
 		callerServer *http.Server
-		cancel       context.CancelFunc
-		startNumber  uint32 // identifies this start of this host
-		clock        *boottime.Clock
-		stopping     atomic.Bool
-		keysUnproven bool // last state that logProof has seen
-		joiner       *joiner
-		paths        *lostPaths // of other hosts
-		delegated    *http.Server
-		sponsor      *sponsor
-		settled      atomic.Bool // the sources are chosen by this host, not by seeds
+		// readinessServer and operatorServer serve until the process stops.
+		readinessServer, operatorServer *http.Server
+		cancel                          context.CancelFunc
+		startNumber                     uint32 // identifies this start of this host
+		clock                           *boottime.Clock
+		stopping                        atomic.Bool
+		keysUnproven                    bool // last state that logProof has seen
+		joiner                          *joiner
+		paths                           *lostPaths // of other hosts
+		delegated                       *http.Server
+		sponsor                         *sponsor
+		settled                         atomic.Bool // the sources are chosen by this host, not by seeds
 		// neighbors are the servers and the other hosts of this host's cell.
 		neighbors atomic.Pointer[neighbors]
 		// announcedAt is the time since the start at which the platform first stored
@@ -252,9 +254,11 @@
 		ConnContext:       gateway.ConnContext,
 	}
 	ctx, e.cancel = context.WithCancel(ctx)
+	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}
+	e.operatorServer = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout}
 	go e.serve(e.callerServer, listeners[0])
-	go e.serve(&http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}, listeners[1])
-	go e.serve(&http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout}, listeners[2])
+	go e.serve(e.readinessServer, listeners[1])
+	go e.serve(e.operatorServer, listeners[2])
 	go e.serve(e.relayServer, listeners[3])
 	if len(listeners) > 4 {
 		e.delegated = &http.Server{
--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"reflect"
 	"time"
 
@@ -46,9 +47,10 @@
 	} else {
 		e.log.Write(event.DaemonStopped)
 	}
-	_ = e.callerServer.Close() // remaining connections are cut
-	if e.delegated != nil {
-		_ = e.delegated.Close()
+	for _, s := range []*http.Server{e.callerServer, e.delegated, e.readinessServer, e.operatorServer} {
+		if s != nil {
+			_ = s.Close() // remaining connections are cut
+		}
 	}
 	e.relayClient.SetServers(nil)
 	e.relayServer.Stop()
