--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -16,6 +16,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,7 @@
 	"slipcrank.example/daemon/event"
 	"slipcrank.example/daemon/gateway"
 	"slipcrank.example/daemon/grants"
+	"slipcrank.example/daemon/loans"
 	"slipcrank.example/daemon/memory"
 	"slipcrank.example/daemon/news"
 	"slipcrank.example/daemon/relay"
@@ -57,9 +59,9 @@
 	// proofsPerBound is the number of proofs of the configuration that are requested
 	// within the time in which a change has to take effect.
 	proofsPerBound = 2
-	// retryFraction is the fraction of the retry budget that is used: hosts learn of each
-	// other's retries a little late, and their windows don't start at the same time.
-	retryFraction = 0.7
+	// retryFraction is the fraction of the retry budget that is used: the windows of the hosts
+	// don't start at the same time, and packets of retries may be late.
+	retryFraction = 0.95
 )
 
 type (
@@ -114,6 +116,7 @@
 		delegated                       *http.Server
 		sponsor                         *sponsor
 		settled                         atomic.Bool // the sources are chosen by this host, not by seeds
+		hostCount                       hostCount
 		// neighbors are the servers and the other hosts of this host's cell.
 		neighbors atomic.Pointer[neighbors]
 		// announcedAt is the time since the start at which the platform first stored
@@ -167,6 +170,18 @@
 	e.relayClient, e.relayServer = relay.NewClient(e.watcher, e.log), relay.NewServer(e.watcher)
 	e.grants = grants.New(s.Host, s.Hall, e.notices, n.SendGrantRequest, e.clock.Now)
 	budget := limit.NewRetryWindow(s.Bounds.Retries.Span, s.Bounds.Retries.Share*retryFraction, e.extraRetries)
+	lender := loans.New(budget, e.lenders, n.SendLoanRequest)
+	n.SetLoanHandlers(news.LoanHandlers{
+		Request: func(host uint32, q limit.LoanRequest) limit.LoanReply {
+			if !e.hostListed(host) {
+				return limit.LoanReply{ID: q.ID}
+			}
+			r := lender.HandleRequest(q)
+			e.metrics.Count("retry_loans", 1, "lent", strconv.FormatBool(r.Lent > 0))
+			return r
+		},
+		Reply: func(_ uint32, r limit.LoanReply) { lender.HandleReply(r) },
+	})
 	opts := []gateway.Option{
 		gateway.WithHall(s.Hall),
 		gateway.WithRegions(s.Regions),
@@ -178,6 +193,7 @@
 		gateway.WithHosts(e.witnessHosts),
 		gateway.WithServerFailureHook(func(server string) { n.SendFailure(e.startNumber, server) }),
 		gateway.WithGrants(e.grants.Take),
+		gateway.WithRetryPayment(lender.Spend),
 		gateway.WithScarcity(e.scarcity()),
 		gateway.WithNotices(e.notices, gateway.NoticeSender{
 			SendLimit:   func(server string, l notice.Limit) { n.SendLimit(e.startNumber, server, l) },
@@ -225,14 +241,6 @@
 	return gateway.State{Config: s.Config, Servers: s.Servers, CellServers: e.neighbors.Load().servers}
 }
 
-// extraRetries returns the number of retries that are allowed in addition to the share of
-// requests, for this host and the hosts of its cell that report their retries to it.
-func (e *Entry) extraRetries() float64 {
-	n := e.neighbors.Load()
-	sharing := 1 + n.hosts.CountOthers(e.hostAlive())
-	return e.settings.Load().Bounds.Retries.Extra * retryFraction * float64(sharing) / float64(n.otherHosts+1)
-}
-
 // Start opens the listeners and starts to serve. It returns an error if a listener can't
 // be opened. The daemon runs until Stop is called.
 func (e *Entry) Start(ctx context.Context) error {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -103,6 +103,7 @@
 		onServerFailure    func(server string)
 		noticeSender       NoticeSender
 		takeGrant          func(ctx context.Context, s backend.Server) (bool, time.Duration)
+		payRetry           func(ctx context.Context, service string, now time.Time) (limit.Balance, bool)
 	}
 
 	// NoticeSender sends what backend servers have reported about themselves to other
@@ -166,6 +167,12 @@
 	return func(g *Gateway) { g.takeGrant = f }
 }
 
+// WithRetryPayment sets the function that pays retries, instead of the budget of this host
+// alone.
+func WithRetryPayment(f func(ctx context.Context, service string, now time.Time) (limit.Balance, bool)) Option {
+	return func(g *Gateway) { g.payRetry = f }
+}
+
 // WithClock sets the clock for deadlines and expiry times. It also advances while the
 // host is suspended.
 func WithClock(c *boottime.Clock) Option { return func(g *Gateway) { g.clock = c } }
@@ -211,6 +218,9 @@
 	g.takeGrant = func(_ context.Context, s backend.Server) (bool, time.Duration) {
 		return buckets.Take(s.ID, g.notices.Limit(s.ID, g.clock.Now()).Rate, g.clock.Now())
 	}
+	g.payRetry = func(_ context.Context, service string, now time.Time) (limit.Balance, bool) {
+		return budget.Spend(service, now, nil)
+	}
 	g.noticeSender = NoticeSender{SendLimit: func(string, notice.Limit) {}, SendLeaving: func(string) {}}
 	for _, o := range opts {
 		o(g)
@@ -326,7 +336,7 @@
 		return false
 	}
 	var ok bool
-	if c.balance, ok = g.budget.Spend(out.service, time.Now()); !ok {
+	if c.balance, ok = g.payRetry(ctx, out.service, time.Now()); !ok {
 		g.metrics.Count("gateway_retries_denied", 1, "service", out.service)
 		c.lastFailure += ",retry_budget_used"
 		return false
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -49,8 +49,8 @@
 		slog.String("framing", string(out.framing)), slog.Int("partial", out.partial),
 	}
 	if c.balance != (limit.Balance{}) {
-		attrs = append(attrs, slog.Group("budget", slog.Int("requests", c.balance.Requests), slog.Int("retries", c.balance.Retries),
-			slog.Float64("allowed", c.balance.Allowed), slog.Duration("age", c.balance.Age)))
+		attrs = append(attrs, slog.Group("budget", slog.Int("requests", c.balance.Requests), slog.Float64("spent", c.balance.Spent),
+			slog.Float64("allowed", c.balance.Allowed)))
 	}
 	if out.err != nil {
 		attrs = append(attrs, slog.String("error", errorKind(out.err)))
--- a/daemon/gateway/notices.go
+++ b/daemon/gateway/notices.go
@@ -90,11 +90,10 @@
 	}
 }
 
-// ReceivePlacement records that another host has placed a request, which counts in the
-// retry budget. If the lead is rate-limited, it is closed for one request interval, so that
-// this host requests no grant that would be denied.
+// ReceivePlacement records that another host has placed a request. If the lead is rate-limited,
+// it is closed for one request interval, so that this host requests no grant that would be
+// denied.
 func (g *Gateway) ReceivePlacement(p schedule.Placement) {
-	g.budget.AddReported(p.Service, p.Retry, time.Now())
 	now := g.clock.Now()
 	if l := g.notices.Limit(p.Lead, now); l.Limited {
 		g.notices.CloseUntil(p.Lead, now+grant.RequestInterval(l.Rate), now)
--- a/daemon/grants/grants.go
+++ b/daemon/grants/grants.go
@@ -27,6 +27,7 @@
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/grant"
 	"slipcrank.example/core/notice"
+	"slipcrank.example/daemon/replies"
 )
 
 const (
@@ -62,13 +63,12 @@
 		now     func() time.Duration
 		buckets *grant.Buckets
 
+		replies  *replies.Waiter[grant.Reply]
 		mu       sync.Mutex
 		hosts    []Host
 		byName   map[string]Host
 		rankings map[string][]string // host names by preference as the holder, by server
 		reach    *grant.Reachability
-		lastID   uint32
-		pending  map[uint32]chan grant.Reply // by ID of the request
 	}
 )
 
@@ -80,7 +80,7 @@
 		byName:   map[string]Host{},
 		rankings: map[string][]string{},
 		reach:    grant.NewReachability(),
-		pending:  map[uint32]chan grant.Reply{},
+		replies:  replies.NewWaiter[grant.Reply](),
 	}
 }
 
@@ -184,13 +184,7 @@
 	if !c.messageReceived(host) {
 		return
 	}
-	c.mu.Lock()
-	reply := c.pending[r.ID]
-	delete(c.pending, r.ID)
-	c.mu.Unlock()
-	if reply != nil {
-		reply <- r
-	}
+	c.replies.Deliver(r.ID, r)
 }
 
 // messageReceived records that a host has sent a message, and reports whether the host
@@ -247,28 +241,13 @@
 
 // ask sends a request to a host and returns the reply, or false if there is none in time.
 func (c *Coordinator) ask(ctx context.Context, h Host, q grant.Request) (grant.Reply, bool) {
-	reply := make(chan grant.Reply, 1)
 	c.mu.Lock()
-	c.lastID++
-	q.ID = c.lastID
-	c.pending[q.ID] = reply
 	c.reach.RequestSent(h.Name, c.now())
 	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.pending, q.ID)
-	}()
-	c.send(h.Addr, q)
-	timeout := time.NewTimer(replyTimeout)
-	defer timeout.Stop()
-	select {
-	case r := <-reply:
-		return r, true
-	case <-timeout.C:
-	case <-ctx.Done():
-	}
-	return grant.Reply{}, false
+	return c.replies.Ask(ctx, replyTimeout, func(id uint32) {
+		q.ID = id
+		c.send(h.Addr, q)
+	})
 }
 
 // ping sends a host a request that asks for a reply only, unless another request has
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -33,6 +33,7 @@
 	"slipcrank.example/core/broadcast"
 	"slipcrank.example/core/demand"
 	"slipcrank.example/core/grant"
+	"slipcrank.example/core/limit"
 	"slipcrank.example/core/notice"
 	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/schedule"
@@ -79,6 +80,10 @@
 	kindPath kind = 14
 	// kindRefusal reports a refused request.
 	kindRefusal kind = 15
+	// kindLoanRequest asks another host for a part of a retry, and kindLoanReply lends or
+	// denies it.
+	kindLoanRequest kind = 16
+	kindLoanReply   kind = 17
 )
 
 type (
@@ -99,6 +104,7 @@
 		joins     JoinHandlers
 		paths     func(host uint32, lost []string)
 		refusals  func(r demand.Refusal)
+		loans     LoanHandlers
 
 		placements func(p schedule.Placement)
 
@@ -140,7 +146,7 @@
 		LeftMS    int64 `cbor:"36,keyasint,omitempty"`
 		WaitedMS  int64 `cbor:"37,keyasint,omitempty"`
 		EngineMS  int64 `cbor:"38,keyasint,omitempty"`
-		// Value is in thousandths.
+		// Value is in thousandths, also that of a loan.
 		Value   int64 `cbor:"39,keyasint,omitempty"`
 		Counted bool  `cbor:"40,keyasint,omitempty"`
 
@@ -190,6 +196,10 @@
 			Refer:  func(netip.AddrPort, JoinRequest) string { return "" },
 			Source: func(netip.AddrPort, string) {},
 		},
+		loans: LoanHandlers{
+			Request: func(uint32, limit.LoanRequest) limit.LoanReply { return limit.LoanReply{} },
+			Reply:   func(uint32, limit.LoanReply) {},
+		},
 		notices: NoticeHandlers{
 			GrantRequest: func(uint32, grant.Request) grant.Reply { return grant.Reply{} },
 			GrantReply:   func(uint32, grant.Reply) {},
@@ -442,5 +452,7 @@
 		n.applyNotice(m, from)
 	case kindSourceRequest, kindSourceReply:
 		n.applyJoin(m, from)
+	case kindLoanRequest, kindLoanReply:
+		n.applyLoan(m, from)
 	}
 }
