--- a/core/limit/window.go
+++ b/core/limit/window.go
@@ -11,7 +11,7 @@
 	// windowSlots is the number of slots in a span.
 	windowSlots = 40
 	// retainedSlots is the number of slots for which retries count: those that a span may
-	// touch, and those that pass from the payment of a retry until MaxRetryDelay after it.
+	// touch, and those that pass from the payment of a retry until it is sent.
 	retainedSlots = windowSlots + 1 + windowSlots/10
 	// minLoan is the smallest part of a retry that is lent, if it is less than what is asked for.
 	minLoan = 0.25
@@ -68,8 +68,8 @@
 // Retention returns how long a retry counts in a budget with a span.
 func Retention(span time.Duration) time.Duration { return span / windowSlots * retainedSlots }
 
-// MaxRetryDelay returns how long after its payment a retry may be sent.
-func MaxRetryDelay(span time.Duration) time.Duration { return span / 10 }
+// MaxDelay returns how long after its payment a retry may be sent.
+func (w *RetryWindow) MaxDelay() time.Duration { return w.span / 10 }
 
 // AddRequest counts a request for the target with the highest weight.
 func (w *RetryWindow) AddRequest(targets []site.Target, now time.Time) {
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -39,7 +39,10 @@
 
 	sentAt        time.Duration   // right before the last try was sent, by the gateway's clock
 	grantedServer string          // the rate-limited server for which a grant was acquired
-	attempts      int             // tries that reached a server
+	attempts      int             // tries that reached a server and count against the route's
+	sent          int             // sends that may have reached a server, at any host
+	paidService   string          // to which one more send is paid from the retry budget
+	paidAt        time.Duration   // by the gateway's clock
 	unsentTries   int             // tries of which nothing left this host
 	failedServers map[string]bool // by ID
 	unreached     int             // tries that failed on the way to a server or back
@@ -98,6 +101,7 @@
 	}
 	if d != nil {
 		c.attempts, c.counted, c.arrivedAt = d.attempts, d.counted, now.Add(-d.elapsed)
+		c.sent, c.paidService, c.paidAt = d.sent, d.paid, g.clock.Now()
 		for _, id := range d.leaving {
 			c.failedServers[id] = true
 		}
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -203,6 +203,9 @@
 		return outcome{result: final, reason: "host_answer_unreadable"}
 	}
 	c.attempts = max(c.attempts, r.attempts)
+	if r.sent > c.sent {
+		c.sent, c.paidService = r.sent, ""
+	}
 	var parsed refusalBody
 	if err := json.Unmarshal(body, &parsed); err != nil || parsed.Error.Kind == "" {
 		parsed.Error.Kind = "refused_by_host"
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -8,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"slipcrank.example/core/reach"
 	"slipcrank.example/daemon/upstream"
 )
@@ -39,7 +38,9 @@
 
 	// delegation describes a call that another host has delegated to this one.
 	delegation struct {
-		attempts int           // that have reached servers
+		attempts int           // that count against the route's
+		sent     int           // sends that may have reached servers
+		paid     string        // the service to which one more send is paid, empty for none
 		version  int64         // of the configuration by which the call must be served at least
 		elapsed  time.Duration // since the call arrived at the other host
 		counted  bool          // the other host has counted it in the retry budget
@@ -50,6 +51,7 @@
 	report struct {
 		origin   origin
 		attempts int
+		sent     int
 		version  int64
 		server   string // the ID of the server that has answered, if one has
 	}
@@ -66,7 +68,7 @@
 		}
 		r.Header.Del(delegationHeader)
 		// Holds for refusals before the call is read.
-		w.Header().Set(delegationHeader, report{origin: originHost, attempts: d.attempts}.String())
+		w.Header().Set(delegationHeader, report{origin: originHost, attempts: d.attempts, sent: d.sent}.String())
 		g.handle(w, r, &d)
 	})
 }
@@ -85,7 +87,7 @@
 	}
 	h.Set(g.dialect.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
 	h.Set(delegationHeader, delegation{
-		attempts: c.attempts, version: max(s.Config.Version(), g.servedVersion.Load()), elapsed: time.Since(c.arrivedAt), counted: c.counted,
+		attempts: c.attempts, sent: c.sent, paid: c.paidService, version: max(s.Config.Version(), g.servedVersion.Load()), elapsed: time.Since(c.arrivedAt), counted: c.counted,
 		leaving: g.leavingServers(c, s),
 	}.String())
 	return upstream.Request{
@@ -137,7 +139,7 @@
 	if c == nil || c.delegated == nil {
 		return
 	}
-	r := report{origin: o, attempts: c.attempts}
+	r := report{origin: o, attempts: c.attempts, sent: c.sent}
 	if s := g.state(); s.Config != nil {
 		r.version = s.Config.Version()
 	}
@@ -153,13 +155,13 @@
 	for _, id := range d.leaving {
 		leaving = append(leaving, url.QueryEscape(id))
 	}
-	return fmt.Sprintf("attempts=%d, version=%d, elapsed=%d, counted=%t, leaving=%s",
-		d.attempts, d.version, d.elapsed.Milliseconds(), d.counted, strings.Join(leaving, " "))
+	return fmt.Sprintf("attempts=%d, sent=%d, paid=%s, version=%d, elapsed=%d, counted=%t, leaving=%s",
+		d.attempts, d.sent, url.QueryEscape(d.paid), d.version, d.elapsed.Milliseconds(), d.counted, strings.Join(leaving, " "))
 }
 
 // String returns the value of the header of an answer to a delegated request.
 func (r report) String() string {
-	return fmt.Sprintf("origin=%s, attempts=%d, version=%d, server=%s", r.origin, r.attempts, r.version, url.QueryEscape(r.server))
+	return fmt.Sprintf("origin=%s, attempts=%d, sent=%d, version=%d, server=%s", r.origin, r.attempts, r.sent, r.version, url.QueryEscape(r.server))
 }
 
 // parseDelegation parses the value of the header of a delegated request.
@@ -169,6 +171,14 @@
 	if err != nil {
 		return delegation{}, fmt.Errorf("attempts %q of a delegated request: send a number", f["attempts"])
 	}
+	sent, err := parseSent(f)
+	if err != nil {
+		return delegation{}, fmt.Errorf("sent %q of a delegated request: send a number", f["sent"])
+	}
+	paid, err := url.QueryUnescape(f["paid"])
+	if err != nil {
+		return delegation{}, fmt.Errorf("paid %q of a delegated request: escape the service", f["paid"])
+	}
 	version, err := strconv.ParseInt(f["version"], 10, 64)
 	if err != nil {
 		return delegation{}, fmt.Errorf("version %q of a delegated request: send a number", f["version"])
@@ -185,7 +195,7 @@
 		}
 		leaving = append(leaving, server)
 	}
-	return delegation{int(attempts), version, time.Duration(elapsed) * time.Millisecond, f["counted"] == "true", leaving}, nil
+	return delegation{int(attempts), sent, paid, version, time.Duration(elapsed) * time.Millisecond, f["counted"] == "true", leaving}, nil
 }
 
 // parseReport parses the value of the header of an answer. Its origin is unknown if the
@@ -193,13 +203,20 @@
 func parseReport(text string) report {
 	f := parseFields(text)
 	attempts, err := strconv.ParseUint(f["attempts"], 10, 16)
+	sent, sentErr := parseSent(f)
 	version, versionErr := strconv.ParseInt(f["version"], 10, 64)
 	server, serverErr := url.QueryUnescape(f["server"])
 	o := origin(f["origin"])
-	if errors.CombineErrors(err, errors.CombineErrors(versionErr, serverErr)) != nil || o != originServer && o != originFleet && o != originHost {
+	if cmp.Or(err, sentErr, versionErr, serverErr) != nil || o != originServer && o != originFleet && o != originHost {
 		return report{}
 	}
-	return report{o, int(attempts), version, server}
+	return report{o, int(attempts), sent, version, server}
+}
+
+// parseSent parses the number of sends. Hosts of an earlier version report attempts only.
+func parseSent(f map[string]string) (int, error) {
+	n, err := strconv.ParseUint(cmp.Or(f["sent"], f["attempts"]), 10, 16)
+	return int(n), err
 }
 
 // parseFields parses a list of name=value fields.
--- a/daemon/gateway/delegated_internal_test.go
+++ b/daemon/gateway/delegated_internal_test.go
@@ -13,6 +13,7 @@
 		"no version":   {elapsed: time.Hour},
 		"not counted":  {attempts: 1, version: 3},
 		"old and used": {attempts: 9, version: 1, elapsed: time.Millisecond, counted: true},
+		"paid":         {attempts: 1, sent: 2, paid: "a, service=%", version: 3},
 		"with servers": {version: 1, leaving: []string{"i-1@17", "odd, id=%"}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -22,10 +23,10 @@
 		})
 	}
 	for name, r := range map[string]report{
-		"server":       {originServer, 1, 7, "i-1@1700000000000"},
-		"fleet":        {originFleet, 0, 7, ""},
-		"host":         {originHost, 2, 0, ""},
-		"odd server":   {originServer, 1, 7, "a, server=b=c%"},
+		"server":       {originServer, 1, 2, 7, "i-1@1700000000000"},
+		"fleet":        {originFleet, 0, 0, 7, ""},
+		"host":         {originHost, 2, 3, 0, ""},
+		"odd server":   {originServer, 1, 1, 7, "a, server=b=c%"},
 		"unknown host": {},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/gateway/delegated_test.go
+++ b/daemon/gateway/delegated_test.go
@@ -8,6 +8,10 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
+
+	"slipcrank.example/core/limit"
+	"slipcrank.example/daemon/gateway"
 )
 
 // delegated sends a request as another host would delegate it, and returns the answer and the
@@ -73,3 +77,40 @@
 		})
 	}
 }
+
+// TestEachRepeatIsPaid guards against sends of a request beyond its first, by whichever host, that
+// no host takes from the retry budget.
+func TestEachRepeatIsPaid(t *testing.T) {
+	for name, tc := range map[string]struct {
+		header             string
+		reply              reply
+		budget             int
+		payments, requests int
+	}{
+		"first send":              {"attempts=0, sent=0, paid=", plainReply(200, "fine"), 9, 0, 1},
+		"first send, and a retry": {"attempts=0, sent=0, paid=", plainReply(500, "bad"), 9, 1, 2},
+		"paid by the other host":  {"attempts=0, sent=1, paid=plain", plainReply(200, "fine"), 9, 0, 1},
+		"paid, and a retry":       {"attempts=0, sent=1, paid=plain", plainReply(500, "bad"), 9, 1, 2},
+		"not paid":                {"attempts=0, sent=1, paid=", plainReply(200, "fine"), 9, 1, 1},
+		"paid for other servers":  {"attempts=0, sent=1, paid=engine", plainReply(200, "fine"), 9, 1, 1},
+		"an earlier version":      {"attempts=1", plainReply(200, "fine"), 9, 1, 1},
+		"no budget":               {"attempts=0, sent=1, paid=", plainReply(200, "fine"), 0, 0, 0},
+		"no budget for the retry": {"attempts=0, sent=0, paid=", plainReply(500, "bad"), 0, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			payments := 0
+			f := startWith(t, []gateway.Option{gateway.WithRetryPayment(func(context.Context, string, time.Time) (limit.Balance, bool) {
+				if payments == tc.budget {
+					return limit.Balance{}, false
+				}
+				payments++
+				return limit.Balance{}, true
+			})}, tc.reply, tc.reply)
+			a, _ := f.delegated("/safe/", "k1", tc.header+", version=1, elapsed=10, counted=true")
+			if payments != tc.payments || f.requestCount() != tc.requests {
+				t.Errorf("%d payments and %d requests to servers, want %d and %d; status %d: %s",
+					payments, f.requestCount(), tc.payments, tc.requests, a.status, a.body)
+			}
+		})
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -328,22 +328,57 @@
 		return false
 	}
 	if out.result == unsent {
-		c.unsentTries++
-		return c.unsentTries <= maxUnsentTries && !g.hopeless(c, out)
-	}
-	if c.attempts >= max(c.route.Attempts, 1) {
+		if c.unsentTries++; c.unsentTries > maxUnsentTries || g.hopeless(c, out) {
+			return false
+		}
+	} else if c.attempts >= max(c.route.Attempts, 1) {
 		c.lastFailure += ",attempts_used"
 		return false
 	}
-	var ok bool
-	if c.balance, ok = g.payRetry(ctx, out.service, time.Now()); !ok {
-		g.metrics.Count("gateway_retries_denied", 1, "service", out.service)
+	return g.pay(ctx, c)
+}
+
+// pay pays for the next send of a call if an earlier one may have reached a server, unless that
+// is paid already. It reports whether the call may be sent.
+func (g *Gateway) pay(ctx context.Context, c *call) bool {
+	if c.sent == 0 || c.paidService != "" {
+		return true
+	}
+	service, ok := c.route.Pick(rand.Float64()), false
+	if c.balance, ok = g.payRetry(ctx, service, time.Now()); !ok {
+		g.metrics.Count("gateway_retries_denied", 1, "service", service)
 		c.lastFailure += ",retry_budget_used"
 		return false
 	}
+	c.paidService, c.paidAt = service, g.clock.Now()
 	return true
 }
 
+// pickService returns the service of the next try: the one to which it is paid, if the route
+// still has that.
+func (c *call) pickService() string {
+	if slices.ContainsFunc(c.route.Targets, func(t site.Target) bool { return t.Service == c.paidService && t.Weight > 0 }) {
+		return c.paidService
+	}
+	return c.route.Pick(rand.Float64())
+}
+
+// checkPaid reports whether a send to a service is the first of the call or paid. A payment counts
+// for a bounded time, since the budget forgets it.
+func (g *Gateway) checkPaid(c *call, service string) bool {
+	if c.sent == 0 {
+		return true
+	}
+	if c.paidService != service || g.clock.Now()-c.paidAt > g.budget.MaxDelay() {
+		c.paidService = ""
+		return false
+	}
+	return true
+}
+
+// recordSent records that a send may have reached a server.
+func (c *call) recordSent() { c.sent, c.paidService = c.sent+1, "" }
+
 // maxUnsentTries bounds the tries of a call of which nothing was sent, because the
 // server can't be reached or has no memory. Each may take the dial timeout.
 const maxUnsentTries = 4
@@ -359,7 +394,7 @@
 // place chooses servers for a call and registers the placement. The calls of a confined
 // workspace are isolated on a single server.
 func (g *Gateway) place(c *call, s State, stage quarantine.Stage, confined bool) (schedule.Placement, site.Service, *refusalResponse) {
-	service, ok := s.Config.Service(c.route.Pick(rand.Float64()))
+	service, ok := s.Config.Service(c.pickService())
 	if !ok {
 		return schedule.Placement{}, service, refuse(http.StatusServiceUnavailable, "no_server", busyRetryAfter)
 	}
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -63,7 +63,8 @@
 	s := g.state()
 	c.sentAt = g.clock.Now()
 	if c.sentAt >= c.bootDeadline || !acceptPlacement(s, p) || !g.acceptsCall(c, p) || g.authorize(c, s) != nil ||
-		!g.placedAtHome(c, s, p) || g.stage(c) == quarantine.Blocked || s.Config.Version() < g.servedVersion.Load() {
+		!g.placedAtHome(c, s, p) || g.stage(c) == quarantine.Blocked || s.Config.Version() < g.servedVersion.Load() ||
+		!g.checkPaid(c, p.Service) {
 		return errNotAllowed
 	}
 	return c.exchange.beginSending()
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -102,7 +102,7 @@
 	}
 	defer g.scheduler.RecordEnd(p.ID)
 	server, _ := s.Servers.Get(p.Lead)
-	p.Retry = c.attempts > 0
+	p.Retry = c.sent > 0
 	p.Counted = c.demandCounted
 	c.demandCounted = true
 	g.CountPlacement(p)
@@ -314,6 +314,7 @@
 	g.recordAnswer(server, a)
 	g.applyNotices(c, server, a)
 	c.attempts++
+	c.recordSent()
 	if a.Header.Get(g.dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
 		return g.notRun(c, a)
 	}
@@ -348,6 +349,7 @@
 	c.mayHaveRun = true
 	if phase == "send" {
 		c.attempts++
+		c.recordSent()
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
 		return outcome{result: failed, reason: phase + "_timeout", err: err}
