--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -28,6 +28,7 @@
 	key          string
 	headHash     quarantine.HeadHash
 	fingerprint  quarantine.Fingerprint // computed on demand
+	parts        []string               // IDs of the parts that its prompt may share with others
 	workspace    site.Workspace
 	route        site.Route
 	work         schedule.Work
@@ -114,6 +115,7 @@
 	c.headHash = c.identity().HeadHash()
 	c.header = forwardedHeaders(r.Header, g.dialect.NotForwarded...)
 	c.work.Prompt, c.work.Answer = parseTokenCounts(r.Header.Get(g.dialect.TokenCounts))
+	c.parts = parseSharedParts(r.Header.Get(g.dialect.PromptParts))
 	if n, err := strconv.Atoi(r.Header.Get(g.dialect.AnswerHint)); err == nil && n > 0 {
 		c.work.Answer = n
 	}
--- a/daemon/gateway/dialect.go
+++ b/daemon/gateway/dialect.go
@@ -30,6 +30,9 @@
 	// TokenCounts is the number of prompt tokens and the maximum number of answer
 	// tokens, as "PROMPT,ANSWER".
 	TokenCounts string
+	// PromptParts lists the parts of the prompt in order, as "ID:TOKENS,ID:TOKENS". Prompts
+	// may share all parts but the last.
+	PromptParts string
 	// AnswerHint is the caller's estimate of the number of answer tokens.
 	AnswerHint string
 	// FaultyServer is, in an answer, the ID or address of another server that caused
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -116,7 +117,7 @@
 	}
 	g.log.Write(event.ServerCrashed, slog.String("server", server.ID), slog.String("id", c.id),
 		slog.String("same", c.headHash.String()), slog.String("workspace", c.workspace.Name), slog.String("why", out.reason),
-		slog.Bool("apart", out.isolated), slog.Bool("replaced", replaced))
+		slog.String("parts", strings.Join(c.parts, ",")), slog.Bool("apart", out.isolated), slog.Bool("replaced", replaced))
 	changes := g.quarantine.AddCrash(c.identity().Identity(), quarantine.Crash{
 		Server:   quarantine.ServerDigest(server.ID),
 		Reporter: g.scheduler.Host(),
