A server is found down only if its port is closed before and after others are reached

A host whose path came back between the probe of a server's port and that of other servers took the server for crashed, and a witness in the same place confirmed it. Now the port is probed once more.

--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -132,10 +132,11 @@
 
 // foundDown reports whether a server's port is closed, and this host reaches other servers:
 // one of the same service and hall has sent something meanwhile, or accepts a connection.
-// Without a path to them, all ports may look closed.
+// Without a path to them, all ports may look closed. The port is probed once more after that,
+// since the path may have come back meanwhile.
 func (g *Gateway) foundDown(s backend.Server) bool {
 	began := g.clock.Now()
-	return g.portClosed(s) && (g.reach.HeardSince(pathGroup(s), began) || g.reachesOthers(s))
+	return g.portClosed(s) && (g.reach.HeardSince(pathGroup(s), began) || g.reachesOthers(s)) && g.portClosed(s)
 }
 
 // reachesOthers reports whether this host reaches one of some other servers that must be
