--- a/core/quarantine/confine.go
+++ b/core/quarantine/confine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -19,31 +20,51 @@
 	crashPause = time.Second
 )
 
-// crashHistory holds the times of the last confineAfterCrashes attributable crashes of
-// a workspace's suspects, and the time of the last crash of any kind.
-type crashHistory struct {
-	attributedAt []time.Duration
-	last         time.Duration
-}
+type (
+	// crashHistory holds the attributable crashes of a workspace's suspects, and the time of the
+	// last crash of any kind.
+	crashHistory struct {
+		attributed []attributedCrash // in order of time
+		last       time.Duration
+	}
+
+	// attributedCrash is an attributable crash, or those of a blocked request, which count once.
+	attributedCrash struct {
+		servers []uint32
+		at      time.Duration
+	}
+)
 
 // Confined reports whether all requests of a workspace have to run on one server, and
 // whether they have to wait because a server has just crashed while serving one of
 // them. Requests without a workspace are never confined: they come from many callers,
 // and one of these must not confine the others.
 func (reg *Registry) Confined(workspace string, now time.Duration) (confined, paused bool) {
+	return reg.ConfinedExcept(workspace, nil, now)
+}
+
+// ConfinedExcept is [Registry.Confined] without the crashes of servers for which something else
+// is suspected.
+func (reg *Registry) ConfinedExcept(workspace string, explained map[uint32]bool, now time.Duration) (confined, paused bool) {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	h, found := reg.histories[workspace]
-	if !found || len(h.attributedAt) < confineAfterCrashes || now-h.attributedAt[0] >= confineWindow {
+	if !found {
 		return false, false
 	}
-	return true, now-h.last < crashPause
+	n := 0
+	for _, a := range h.attributed {
+		if now-a.at < confineWindow && !slices.ContainsFunc(a.servers, func(s uint32) bool { return explained[s] }) {
+			n++
+		}
+	}
+	return n >= confineAfterCrashes, n >= confineAfterCrashes && now-h.last < crashPause
 }
 
 // updateHistory recomputes the crash history of a workspace from its suspects. It is
 // called whenever one of them changes, which is rare.
 func (reg *Registry) updateHistory(workspace string) {
-	if workspace == "" {
+	if workspace == "" || reg.subject == parts {
 		return
 	}
 	var h crashHistory
@@ -52,18 +73,22 @@
 			continue
 		}
 		h.last = max(h.last, s.changed)
-		switch {
-		case s.record.Stage() == Blocked:
-			h.attributedAt = append(h.attributedAt, s.changed)
-		default:
-			h.attributedAt = append(h.attributedAt, s.attributedAt...)
+		if reg.subject.stage(s.record) == Blocked {
+			var servers []uint32
+			for _, c := range s.record.Crashes {
+				servers = append(servers, c.Server)
+			}
+			h.attributed = append(h.attributed, attributedCrash{servers, s.changed})
+			continue
+		}
+		for server, at := range s.attributedAt {
+			h.attributed = append(h.attributed, attributedCrash{[]uint32{server}, at})
 		}
 	}
-	if len(h.attributedAt) == 0 {
+	if len(h.attributed) == 0 {
 		delete(reg.histories, workspace)
 		return
 	}
-	slices.Sort(h.attributedAt)
-	h.attributedAt = h.attributedAt[max(len(h.attributedAt)-confineAfterCrashes, 0):]
+	slices.SortFunc(h.attributed, func(x, y attributedCrash) int { return cmp.Compare(x.at, y.at) })
 	reg.histories[workspace] = h
 }
--- /dev/null
+++ b/core/quarantine/parts.go
@@ -0,0 +1,138 @@
+package quarantine
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// blockPartAfterCrashes is the number of confirmed crashes without an answer after which a
+	// part is blocked. It is higher than that of requests, since a part is shared.
+	blockPartAfterCrashes = 5
+	// acquittalTime is how long after its first crash a part is blocked at the earliest: an
+	// answer to another request that has it may be on its way.
+	acquittalTime = time.Second
+	// partDomain separates the digests of parts from those of requests.
+	partDomain = "part of a prompt"
+)
+
+// Subjects of a registry.
+const (
+	requests subject = iota
+	// parts are parts of prompts that several requests of a workspace share. A part is suspected
+	// if servers crash while they run requests that have it. Each answer to such a request
+	// clears it: a fatal part is in no request that is answered, while others are answered all
+	// the time. A part needn't run isolated for that, and copies of requests play no role.
+	parts
+)
+
+type (
+	subject int
+
+	// PartStage is the treatment of a request by the suspected parts of its prompt.
+	PartStage struct {
+		Stage Stage
+		// Part is the part that determines the stage, that with the most crashes, and Crashes the
+		// number of these; only with Serialized and Blocked.
+		Part    Identity
+		Crashes int
+		// Group is equal for requests that have the same suspected parts. If they share a turn,
+		// requests without the fatal part get their own, and their answers clear the others.
+		Group HeadHash
+	}
+)
+
+// NewPartRegistry returns an empty registry of parts of prompts.
+func NewPartRegistry() *Registry { return newRegistry(parts) }
+
+// stage returns the stage that follows from the record of a subject.
+func (s subject) stage(r Record) Stage {
+	if s == requests {
+		return r.Stage()
+	}
+	confirmed := r.count(Crash.confirmed)
+	switch n := len(r.Crashes); {
+	case confirmed >= blockPartAfterCrashes:
+		return Blocked
+	case confirmed >= serializeAfterCrashes:
+		return Serialized
+	case n > 0:
+		return Suspect
+	}
+	return Clear
+}
+
+// PartIdentity returns the identity of a part of a workspace's prompts. The same part of another
+// workspace has another one, so that no workspace can have a part refused that others use.
+func PartIdentity(workspace, id string) Identity {
+	text := partDomain + separator + workspace + separator + id
+	sum := sha256.Sum256([]byte(text))
+	return Identity{HeadHash(xxhash.Sum64String(text)), Fingerprint(sum[:fingerprintSize]), workspace}
+}
+
+// PartsStage returns how a request is treated whose prompt has the given parts, given whether a
+// part was in a request that this host has seen answered. Such a part is blocked only after as many
+// crashes as a record holds: more likely, another part is at fault.
+func (reg *Registry) PartsStage(ids []Identity, answered func(HeadHash) bool, now time.Duration) PartStage {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	worst, group := PartStage{}, HeadHash(0)
+	if len(reg.suspects) == 0 {
+		return worst
+	}
+	for _, id := range ids {
+		s := reg.suspects[id.Fingerprint]
+		if s == nil {
+			continue
+		}
+		p := PartStage{Stage: reg.subject.stage(s.record), Part: id, Crashes: len(s.record.Crashes)}
+		if p.Stage == Blocked && (now-s.since < acquittalTime || p.Crashes < maxCrashes && answered(id.HeadHash)) {
+			p.Stage = Serialized
+		}
+		if p.Stage < Serialized {
+			continue
+		}
+		group ^= id.HeadHash
+		if cmp.Or(cmp.Compare(p.Stage, worst.Stage), cmp.Compare(p.Crashes, worst.Crashes)) > 0 {
+			worst = p
+		}
+	}
+	worst.Group = group
+	return worst
+}
+
+// Refute clears the suspects with a crash of a server that has answered a request which was sent
+// after that became known, and reports whether there were any. Each start of a server has another
+// ID, so the server hasn't crashed, and what was found down were paths.
+func (reg *Registry) Refute(server uint32, sentAt, now time.Duration) bool {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	refuted := false
+	for _, s := range reg.suspects {
+		if _, found := slices.BinarySearchFunc(s.record.Crashes, Crash{Server: server}, compareServers); found && s.changed < sentAt {
+			refuted = reg.pardon(s, now) || refuted
+		}
+	}
+	return refuted
+}
+
+// CrashedServers returns the servers, by digest, that crashed under suspects which are at least
+// Serialized.
+func (reg *Registry) CrashedServers() map[uint32]bool {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	out := map[uint32]bool{}
+	for _, s := range reg.suspects {
+		if reg.subject.stage(s.record) < Serialized {
+			continue
+		}
+		for _, c := range s.record.Crashes {
+			out[c.Server] = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/quarantine/parts_test.go
@@ -0,0 +1,90 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"slipcrank.example/core/quarantine"
+)
+
+// TestPartsStage adds confirmed crashes under prompts of the parts "shared" and "fatal", with or
+// without answers to prompts of "shared" between them.
+func TestPartsStage(t *testing.T) {
+	shared, fatal := quarantine.PartIdentity("w", "shared"), quarantine.PartIdentity("w", "fatal")
+	for name, tc := range map[string]struct {
+		crashes       int
+		unconfirmed   bool
+		answered      bool // a prompt with "shared", between any two crashes
+		answeredOnce  bool // the same, before the first crash
+		after         time.Duration
+		shared, fatal quarantine.Stage
+	}{
+		"one crash":                        {crashes: 1, answered: true, after: time.Minute},
+		"two":                              {crashes: 2, answered: true, after: time.Minute, fatal: quarantine.Serialized},
+		"two that aren't confirmed":        {crashes: 2, unconfirmed: true, answered: true, after: time.Minute},
+		"five that aren't confirmed":       {crashes: 5, unconfirmed: true, answered: true, after: time.Minute},
+		"four":                             {crashes: 4, answered: true, after: time.Minute, fatal: quarantine.Serialized},
+		"five":                             {crashes: 5, answered: true, after: time.Minute, fatal: quarantine.Blocked},
+		"five, right after the first":      {crashes: 5, answered: true, after: 100 * time.Millisecond, fatal: quarantine.Serialized},
+		"five without answers":             {crashes: 5, after: time.Minute, shared: quarantine.Blocked, fatal: quarantine.Blocked},
+		"five, answered once before":       {crashes: 5, answeredOnce: true, after: time.Minute, shared: quarantine.Serialized, fatal: quarantine.Blocked},
+		"eight, answered once before them": {crashes: 8, answeredOnce: true, after: time.Minute, shared: quarantine.Blocked, fatal: quarantine.Blocked},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reg := quarantine.NewPartRegistry()
+			for n := range tc.crashes {
+				crash := confirmedCrash(fmt.Sprint(n), false)
+				crash.Confirmed = !tc.unconfirmed
+				reg.AddCrash(shared, crash, 0)
+				reg.AddCrash(fatal, crash, 0)
+				if tc.answered {
+					reg.ClearAnswered(shared.Fingerprint, 0)
+				}
+			}
+			answered := func(h quarantine.HeadHash) bool { return tc.answeredOnce && h == shared.HeadHash }
+			if got := reg.PartsStage([]quarantine.Identity{shared}, answered, tc.after).Stage; got != tc.shared {
+				t.Errorf("prompts with the shared part alone are %v, want %v", got, tc.shared)
+			}
+			if got := reg.PartsStage([]quarantine.Identity{shared, fatal}, answered, tc.after).Stage; got != max(tc.shared, tc.fatal) {
+				t.Errorf("prompts with both parts are %v, want %v", got, max(tc.shared, tc.fatal))
+			}
+			other := []quarantine.Identity{quarantine.PartIdentity("other", "fatal")}
+			if got := reg.PartsStage(other, answered, tc.after).Stage; got != quarantine.Clear {
+				t.Errorf("the fatal part in prompts of another workspace is %v", got)
+			}
+		})
+	}
+}
+
+// TestPartsOfSoundPromptsHaveTheirOwnTurn guards against prompts with the fatal part that take all
+// turns of the parts which they share with sound ones, so that no answer can clear these.
+func TestPartsOfSoundPromptsHaveTheirOwnTurn(t *testing.T) {
+	a, b, fatal := quarantine.PartIdentity("w", "a"), quarantine.PartIdentity("w", "b"), quarantine.PartIdentity("w", "fatal")
+	reg := quarantine.NewPartRegistry()
+	for n := range 3 {
+		for _, id := range []quarantine.Identity{a, b, fatal} {
+			reg.AddCrash(id, confirmedCrash(fmt.Sprint(n), false), 0)
+		}
+	}
+	never := func(quarantine.HeadHash) bool { return false }
+	group := func(ids ...quarantine.Identity) quarantine.HeadHash { return reg.PartsStage(ids, never, 0).Group }
+	if group(a, b) != group(b, a) || group(a, b) == group(a, fatal, b) {
+		t.Error("sound prompts share their turn with others, or don't with each other")
+	}
+}
+
+// TestAnswerRefutesCrash has a server that is held for crashed answer requests which were sent before
+// and after that.
+func TestAnswerRefutesCrash(t *testing.T) {
+	part := quarantine.PartIdentity("w", "a")
+	server := quarantine.ServerDigest("s")
+	reg := quarantine.NewPartRegistry()
+	reg.AddCrash(part, confirmedCrash("s", false), 2*time.Second)
+	if reg.Refute(server, time.Second, 3*time.Second) || reg.Refute(quarantine.ServerDigest("other"), 3*time.Second, 4*time.Second) {
+		t.Error("refuted by a request that was sent before, or by another server")
+	}
+	if !reg.Refute(server, 3*time.Second, 4*time.Second) || reg.Stage(part.Fingerprint) != quarantine.Clear {
+		t.Error("not refuted by a request that was sent after the crash")
+	}
+}
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -22,12 +22,14 @@
 	// since the last change.
 	OwnRecord struct {
 		Record Record
+		Stage  Stage
 		Age    time.Duration
 	}
 
 	// Registry stores the records of all suspects. It is safe for concurrent use.
 	Registry struct {
 		mu        sync.Mutex
+		subject   subject
 		suspects  map[Fingerprint]*suspect
 		headCount map[HeadHash]int // number of suspects with this head hash
 		histories map[string]crashHistory
@@ -35,9 +37,10 @@
 
 	suspect struct {
 		record       Record
-		changed      time.Duration   // when the record last changed or this host last recorded a crash in it
-		attributedAt []time.Duration // when each attributable crash became known
-		own          bool            // whether this host has changed the record itself
+		changed      time.Duration            // when the record last changed or this host last recorded a crash in it
+		since        time.Duration            // when the first of the current crashes became known
+		attributedAt map[uint32]time.Duration // when each attributable crash became known, by server
+		own          bool                     // whether this host has changed the record itself
 		// reconciled reports that the current crashes need no further comparison with
 		// the server list. listedSince is when a server among them was first found
 		// on the list in this comparison, 0 if none was.
@@ -46,9 +49,11 @@
 	}
 )
 
-// NewRegistry returns an empty registry.
-func NewRegistry() *Registry {
-	return &Registry{suspects: map[Fingerprint]*suspect{}, headCount: map[HeadHash]int{}, histories: map[string]crashHistory{}}
+// NewRegistry returns an empty registry of requests.
+func NewRegistry() *Registry { return newRegistry(requests) }
+
+func newRegistry(s subject) *Registry {
+	return &Registry{subject: s, suspects: map[Fingerprint]*suspect{}, headCount: map[HeadHash]int{}, histories: map[string]crashHistory{}}
 }
 
 // MayContain reports whether some suspect has the head hash. If not, a request
@@ -64,7 +69,7 @@
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	if s := reg.suspects[f]; s != nil {
-		return s.record.Stage()
+		return reg.subject.stage(s.record)
 	}
 	return Clear
 }
@@ -153,19 +158,27 @@
 
 // update replaces the record of a suspect, and returns the resulting stage changes.
 func (reg *Registry) update(s *suspect, r Record, own bool, now time.Duration) []Change {
-	before := s.record.Stage()
+	before := reg.subject.stage(s.record)
+	if len(s.record.Crashes) == 0 || r.Pardons != s.record.Pardons {
+		s.since = now
+	}
 	if own || r.Pardons != s.record.Pardons || !slices.Equal(r.Crashes, s.record.Crashes) {
 		s.changed, s.reconciled, s.listedSince = now, false, 0
 	}
 	if r.Pardons != s.record.Pardons {
 		s.attributedAt = nil
 	}
-	for range r.count(Crash.attributable) - len(s.attributedAt) {
-		s.attributedAt = append(s.attributedAt, now)
+	for _, c := range r.Crashes {
+		if _, known := s.attributedAt[c.Server]; !known && c.attributable() {
+			if s.attributedAt == nil {
+				s.attributedAt = map[uint32]time.Duration{}
+			}
+			s.attributedAt[c.Server] = now
+		}
 	}
 	s.record, s.own = r, s.own || own
 	reg.updateHistory(r.Workspace)
-	if after := r.Stage(); after != before {
+	if after := reg.subject.stage(r); after != before {
 		return []Change{{Record: r, Stage: after}}
 	}
 	return nil
@@ -188,7 +201,7 @@
 		if inWorkspace >= maxSuspectsPerWorkspace && s.record.Workspace != workspace {
 			continue
 		}
-		if victim == nil || s.evictedBefore(victim) {
+		if victim == nil || reg.evictedBefore(s, victim) {
 			victim = s
 		}
 	}
@@ -197,8 +210,8 @@
 
 // evictedBefore reports whether a suspect is evicted before another one: suspects
 // that are not blocked come first, then those whose record changed longest ago.
-func (s *suspect) evictedBefore(o *suspect) bool {
-	blocked, otherBlocked := s.record.Stage() == Blocked, o.record.Stage() == Blocked
+func (reg *Registry) evictedBefore(s, o *suspect) bool {
+	blocked, otherBlocked := reg.subject.stage(s.record) == Blocked, reg.subject.stage(o.record) == Blocked
 	if blocked != otherBlocked {
 		return otherBlocked
 	}
@@ -216,13 +229,13 @@
 }
 
 // ClearAnswered clears a suspect that was answered completely, since a server ran
-// it without crashing. A blocked request stays blocked. It reports whether a suspect
-// was cleared.
+// it without crashing. A blocked request stays blocked; a blocked part is cleared, since
+// it is the answer to another request that has it. It reports whether a suspect was cleared.
 func (reg *Registry) ClearAnswered(f Fingerprint, now time.Duration) bool {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
 	s := reg.suspects[f]
-	return s != nil && s.record.Stage() != Blocked && reg.pardon(s, now)
+	return s != nil && (reg.subject == parts || reg.subject.stage(s.record) != Blocked) && reg.pardon(s, now)
 }
 
 // Pardon clears a suspect in any stage, also a blocked one. It reports whether a
@@ -238,7 +251,7 @@
 // stays in the registry for its retention period with a higher pardon count, so that
 // older records from other hosts don't restore its crashes.
 func (reg *Registry) pardon(s *suspect, now time.Duration) bool {
-	if s.record.Stage() == Clear {
+	if len(s.record.Crashes) == 0 {
 		return false
 	}
 	r := s.record
@@ -255,7 +268,7 @@
 	var changes []Change
 	for _, s := range reg.suspects {
 		retention := suspectRetention
-		if s.record.Stage() == Blocked {
+		if reg.subject.stage(s.record) == Blocked {
 			retention = BlockedRetention
 		}
 		if now-s.changed > retention {
@@ -273,7 +286,7 @@
 	var out []OwnRecord
 	for _, s := range reg.suspects {
 		if s.own {
-			out = append(out, OwnRecord{s.record, now - s.changed})
+			out = append(out, OwnRecord{s.record, reg.subject.stage(s.record), now - s.changed})
 		}
 	}
 	slices.SortFunc(out, func(x, y OwnRecord) int {
@@ -291,7 +304,7 @@
 		out = append(out, s.record)
 	}
 	slices.SortFunc(out, func(x, y Record) int {
-		return cmp.Or(cmp.Compare(y.Stage(), x.Stage()), cmp.Compare(x.HeadHash, y.HeadHash))
+		return cmp.Or(cmp.Compare(reg.subject.stage(y), reg.subject.stage(x)), cmp.Compare(x.HeadHash, y.HeadHash))
 	})
 	return out
 }
--- a/core/quarantine/roster.go
+++ b/core/quarantine/roster.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -170,11 +171,11 @@
 		return nil
 	}
 	s.reconciled = true
-	before := s.record.Stage()
+	before := reg.subject.stage(s.record)
 	s.record.Crashes = slices.DeleteFunc(slices.Clone(s.record.Crashes), listed)
-	s.attributedAt = s.attributedAt[:min(len(s.attributedAt), s.record.count(Crash.attributable))]
+	maps.DeleteFunc(s.attributedAt, func(server uint32, _ time.Duration) bool { return listing(server) == Listed })
 	reg.updateHistory(s.record.Workspace)
-	switch after := s.record.Stage(); {
+	switch after := reg.subject.stage(s.record); {
 	case len(s.record.Crashes) == 0:
 		return []Change{reg.remove(s)}
 	case after != before:
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -90,6 +90,7 @@
 		exchange  *news.Exchange
 		// quarantine stores the requests that are suspected of crashing servers.
 		quarantine *quarantine.Registry
+		parts      *quarantine.Registry // of prompts
 		// notices stores the limits, backoffs and departures that servers report.
 		notices *notice.Registry
 		// grants shares the request rates of limited servers with the other hosts.
@@ -137,6 +138,7 @@
 		sponsor:        newSponsor(),
 		paths:          newLostPaths(),
 		quarantine:     quarantine.NewRegistry(),
+		parts:          quarantine.NewPartRegistry(),
 		notices:        notice.NewRegistry(),
 		storeSignal:    make(chan struct{}, 1),
 		announceSignal: make(chan struct{}, 1),
@@ -190,6 +192,8 @@
 		gateway.WithFreshness(gateway.Freshness{KeysTrusted: e.keysTrusted, ConfigCurrent: e.configCurrent, ConfigAge: e.proofAge, ServersAge: e.serversAge}),
 		gateway.WithPlacementHooks(n.SendPlacement, n.SendStart, n.SendEnd),
 		gateway.WithQuarantine(e.quarantine, e.suspectsChanged),
+		gateway.WithParts(e.parts),
+		gateway.WithPartGrants(e.grants.TakeAt),
 		gateway.WithHosts(e.witnessHosts),
 		gateway.WithServerFailureHook(func(server string) { n.SendFailure(e.startNumber, server) }),
 		gateway.WithGrants(e.grants.Take),
@@ -216,6 +220,7 @@
 	}
 	e.gateway = gateway.New(p.Dialect, e.gatewayState, e.pool, e.scheduler, budget, e.log, e.metrics, opts...)
 	n.SetSuspectsHandler(e.applySuspects)
+	n.SetPartsHandler(e.applyParts)
 	n.SetRefusalHandler(e.gateway.ReceiveRefusal)
 	n.SetPlacementHandler(e.gateway.CountPlacement)
 	n.SetPathHandler(func(host uint32, lost []string) { e.paths.set(host, lost, e.clock.Now()) })
@@ -380,7 +385,10 @@
 			if n++; n%sweepTicks == 0 {
 				servers := e.watcher.State().Servers
 				e.pool.Sweep(servers.HasAddr)
-				e.grants.Retain(func(server string) bool { _, ok := servers.Get(server); return ok })
+				e.grants.Retain(func(name string) bool {
+					_, ok := servers.Get(name)
+					return ok || e.gateway.SuspectsPart(name)
+				})
 			}
 		}
 	}
--- a/daemon/entry/operators.go
+++ b/daemon/entry/operators.go
@@ -21,6 +21,8 @@
 		Workspace   string `json:"workspace"`
 		Stage       string `json:"stage"`
 		Crashes     int    `json:"ended"` // number of crashed servers
+		// Part reports that it is a part of prompts instead of a request.
+		Part bool `json:"part"`
 	}
 
 	suspectsReply struct {
@@ -60,10 +62,13 @@
 
 func (e *Entry) listSuspects(w http.ResponseWriter, _ *http.Request) {
 	reply := suspectsReply{Suspects: []suspectStatus{}}
-	for _, r := range e.quarantine.Records() {
-		reply.Suspects = append(reply.Suspects, suspectStatus{
-			Fingerprint: r.Fingerprint.String(), HeadHash: r.HeadHash.String(), Workspace: r.Workspace, Stage: r.Stage().String(), Crashes: len(r.Crashes),
-		})
+	for _, reg := range []*quarantine.Registry{e.quarantine, e.parts} {
+		for _, r := range reg.Records() {
+			reply.Suspects = append(reply.Suspects, suspectStatus{
+				Fingerprint: r.Fingerprint.String(), HeadHash: r.HeadHash.String(), Workspace: r.Workspace,
+				Stage: reg.Stage(r.Fingerprint).String(), Crashes: len(r.Crashes), Part: reg == e.parts,
+			})
+		}
 	}
 	e.reply(w, http.StatusOK, reply)
 }
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -56,25 +56,37 @@
 	}
 }
 
+// mergeParts merges records of parts of prompts likewise.
+func (e *Entry) mergeParts(sender string, rs []quarantine.Record) {
+	if e.gateway.MergeParts(sender, rs) {
+		e.signalStore()
+	}
+}
+
 // sendSuspects sends the records that this host has changed itself to other hosts. It is called on every tick of upkeep with the number of the tick, and
 // with 0 when suspects or hosts have changed.
 func (e *Entry) sendSuspects(tick int) {
+	e.exchange.SendSuspects(e.startNumber, recordsToSend(e.quarantine.OwnRecords(e.clock.Now()), tick))
+	e.exchange.SendParts(e.startNumber, recordsToSend(e.parts.OwnRecords(e.clock.Now()), tick))
+}
+
+func recordsToSend(os []quarantine.OwnRecord, tick int) []quarantine.Record {
 	var rs []quarantine.Record
-	for _, o := range e.quarantine.OwnRecords(e.clock.Now()) {
+	for _, o := range os {
 		again := resent(o) && tick%resendTicks == 0
 		if (o.Age < changeResendTime || again) && len(rs) < maxSentRecords {
 			rs = append(rs, o.Record)
 		}
 	}
-	e.exchange.SendSuspects(e.startNumber, rs)
+	return rs
 }
 
 // resent reports whether a record is still sent when changeResendTime has passed.
 func resent(o quarantine.OwnRecord) bool {
-	switch o.Record.Stage() {
+	switch o.Stage {
 	case quarantine.Blocked:
 		return true
-	case quarantine.Clear:
+	case quarantine.Clear, quarantine.Serialized:
 		return o.Age < clearedResendTime
 	}
 	return false
@@ -90,6 +102,15 @@
 	e.mergeSuspects(strconv.FormatUint(uint64(host), 10), rs)
 }
 
+// applyParts merges records of parts of prompts from another host likewise.
+func (e *Entry) applyParts(host uint32, rs []quarantine.Record) {
+	if !e.hostListed(host) {
+		e.metrics.Count("suspects_of_unknown_hosts", int64(len(rs)))
+		return
+	}
+	e.mergeParts(strconv.FormatUint(uint64(host), 10), rs)
+}
+
 // hostListed reports whether the platform's table of hosts contains a start of a host.
 func (e *Entry) hostListed(number uint32) bool {
 	return slices.ContainsFunc(e.watcher.State().Hosts, func(h watch.Host) bool { return h.Number == number })
@@ -101,7 +122,11 @@
 func (e *Entry) mergeStoredSuspects(ss []watch.Suspect) {
 	for _, s := range ss {
 		if age, known := e.watcher.Age(s.At()); !known || age < quarantine.BlockedRetention {
-			e.mergeSuspects(platformSender, []quarantine.Record{s.Record})
+			merge := e.mergeSuspects
+			if s.Part {
+				merge = e.mergeParts
+			}
+			merge(platformSender, []quarantine.Record{s.Record})
 		}
 	}
 }
@@ -133,15 +158,16 @@
 		case <-e.storeSignal:
 		}
 		restores := e.restores.Load()
-		for _, o := range e.quarantine.OwnRecords(e.clock.Now()) {
-			last, known := stored[o.Record.Fingerprint]
-			current := write{o.Record.Pardons, restores}
-			blocked := o.Record.Stage() == quarantine.Blocked
-			if known && last == current || !known && !blocked {
-				continue
-			}
-			if e.storeSuspect(ctx, o.Record) {
-				stored[o.Record.Fingerprint] = current
+		for _, reg := range []*quarantine.Registry{e.quarantine, e.parts} {
+			for _, o := range reg.OwnRecords(e.clock.Now()) {
+				last, known := stored[o.Record.Fingerprint]
+				current := write{o.Record.Pardons, restores}
+				if known && last == current || !known && o.Stage != quarantine.Blocked {
+					continue
+				}
+				if e.storeSuspect(ctx, o.Record, reg == e.parts) {
+					stored[o.Record.Fingerprint] = current
+				}
 			}
 		}
 	}
@@ -149,13 +175,13 @@
 
 // storeSuspect writes the record of one suspect to the platform, and retries until it
 // succeeds. It reports false if ctx ends first.
-func (e *Entry) storeSuspect(ctx context.Context, r quarantine.Record) bool {
+func (e *Entry) storeSuspect(ctx context.Context, r quarantine.Record, part bool) bool {
 	for ctx.Err() == nil {
 		at, _ := e.watcher.PlatformClock() // if unknown, the zero time makes readers ignore the record as expired
-		row, err := json.Marshal(watch.NewSuspect(r, at))
+		row, err := json.Marshal(watch.NewSuspect(r, part, at))
 		if err == nil {
 			c, cancel := context.WithTimeout(ctx, writeTimeout)
-			_, err = e.platform.Source.Put(c, e.platform.Tables.Hosts, watch.SuspectKey(r.Fingerprint), row)
+			_, err = e.platform.Source.Put(c, e.platform.Tables.Hosts, watch.SuspectKey(r.Fingerprint, part), row)
 			cancel()
 		}
 		if err == nil {
--- a/daemon/entry/suspects_test.go
+++ b/daemon/entry/suspects_test.go
@@ -40,7 +40,7 @@
 	go e.storeSuspects(ctx)
 	select {
 	case key := <-put:
-		if key != watch.SuspectKey(id.Fingerprint) {
+		if key != watch.SuspectKey(id.Fingerprint, false) {
 			t.Errorf("stored under the key %s", key)
 		}
 	case <-time.After(5 * time.Second):
--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -81,6 +81,8 @@
 	ServerRequestsBackoff   = Event{1319, "backend server asks for backoff"}
 	ServerNoticeUnreadable  = Event{1317, "notice from a backend server can't be read"}
 	RequestDelegated        = Event{1521, "request delegated to another host"}
+	PartSuspected           = Event{1524, "part of prompts suspected of crashing servers"}
+	PartRefused             = Event{1525, "request refused since a part of its prompt crashes servers"}
 	EngineTimeScarce        = Event{1523, "engines' time has become scarce, or is enough again"}
 	PathChanged             = Event{1322, "path to the backend servers of a service has changed"}
 	HallEvacuated           = Event{1320, "data hall evacuated, its backend servers get no new work"}
@@ -110,7 +112,7 @@
 	ClaimUndecided, CallOutcomeUnknown, AnswerNotStored,
 	LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 	PlatformUnreachable, PlatformReachable,
-	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceLimited, WorkspaceLimitLifted, EngineTimeScarce,
+	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceLimited, WorkspaceLimitLifted, EngineTimeScarce, PartSuspected, PartRefused,
 	SuspectChanged, SuspectRefused, SuspectCleared, SuspectRemoved,
 	ServerAvoided, ServersChanged, ServerCrashed, CrashConfirmed, ServerLeavingOrReturned, ServerLimitChanged, ServerNoticeUnreadable, ServerReportsLeaving, ServerRequestsBackoff, RequestDelegated, PathChanged, HallEvacuated, HallEvacuationEnded, PlatformReturned, PlatformRestored, ConfigInForce, PlatformRowUnusable, KeysUnproven, KeysProven,
 	SettingsReloaded, SettingsUnusable, UpdateLost, HostsChanged, RelayStreamLost, SourcesChosen, ForwardersChosen,
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -29,6 +29,7 @@
 	headHash     quarantine.HeadHash
 	fingerprint  quarantine.Fingerprint // computed on demand
 	parts        []string               // IDs of the parts that its prompt may share with others
+	partIDs      []quarantine.Identity  // of parts, computed on demand
 	workspace    site.Workspace
 	route        site.Route
 	work         schedule.Work
@@ -38,30 +39,33 @@
 	delegated    *delegation   // nil unless another host has delegated the call to this one
 	lastEventID  string        // from the caller, or of the last event that was forwarded
 
-	sentAt        time.Duration   // right before the last try was sent, by the gateway's clock
-	grantedServer string          // the rate-limited server for which a grant was acquired
-	attempts      int             // tries that reached a server and count against the route's
-	sent          int             // sends that may have reached a server, at any host
-	paidService   string          // to which one more send is paid from the retry budget
-	paidAt        time.Duration   // by the gateway's clock
-	unsentTries   int             // tries of which nothing left this host
-	failedServers map[string]bool // by ID
-	unreached     int             // tries that failed on the way to a server or back
-	delegations   map[uint32]bool // hosts to which the call was delegated, by number
-	returning     bool            // it was refused before, by this host or another
-	waited        time.Duration   // time from the first attempt until this one arrived
-	demandCounted bool            // an earlier placement of it counts in the ledger
-	counted       bool            // the call counts in the retry budget
-	balance       limit.Balance   // of the retry budget when the last retry was asked for
-	exchange      *exchange       // of the current try
-	mayHaveRun    bool            // it may have run, or may still be running
-	copiesFailed  bool            // several copies of it have failed together
-	connBroken    bool            // the connection of its last try broke
-	freshConn     bool            // send it on a new connection: a server was silent, so pooled ones may be dead
-	headSent      bool            // the head of an answer was sent to the caller
-	closeFramed   net.Conn        // the connection whose close ends a stream; nil if the stream has chunks
-	maxPause      time.Duration   // the longest time between two events
-	lastFailure   string          // reason of the last failure, for the log
+	sentAt        time.Duration       // right before the last try was sent, by the gateway's clock
+	grantedServer string              // the rate-limited server for which a grant was acquired
+	attempts      int                 // tries that reached a server and count against the route's
+	sent          int                 // sends that may have reached a server, at any host
+	paidService   string              // to which one more send is paid from the retry budget
+	paidAt        time.Duration       // by the gateway's clock
+	unsentTries   int                 // tries of which nothing left this host
+	failedServers map[string]bool     // by ID
+	unreached     int                 // tries that failed on the way to a server or back
+	delegations   map[uint32]bool     // hosts to which the call was delegated, by number
+	returning     bool                // it was refused before, by this host or another
+	waited        time.Duration       // time from the first attempt until this one arrived
+	demandCounted bool                // an earlier placement of it counts in the ledger
+	counted       bool                // the call counts in the retry budget
+	balance       limit.Balance       // of the retry budget when the last retry was asked for
+	partGranted   quarantine.HeadHash // a suspected part for which the next send is granted
+	firstEventAt  time.Time           // of the current stream
+	partsCleared  bool                // the current stream has cleared its parts
+	exchange      *exchange           // of the current try
+	mayHaveRun    bool                // it may have run, or may still be running
+	copiesFailed  bool                // several copies of it have failed together
+	connBroken    bool                // the connection of its last try broke
+	freshConn     bool                // send it on a new connection: a server was silent, so pooled ones may be dead
+	headSent      bool                // the head of an answer was sent to the caller
+	closeFramed   net.Conn            // the connection whose close ends a stream; nil if the stream has chunks
+	maxPause      time.Duration       // the longest time between two events
+	lastFailure   string              // reason of the last failure, for the log
 }
 
 // defaultTimeout is the maximum timeout of a call whose route sets none.
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -245,12 +245,17 @@
 func (g *Gateway) serverHooks(c *call, p schedule.Placement, x *exchange) relayHooks {
 	return relayHooks{
 		first: func() {
+			c.firstEventAt, c.partsCleared = time.Now(), false
 			g.scheduler.RecordStart(p.ID, g.clock.Now())
 			g.onStarted(p.ID)
 		},
 		event: func(pause time.Duration) {
 			x.setHeard(g.clock.Now())
 			g.recordHeard(x.server)
+			if !c.partsCleared && !c.firstEventAt.IsZero() && time.Since(c.firstEventAt) > partProofTime {
+				c.partsCleared = true
+				g.clearParts(c)
+			}
 			if c.headSent {
 				g.scheduler.RecordPass(p.Lead, pause, p.PassTime, g.clock.Now())
 			}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -91,6 +91,9 @@
 		delegation         *Delegation  // nil: calls are not delegated
 		servedVersion      atomic.Int64 // the newest configuration by which a call was handled elsewhere
 		quarantine         *quarantine.Registry
+		parts              *quarantine.Registry // of prompts
+		partGates          *partGates
+		takePartGrant      func(ctx context.Context, resource string, rate float64) (bool, time.Duration)
 		notices            *notice.Registry
 		roster             *quarantine.Roster // used by Maintain only, like rosterView
 		rosterView         *backend.View
@@ -204,6 +207,8 @@
 		exchanges:       newExchanges(),
 		reach:           reach.New(),
 		quarantine:      quarantine.NewRegistry(),
+		parts:           quarantine.NewPartRegistry(),
+		partGates:       newPartGates(),
 		notices:         notice.NewRegistry(),
 		roster:          quarantine.NewRoster(),
 		crashProbes:     newProbeTimes(),
@@ -225,6 +230,9 @@
 	for _, o := range opts {
 		o(g)
 	}
+	if g.takePartGrant == nil {
+		g.takePartGrant = g.localPartGrants(g.takeGrant)
+	}
 	return g
 }
 
@@ -254,6 +262,9 @@
 		g.recognize(c)
 		refusal = g.refuseIfBlocked(c)
 	}
+	if refusal == nil {
+		refusal = g.refuseIfPartBlocked(c)
+	}
 	if refusal == nil {
 		refusal = g.refuseIfDraining(c, now)
 	}
@@ -377,7 +388,7 @@
 }
 
 // recordSent records that a send may have reached a server.
-func (c *call) recordSent() { c.sent, c.paidService = c.sent+1, "" }
+func (c *call) recordSent() { c.sent, c.paidService, c.partGranted = c.sent+1, "", 0 }
 
 // maxUnsentTries bounds the tries of a call of which nothing was sent, because the
 // server can't be reached or has no memory. Each may take the dial timeout.
@@ -391,15 +402,25 @@
 	return s.Servers.Ready(service)
 }
 
+// placeStage is how the quarantine has a call placed.
+type placeStage struct {
+	stage    quarantine.Stage
+	confined bool                // the workspace is confined to one server
+	parts    quarantine.HeadHash // the group of the suspected parts of its prompt, 0 for none
+}
+
 // place chooses servers for a call and registers the placement. The calls of a confined
 // workspace are isolated on a single server.
-func (g *Gateway) place(c *call, s State, stage quarantine.Stage, confined bool) (schedule.Placement, site.Service, *refusalResponse) {
+func (g *Gateway) place(c *call, s State, stage placeStage) (schedule.Placement, site.Service, *refusalResponse) {
 	service, ok := s.Config.Service(c.pickService())
 	if !ok {
 		return schedule.Placement{}, service, refuse(http.StatusServiceUnavailable, "no_server", busyRetryAfter)
 	}
 	affinity := uint64(c.headHash)
-	if confined && stage < quarantine.Serialized {
+	switch {
+	case stage.parts != 0:
+		affinity = uint64(stage.parts)
+	case stage.confined && stage.stage < quarantine.Serialized:
 		affinity = uint64(quarantine.WorkspaceHash(c.workspace.Name))
 	}
 	ready := g.homeServers(c, s, service.Name)
@@ -419,9 +440,9 @@
 		Avoid:        c.failedServers,
 		LeadOnly:     g.notices.LimitedServers(available, g.clock.Now()),
 		HeadHash:     affinity,
-		Isolated:     confined || stage >= quarantine.Suspect,
-		OnlyCopy:     stage >= quarantine.Serialized,
-		CopiesFailed: confined || c.copiesFailed,
+		Isolated:     stage.confined || stage.stage >= quarantine.Suspect,
+		OnlyCopy:     stage.stage >= quarantine.Serialized,
+		CopiesFailed: stage.confined || c.copiesFailed,
 	})
 	if ok {
 		return p, service, nil
@@ -430,7 +451,7 @@
 	if _, wait := g.notices.Available(ready, g.clock.Now()); wait > 0 {
 		return p, service, g.refuseUnavailable(ready, wait)
 	}
-	if stage >= quarantine.Serialized {
+	if stage.stage >= quarantine.Serialized {
 		return p, service, refuse(http.StatusServiceUnavailable, "suspect_waits", isolationRetryAfter)
 	}
 	return p, service, refuse(http.StatusServiceUnavailable, "no_server", busyRetryAfter)
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -64,7 +64,7 @@
 	c.sentAt = g.clock.Now()
 	if c.sentAt >= c.bootDeadline || !acceptPlacement(s, p) || !g.acceptsCall(c, p) || g.authorize(c, s) != nil ||
 		!g.placedAtHome(c, s, p) || g.stage(c) == quarantine.Blocked || s.Config.Version() < g.servedVersion.Load() ||
-		!g.checkPaid(c, p.Service) {
+		!g.checkPaid(c, p.Service) || !g.partsAllow(c) {
 		return errNotAllowed
 	}
 	return c.exchange.beginSending()
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -118,13 +118,15 @@
 	g.log.Write(event.ServerCrashed, slog.String("server", server.ID), slog.String("id", c.id),
 		slog.String("same", c.headHash.String()), slog.String("workspace", c.workspace.Name), slog.String("why", out.reason),
 		slog.String("parts", strings.Join(c.parts, ",")), slog.Bool("apart", out.isolated), slog.Bool("replaced", replaced))
-	changes := g.quarantine.AddCrash(c.identity().Identity(), quarantine.Crash{
+	crash := quarantine.Crash{
 		Server:   quarantine.ServerDigest(server.ID),
 		Reporter: g.scheduler.Host(),
 		Isolated: out.isolated,
 		// Without other hosts there are no witnesses, and nobody is misled by a report.
 		Confirmed: replaced || len(g.otherHosts()) == 0,
-	}, g.clock.Now())
+	}
+	crash.Isolated = !g.recordPartCrash(c, crash) && crash.Isolated
+	changes := g.quarantine.AddCrash(c.identity().Identity(), crash, g.clock.Now())
 	g.logSuspectChanges(ownReporter, changes)
 	g.suspectsChanged() // other hosts must probe this server too, also if the stage is unchanged
 	return true
@@ -202,7 +204,7 @@
 
 // Pardon clears a suspect on behalf of an operator, and reports whether there was one.
 func (g *Gateway) Pardon(p quarantine.Fingerprint) bool {
-	if !g.quarantine.Pardon(p, g.clock.Now()) {
+	if !g.quarantine.Pardon(p, g.clock.Now()) && !g.parts.Pardon(p, g.clock.Now()) {
 		return false
 	}
 	g.log.Write(event.SuspectCleared, slog.String("print", p.String()), slog.String("by", "operator"))
@@ -213,14 +215,19 @@
 // MergeSuspects merges suspects received from the host named reporter. It reports whether
 // the stage of any request has changed.
 func (g *Gateway) MergeSuspects(reporter string, rs []quarantine.Record) bool {
+	return g.mergeRecords(g.quarantine, reporter, rs, g.logSuspectChanges)
+}
+
+// mergeRecords merges records into a registry.
+func (g *Gateway) mergeRecords(to *quarantine.Registry, reporter string, rs []quarantine.Record, logChanges func(string, []quarantine.Change)) bool {
 	changed := false
 	for _, r := range rs {
 		if err := r.Validate(); err != nil {
 			g.log.Write(event.UpdateLost, slog.String("by", reporter), slog.String("error", err.Error()))
 			continue
 		}
-		changes := g.quarantine.Merge(r, g.clock.Now())
-		g.logSuspectChanges(reporter, changes)
+		changes := to.Merge(r, g.clock.Now())
+		logChanges(reporter, changes)
 		changed = changed || len(changes) > 0
 		g.probeAsWitness(r)
 	}
@@ -249,6 +256,7 @@
 // list.
 func (g *Gateway) updateSuspects(now time.Duration) {
 	g.logSuspectChanges(ownReporter, g.quarantine.Expire(now))
+	g.logPartChanges(ownReporter, g.parts.Expire(now))
 	if !g.freshness.ConfigCurrent() {
 		return // the server list may be outdated
 	}
@@ -257,8 +265,10 @@
 		g.roster.Update(instances(servers), now)
 	}
 	listing := func(s uint32) quarantine.Listing { return g.roster.Listing(s, now) }
-	changes := g.quarantine.Reconcile(listing, now)
+	changes, ofParts := g.quarantine.Reconcile(listing, now), g.parts.Reconcile(listing, now)
 	g.logSuspectChanges(ownReporter, changes)
+	g.logPartChanges(ownReporter, ofParts)
+	changes = append(changes, ofParts...)
 	if slices.ContainsFunc(changes, func(change quarantine.Change) bool { return !change.Removed }) {
 		g.suspectsChanged()
 	}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -88,7 +88,7 @@
 		refusal := g.refuseIfBlocked(c)
 		return outcome{result: final, reason: refusal.reason, refusal: refusal}
 	}
-	confined, paused := g.quarantine.Confined(c.workspace.Name, g.clock.Now())
+	confined, paused := g.isConfined(c)
 	if paused {
 		return outcome{result: final, reason: "workspace_ends_servers", refusal: refuse(http.StatusServiceUnavailable, "workspace_ends_servers", confinedRetryAfter)}
 	}
@@ -96,7 +96,11 @@
 		return g.delegate(ctx, w, c, s, peer)
 	}
 	g.count(c)
-	p, service, refusal := g.placeWithGrant(ctx, c, s, stage, confined)
+	part, refusal := g.awaitParts(ctx, c)
+	if refusal != nil {
+		return outcome{result: final, reason: refusal.reason, refusal: refusal}
+	}
+	p, service, refusal := g.placeWithGrant(ctx, c, g.state(), placeStage{max(stage, part.Stage), confined, part.Group})
 	if refusal != nil {
 		return outcome{result: final, reason: refusal.reason, server: p.Lead, refusal: refusal}
 	}
@@ -131,10 +135,10 @@
 // a grant is denied, another server is chosen. If all limits are exhausted, or after
 // maxGrantRequests denials, the call waits for the next request that a limit allows, if that
 // is soon enough, and is refused otherwise.
-func (g *Gateway) placeWithGrant(ctx context.Context, c *call, s State, stage quarantine.Stage, confined bool) (schedule.Placement, site.Service, *refusalResponse) {
+func (g *Gateway) placeWithGrant(ctx context.Context, c *call, s State, stage placeStage) (schedule.Placement, site.Service, *refusalResponse) {
 	patience := time.Duration(grantPatience * float64(c.route.Objective-time.Since(c.arrivedAt)))
 	for {
-		p, service, refusal := g.tryGrants(ctx, c, s, stage, confined)
+		p, service, refusal := g.tryGrants(ctx, c, s, stage)
 		if refusal == nil || refusal.available == 0 || refusal.available > patience || pause.For(ctx, refusal.available) != nil {
 			return p, service, refusal
 		}
@@ -144,10 +148,10 @@
 
 // tryGrants places the call on up to maxGrantRequests servers, until one grants it. If none
 // does, the refusal has the time until a limit allows the next request.
-func (g *Gateway) tryGrants(ctx context.Context, c *call, s State, stage quarantine.Stage, confined bool) (schedule.Placement, site.Service, *refusalResponse) {
+func (g *Gateway) tryGrants(ctx context.Context, c *call, s State, stage placeStage) (schedule.Placement, site.Service, *refusalResponse) {
 	shortest := time.Duration(math.MaxInt64)
 	for n := 0; ; n++ {
-		p, service, refusal := g.place(c, s, stage, confined)
+		p, service, refusal := g.place(c, s, stage)
 		if refusal != nil {
 			return p, service, refusal
 		}
@@ -221,6 +225,7 @@
 	case out.result == answered:
 		g.scheduler.RecordAnswer(p.Service, p.Lead, false, now)
 		g.clearSuspect(c)
+		g.clearParts(c)
 		return
 	case out.result == callerGone, out.result == final:
 		return
@@ -319,6 +324,7 @@
 		return g.notRun(c, a)
 	}
 	c.mayHaveRun = true
+	g.refuteCrash(c, server)
 	return g.forward(w, c, a, timer, g.serverHooks(c, p, c.exchange), g.collect)
 }
 
--- a/daemon/gateway/witness.go
+++ b/daemon/gateway/witness.go
@@ -82,10 +82,12 @@
 		return
 	}
 	rs, changes := g.quarantine.ConfirmCrash(digest, g.clock.Now())
-	if len(rs) == 0 {
+	parts, ofParts := g.parts.ConfirmCrash(digest, g.clock.Now())
+	g.logPartChanges(ownReporter, ofParts)
+	if len(rs)+len(parts) == 0 {
 		return // another host has already confirmed it
 	}
-	g.log.Write(event.CrashConfirmed, slog.String("server", s.ID), slog.Int("requests", len(rs)))
+	g.log.Write(event.CrashConfirmed, slog.String("server", s.ID), slog.Int("requests", len(rs)), slog.Int("parts", len(parts)))
 	g.logSuspectChanges(ownReporter, changes)
 	g.suspectsChanged()
 }
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -84,6 +84,8 @@
 	// denies it.
 	kindLoanRequest kind = 16
 	kindLoanReply   kind = 17
+	// kindParts reports parts of prompts under which servers crashed.
+	kindParts kind = 18
 )
 
 type (
@@ -100,6 +102,7 @@
 		lastSent  atomic.Int64 // time of the last update, in ns
 		pending   pending
 		suspects  func(host uint32, rs []quarantine.Record)
+		parts     func(host uint32, rs []quarantine.Record)
 		notices   NoticeHandlers
 		joins     JoinHandlers
 		paths     func(host uint32, lost []string)
@@ -189,6 +192,7 @@
 		conn: c, scheduler: s, log: l, now: now,
 		lastReceived: map[netip.AddrPort]time.Duration{},
 		suspects:     func(uint32, []quarantine.Record) {},
+		parts:        func(uint32, []quarantine.Record) {},
 		paths:        func(uint32, []string) {},
 		refusals:     func(demand.Refusal) {},
 		placements:   func(schedule.Placement) {},
@@ -231,6 +235,10 @@
 // another host. It must be called before Run.
 func (n *Exchange) SetSuspectsHandler(f func(host uint32, rs []quarantine.Record)) { n.suspects = f }
 
+// SetPartsHandler sets the function that is called with suspected parts of prompts received from
+// another host. It must be called before Run.
+func (n *Exchange) SetPartsHandler(f func(host uint32, rs []quarantine.Record)) { n.parts = f }
+
 // SetPathHandler sets the function that is called with the services to whose servers
 // another host has no path. It must be called before Run.
 func (n *Exchange) SetPathHandler(f func(host uint32, lost []string)) { n.paths = f }
@@ -339,8 +347,17 @@
 
 // SendSuspects sends the records of suspects, in messages that each fit into a datagram.
 func (n *Exchange) SendSuspects(host uint32, rs []quarantine.Record) {
+	n.sendRecords(kindSuspects, host, rs)
+}
+
+// SendParts sends the records of suspected parts of prompts likewise.
+func (n *Exchange) SendParts(host uint32, rs []quarantine.Record) {
+	n.sendRecords(kindParts, host, rs)
+}
+
+func (n *Exchange) sendRecords(k kind, host uint32, rs []quarantine.Record) {
 	for chunk := range slices.Chunk(rs, maxSuspectsPerMessage) {
-		n.send(message{Kind: kindSuspects, Host: host, Suspects: chunk})
+		n.send(message{Kind: k, Host: host, Suspects: chunk})
 	}
 }
 
@@ -356,7 +373,7 @@
 		n.log.Write(event.UpdateLost, slog.String("error", err.Error()))
 		return
 	}
-	d := datagram{Scope: forwardToCell, Urgent: m.Kind == kindPlacement || m.Kind == kindSuspects || m.Kind == kindLimit || m.Kind == kindLeaving || m.Kind == kindPath, Messages: []cbor.RawMessage{b}}
+	d := datagram{Scope: forwardToCell, Urgent: m.Kind == kindPlacement || m.Kind == kindSuspects || m.Kind == kindParts || m.Kind == kindLimit || m.Kind == kindLeaving || m.Kind == kindPath, Messages: []cbor.RawMessage{b}}
 	switch {
 	case len(r.Direct) > 0:
 		d.Scope = forwardToNone
@@ -448,6 +465,8 @@
 		n.applyRefusal(m, from)
 	case kindSuspects:
 		n.suspects(m.Host, m.Suspects)
+	case kindParts:
+		n.parts(m.Host, m.Suspects)
 	case kindGrantRequest, kindGrantReply, kindLimit, kindLeaving:
 		n.applyNotice(m, from)
 	case kindSourceRequest, kindSourceReply:
--- a/daemon/watch/suspects.go
+++ b/daemon/watch/suspects.go
@@ -21,6 +21,9 @@
 // the platform.
 type Suspect struct {
 	Record quarantine.Record `json:"record"`
+	// Part reports that it is a part of prompts instead of a request. Hosts of an earlier
+	// version take it for a request, which never comes.
+	Part bool `json:"part,omitempty"`
 	// AtMS is the reading of the platform's monotonic clock, in milliseconds, when
 	// the suspect was stored.
 	AtMS int64 `json:"at_ms"`
@@ -28,16 +31,20 @@
 
 // NewSuspect returns a suspect that is stored at the time at of the platform's
 // monotonic clock.
-func NewSuspect(r quarantine.Record, at time.Duration) Suspect {
-	return Suspect{Record: r, AtMS: at.Milliseconds()}
+func NewSuspect(r quarantine.Record, part bool, at time.Duration) Suspect {
+	return Suspect{Record: r, Part: part, AtMS: at.Milliseconds()}
 }
 
 // At returns the reading of the platform's monotonic clock when the suspect was
 // stored.
 func (s Suspect) At() time.Duration { return time.Duration(s.AtMS) * time.Millisecond }
 
-// SuspectKey returns the key of a suspect in the table of hosts.
-func SuspectKey(f quarantine.Fingerprint) string {
+// SuspectKey returns the key of a suspect in the table of hosts. Requests and parts of prompts
+// have keys of their own.
+func SuspectKey(f quarantine.Fingerprint, part bool) string {
+	if part {
+		return fmt.Sprintf("%spart-%02d", suspectPrefix, f[0]%suspectKeys)
+	}
 	return fmt.Sprintf("%s%02d", suspectPrefix, f[0]%suspectKeys)
 }
 
