Parts of prompts aren't blocked since many servers crashed at once

Cause: each server counted, although one part can't be why servers crash together. Now those that crash within 0.2 s of each other count twice at most; hosts tell each other when a record counts enough, since they may hear of all crashes at once. A record of a part holds 16 crashes. Parts that a host has seen answered take turns from five crashes on; after two crashes there are eight turns a second instead of two.

--- a/cmd/command/suspects.go
+++ b/cmd/command/suspects.go
@@ -22,6 +22,7 @@
 		HeadHash    string `json:"same"`
 		Workspace   string `json:"workspace"`
 		Stage       string `json:"stage"`
+		Part        bool   `json:"part"` // of prompts, instead of a request
 		Crashes     int    `json:"ended"`
 	}
 
@@ -58,9 +59,9 @@
 	if err := e.client.Get(ctx, "/v1/suspects", &r); err != nil {
 		return err
 	}
-	t := table{header: []string{"PRINT", "SAME", "WORKSPACE", "STAGE", "ENDED"}}
+	t := table{header: []string{"PRINT", "SAME", "WORKSPACE", "STAGE", "ENDED", "PART"}}
 	for _, s := range r.Suspects {
-		t.rows = append(t.rows, []string{s.Fingerprint, s.HeadHash, s.Workspace, s.Stage, strconv.Itoa(s.Crashes)})
+		t.rows = append(t.rows, []string{s.Fingerprint, s.HeadHash, s.Workspace, s.Stage, strconv.Itoa(s.Crashes), yesNo(s.Part)})
 	}
 	return e.print(r, t)
 }
--- a/cmd/command/suspects_count.go
+++ b/cmd/command/suspects_count.go
@@ -22,6 +22,7 @@
 	// refusing a suspect: it has to wait for isolation, or it or its workspace is
 	// blocked for crashing servers.
 	reasonIsolationWait = "suspect_waits"
+	reasonPartSuspected = "prompt_part_suspected"
 	reasonBlockedSuffix = "_ends_servers"
 )
 
@@ -89,10 +90,10 @@
 		c.CrashesReported++
 	case event.CrashConfirmed.Number:
 		c.CrashesConfirmed++
-	case event.SuspectChanged.Number:
+	case event.SuspectChanged.Number, event.PartSuspected.Number:
 		c.Stages[l.Stage]++
 	case event.RequestRefused.Number:
-		if l.Reason == reasonIsolationWait || strings.HasSuffix(l.Reason, reasonBlockedSuffix) {
+		if l.Reason == reasonIsolationWait || l.Reason == reasonPartSuspected || strings.HasSuffix(l.Reason, reasonBlockedSuffix) {
 			c.Refused[l.Reason]++
 		}
 	}
@@ -106,7 +107,9 @@
 	for _, s := range []quarantine.Stage{quarantine.Suspect, quarantine.Serialized, quarantine.Blocked} {
 		row(s.String(), c.Stages[s.String()])
 	}
-	for _, reason := range []string{reasonIsolationWait, "workspace" + reasonBlockedSuffix, "request" + reasonBlockedSuffix} {
+	for _, reason := range []string{
+		reasonIsolationWait, reasonPartSuspected, "workspace" + reasonBlockedSuffix, "request" + reasonBlockedSuffix, "prompt_part" + reasonBlockedSuffix,
+	} {
 		row("refused, "+reason, c.Refused[reason])
 	}
 	return t
--- a/cmd/command/suspects_count_test.go
+++ b/cmd/command/suspects_count_test.go
@@ -27,6 +27,9 @@
 		"blocked":                    {`{"event":1517,"stage":"held"}`, command.ExitFailed, "held 1"},
 		"refused for now":            {`{"event":1513,"why":"suspect_waits"}`, command.ExitFailed, "suspect_waits 1"},
 		"request refused":            {`{"event":1513,"why":"request_ends_servers"}`, command.ExitFailed, "request_ends_servers 1"},
+		"part suspected":             {`{"event":1524,"stage":"doubtful"}`, command.ExitSuccess, "doubtful 1"},
+		"part blocked":               {`{"event":1524,"stage":"held"}`, command.ExitFailed, "held 1"},
+		"part refused":               {`{"event":1513,"why":"prompt_part_ends_servers"}`, command.ExitFailed, "prompt_part_ends_servers 1"},
 		"workspace refused":          {`{"event":1513,"why":"workspace_ends_servers"}`, command.ExitFailed, "workspace_ends_servers 1"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -13,6 +13,15 @@
 	// blockPartAfterCrashes is the number of confirmed crashes without an answer after which a
 	// part is blocked. It is higher than that of requests, since a part is shared.
 	blockPartAfterCrashes = 5
+	// blockAnsweredAfterCrashes is the same for a part that this host has seen answered before.
+	blockAnsweredAfterCrashes = 8
+	// maxPartCrashes bounds the number of crashes that the record of a part holds.
+	maxPartCrashes = 16
+	// crashesPerEpisode is how many of the servers that crash together count against a part, and
+	// episodeGap the time without a crash that ends an episode: whatever makes many servers crash
+	// at once, it isn't one part.
+	crashesPerEpisode = 2
+	episodeGap        = 200 * time.Millisecond
 	// acquittalTime is how long after its first crash a part is blocked at the earliest: an
 	// answer to another request that has it may be on its way.
 	acquittalTime = time.Second
@@ -49,16 +58,23 @@
 // NewPartRegistry returns an empty registry of parts of prompts.
 func NewPartRegistry() *Registry { return newRegistry(parts) }
 
+// maxCrashes returns how many crashes a record of a subject holds.
+func (s subject) maxCrashes() int {
+	if s == parts {
+		return maxPartCrashes
+	}
+	return maxCrashes
+}
+
 // stage returns the stage that follows from the record of a subject.
 func (s subject) stage(r Record) Stage {
 	if s == requests {
 		return r.Stage()
 	}
-	confirmed := r.count(Crash.confirmed)
 	switch n := len(r.Crashes); {
-	case confirmed >= blockPartAfterCrashes:
+	case r.count(Crash.attributable) >= blockPartAfterCrashes:
 		return Blocked
-	case confirmed >= serializeAfterCrashes:
+	case r.count(Crash.confirmed) >= serializeAfterCrashes:
 		return Serialized
 	case n > 0:
 		return Suspect
@@ -66,6 +82,41 @@
 	return Clear
 }
 
+// attribute marks the confirmed crashes of a part's record as isolated, if they count enough to
+// block the part. It reports whether it has marked any.
+func (reg *Registry) attribute(r Record, now time.Duration) (Record, bool) {
+	var times []time.Duration
+	for _, c := range r.Crashes {
+		if _, known := reg.crashedAt[c.Server]; !known {
+			reg.crashedAt[c.Server] = now
+		}
+		if c.Confirmed {
+			times = append(times, reg.crashedAt[c.Server])
+		}
+	}
+	slices.Sort(times)
+	counted, inEpisode := 0, 0
+	for n, at := range times {
+		if n > 0 && at-times[n-1] > episodeGap {
+			inEpisode = 0
+		}
+		if inEpisode++; inEpisode <= crashesPerEpisode {
+			counted++
+		}
+	}
+	if counted < blockPartAfterCrashes && len(times) < maxPartCrashes {
+		return r, false
+	}
+	marked := false
+	r.Crashes = slices.Clone(r.Crashes)
+	for n, c := range r.Crashes {
+		if c.Confirmed && !c.Isolated {
+			r.Crashes[n].Isolated, marked = true, true
+		}
+	}
+	return r, marked
+}
+
 // PartIdentity returns the identity of a part of a workspace's prompts. The same part of another
 // workspace has another one, so that no workspace can have a part refused that others use.
 func PartIdentity(workspace, id string) Identity {
@@ -75,8 +126,8 @@
 }
 
 // PartsStage returns how a request is treated whose prompt has the given parts, given whether a
-// part was in a request that this host has seen answered. Such a part is blocked only after as many
-// crashes as a record holds: more likely, another part is at fault.
+// part was in a request that this host has seen answered. More likely, another part is at fault
+// then: such a part takes turns only when others may be blocked, and is blocked later.
 func (reg *Registry) PartsStage(ids []Identity, answered func(HeadHash) bool, now time.Duration) PartStage {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
@@ -90,10 +141,11 @@
 			continue
 		}
 		p := PartStage{Stage: reg.subject.stage(s.record), Part: id, Crashes: len(s.record.Crashes)}
-		if p.Stage == Blocked && (now-s.since < acquittalTime || p.Crashes < maxCrashes && answered(id.HeadHash)) {
+		known := answered(id.HeadHash)
+		if p.Stage == Blocked && (now-s.since < acquittalTime || p.Crashes < blockAnsweredAfterCrashes && known) {
 			p.Stage = Serialized
 		}
-		if p.Stage < Serialized {
+		if p.Stage < Serialized || known && p.Crashes < blockPartAfterCrashes {
 			continue
 		}
 		group ^= id.HeadHash
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -82,7 +82,7 @@
 	// first, blocked ones last. A workspace at its bound evicts suspects of its own.
 	maxSuspects             = 1024
 	maxSuspectsPerWorkspace = 128
-	// maxCrashes bounds the number of crashes that a record holds.
+	// maxCrashes bounds the number of crashes that the record of a request holds.
 	maxCrashes = 8
 	// confirmationTimeout is how long a request waits for other hosts to confirm a
 	// crash, if it isn't the request's first. It covers the report to them, their
--- a/core/quarantine/record.go
+++ b/core/quarantine/record.go
@@ -17,7 +17,8 @@
 		// Reporter is the number of the host that found the server's port closed, the
 		// lowest if there are several.
 		Reporter uint32 `json:"By"`
-		// Isolated reports that no other suspect was known to run on the server.
+		// Isolated reports that no other suspect was known to run on the server; of a part, that
+		// enough crashes count to block it.
 		Isolated bool `json:"Apart"`
 		// Confirmed reports that the crash has been confirmed by a second host or by
 		// the platform's server list.
@@ -72,7 +73,7 @@
 		return errors.New("suspect record without a fingerprint")
 	case len(r.Workspace) > maxWorkspaceBytes:
 		return errors.Newf("suspect record with a workspace name of %d bytes", len(r.Workspace))
-	case len(r.Crashes) == 0 && r.Pardons == 0, len(r.Crashes) > maxCrashes:
+	case len(r.Crashes) == 0 && r.Pardons == 0, len(r.Crashes) > maxPartCrashes:
 		return errors.Newf("suspect record with %d crashes", len(r.Crashes))
 	case !slices.IsSortedFunc(r.Crashes, compareServers):
 		return errors.New("suspect record with crashes not sorted by server")
@@ -80,9 +81,10 @@
 	return nil
 }
 
-// merged returns the record merged with another record of the same request. If their
-// pardon counts differ, the record with the higher count replaces the other.
-func (r Record) merged(o Record) Record {
+// merged returns the record merged with another record of the same request, with a limited
+// number of crashes. If their pardon counts differ, the record with the higher count replaces
+// the other.
+func (r Record) merged(o Record, limit int) Record {
 	switch {
 	case o.Pardons > r.Pardons:
 		r.Pardons, r.Crashes = o.Pardons, nil
@@ -95,7 +97,7 @@
 		switch {
 		case found:
 			all[i] = all[i].merged(c)
-		case len(all) < maxCrashes:
+		case len(all) < limit:
 			all = slices.Insert(all, i, c)
 		}
 	}
--- a/core/quarantine/registry.go
+++ b/core/quarantine/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -33,6 +34,7 @@
 		suspects  map[Fingerprint]*suspect
 		headCount map[HeadHash]int // number of suspects with this head hash
 		histories map[string]crashHistory
+		crashedAt map[uint32]time.Duration // when a crash of a server became known first; of parts only
 	}
 
 	suspect struct {
@@ -53,7 +55,7 @@
 func NewRegistry() *Registry { return newRegistry(requests) }
 
 func newRegistry(s subject) *Registry {
-	return &Registry{subject: s, suspects: map[Fingerprint]*suspect{}, headCount: map[HeadHash]int{}, histories: map[string]crashHistory{}}
+	return &Registry{subject: s, suspects: map[Fingerprint]*suspect{}, headCount: map[HeadHash]int{}, histories: map[string]crashHistory{}, crashedAt: map[uint32]time.Duration{}}
 }
 
 // MayContain reports whether some suspect has the head hash. If not, a request
@@ -153,12 +155,18 @@
 	if own {
 		r.Pardons = s.record.Pardons
 	}
-	return append(changes, reg.update(s, s.record.merged(r), own, now)...)
+	return append(changes, reg.update(s, s.record.merged(r, reg.subject.maxCrashes()), own, now)...)
 }
 
 // update replaces the record of a suspect, and returns the resulting stage changes.
 func (reg *Registry) update(s *suspect, r Record, own bool, now time.Duration) []Change {
 	before := reg.subject.stage(s.record)
+	if reg.subject == parts {
+		var attributed bool
+		if r, attributed = reg.attribute(r, now); attributed {
+			own = true // other hosts may have heard of all crashes at once
+		}
+	}
 	if len(s.record.Crashes) == 0 || r.Pardons != s.record.Pardons {
 		s.since = now
 	}
@@ -265,6 +273,7 @@
 func (reg *Registry) Expire(now time.Duration) []Change {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
+	maps.DeleteFunc(reg.crashedAt, func(_ uint32, at time.Duration) bool { return now-at > suspectRetention })
 	var changes []Change
 	for _, s := range reg.suspects {
 		retention := suspectRetention
--- a/daemon/gateway/parts.go
+++ b/daemon/gateway/parts.go
@@ -22,8 +22,9 @@
 	// maxPartIDBytes bounds the ID of a part.
 	maxPartIDBytes = 64
 	// partRate is the number of requests per second, from all hosts together, that are sent
-	// with the same suspected parts.
-	partRate = 2
+	// with the same suspected parts, and firstPartRate the same after two crashes: most parts
+	// that are suspected then only had bad luck.
+	partRate, firstPartRate = 2, 8
 	// partPatience is the part of the time until its answer is late for which a call waits
 	// until the parts of its prompt are cleared.
 	partPatience = 0.5
@@ -155,7 +156,11 @@
 		}
 		now := g.clock.Now()
 		if g.partGates.mayAsk(p.Group, now) {
-			ok, wait := g.takePartGrant(ctx, partResource+p.Part.Fingerprint.String()+"/"+p.Group.String(), partRate)
+			rate := float64(partRate)
+			if p.Crashes <= 2 {
+				rate = firstPartRate
+			}
+			ok, wait := g.takePartGrant(ctx, partResource+p.Part.Fingerprint.String()+"/"+p.Group.String(), rate)
 			g.partGates.askAgainAt(p.Group, g.clock.Now()+wait, now)
 			g.metrics.Count("gateway_part_grants", 1, "granted", strconv.FormatBool(ok))
 			if ok {
@@ -196,6 +201,7 @@
 // recordPartCrash records a crash under the parts of a call's prompt. It reports whether one of
 // them is suspected of it: then neither the request nor its workspace is.
 func (g *Gateway) recordPartCrash(c *call, crash quarantine.Crash) bool {
+	crash.Isolated = false
 	for _, id := range c.partIdentities() {
 		g.logPartChanges(ownReporter, g.parts.AddCrash(id, crash, g.clock.Now()))
 	}
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -52,6 +52,8 @@
 	// 45 bytes, a workspace name of up to 64 bytes, and 13 bytes for each of up to 8
 	// crashes.
 	maxSuspectsPerMessage = 5
+	// maxPartsPerMessage is the same for parts of prompts, which have up to 16 crashes.
+	maxPartsPerMessage = 4
 )
 
 // Kinds of messages, as sent on the wire.
@@ -347,16 +349,16 @@
 
 // SendSuspects sends the records of suspects, in messages that each fit into a datagram.
 func (n *Exchange) SendSuspects(host uint32, rs []quarantine.Record) {
-	n.sendRecords(kindSuspects, host, rs)
+	n.sendRecords(kindSuspects, host, rs, maxSuspectsPerMessage)
 }
 
 // SendParts sends the records of suspected parts of prompts likewise.
 func (n *Exchange) SendParts(host uint32, rs []quarantine.Record) {
-	n.sendRecords(kindParts, host, rs)
+	n.sendRecords(kindParts, host, rs, maxPartsPerMessage)
 }
 
-func (n *Exchange) sendRecords(k kind, host uint32, rs []quarantine.Record) {
-	for chunk := range slices.Chunk(rs, maxSuspectsPerMessage) {
+func (n *Exchange) sendRecords(k kind, host uint32, rs []quarantine.Record, perMessage int) {
+	for chunk := range slices.Chunk(rs, perMessage) {
 		n.send(message{Kind: k, Host: host, Suspects: chunk})
 	}
 }
