TestPollScope sets what is polled before the watcher runs

The test set the scope of polling after the watcher had begun to run, and wrote rows at once. A poll that was on its way then still answered with them: of 24,000 cases in four processes at once 113 failed on the code as it was. The scope is set before the watcher runs now: 0 of 24,000. What is checked stays.

--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -188,7 +188,7 @@
 }
 
 // runWatcher calls f with a running watcher in a synctest bubble.
-func runWatcher(t *testing.T, f func(s *fakeStore, w *watch.Watcher)) {
+func runWatcher(t *testing.T, f func(s *fakeStore, w *watch.Watcher), before ...func(w *watch.Watcher)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -209,6 +209,9 @@
 				Evacuation: func(key string) (string, bool) { return strings.CutPrefix(key, "evacuate/") },
 			},
 			l, telemetry.NewMetrics(), func([]watch.Host) {})
+		for _, b := range before {
+			b(w)
+		}
 		go w.Run(ctx)
 		f(s, w)
 		cancel()
@@ -437,7 +440,6 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			runWatcher(t, func(s *fakeStore, w *watch.Watcher) {
-				w.SetPolling(tc.scope, time.Second)
 				s.put(configTable, "config", "1")
 				s.put("hosts", "other", `{"addr":"127.0.0.1:1"}`)
 				sleep(3 * time.Second)
@@ -447,7 +449,7 @@
 				if got := len(w.State().Hosts) == 1; got != tc.hosts {
 					t.Errorf("other host known: %v, want %v", got, tc.hosts)
 				}
-			})
+			}, func(w *watch.Watcher) { w.SetPolling(tc.scope, time.Second) })
 		})
 	}
 }
