A server that has started again under its ID refutes no crash

Cause: a server that keeps its ID and had started again answered, which was taken for proof that it had never crashed, and the fatal part was cleared. Now only an answer within 0.4 s of the crash refutes it; servers need seconds to be back. TestAnswerRefutesCrash failed in the case "it has started again" before.

--- a/core/quarantine/parts.go
+++ b/core/quarantine/parts.go
@@ -22,6 +22,9 @@
 	// at once, it isn't one part.
 	crashesPerEpisode = 2
 	episodeGap        = 200 * time.Millisecond
+	// refutationTime is how long after a crash an answer of the server refutes it. Servers need
+	// longer to start again, and some keep their IDs.
+	refutationTime = 400 * time.Millisecond
 	// acquittalTime is how long after its first crash a part is blocked at the earliest: an
 	// answer to another request that has it may be on its way.
 	acquittalTime = time.Second
@@ -158,14 +161,18 @@
 }
 
 // Refute clears the suspects with a crash of a server that has answered a request which was sent
-// after that became known, and reports whether there were any. Each start of a server has another
-// ID, so the server hasn't crashed, and what was found down were paths.
+// after that became known, and reports whether there were any. It is too soon for the server to
+// have started again, so it hasn't crashed, and what was found down were paths.
 func (reg *Registry) Refute(server uint32, sentAt, now time.Duration) bool {
 	reg.mu.Lock()
 	defer reg.mu.Unlock()
+	at, known := reg.crashedAt[server]
+	if !known || sentAt <= at || now-at > refutationTime {
+		return false
+	}
 	refuted := false
 	for _, s := range reg.suspects {
-		if _, found := slices.BinarySearchFunc(s.record.Crashes, Crash{Server: server}, compareServers); found && s.changed < sentAt {
+		if _, found := slices.BinarySearchFunc(s.record.Crashes, Crash{Server: server}, compareServers); found {
 			refuted = reg.pardon(s, now) || refuted
 		}
 	}
