A host that isn't listed has no share of the fixed number of retries

A host whose row is gone, but which still runs, kept its share of the retries that are allowed in addition, while the others divided them by one host less: their parts exceeded the budget by one in N until the row was written again, up to two minutes.

--- a/daemon/entry/retries.go
+++ b/daemon/entry/retries.go
@@ -29,8 +29,8 @@
 
 // extraRetries returns this host's share of the retries that are allowed in addition to a
 // fraction of the requests. Until the retries that an earlier start of this host may have paid
-// have left the span, and until the other hosts count this one, that is nothing. A host that is
-// no longer listed may still spend its share for as long.
+// have left the span, and while the other hosts don't count this one, that is nothing. A host that
+// is no longer listed may still spend its share for as long, until it learns of that.
 func (e *Entry) extraRetries() float64 {
 	r := e.settings.Load().Bounds.Retries
 	now, announced := e.clock.Now(), time.Duration(e.announcedAt.Load())
@@ -39,6 +39,9 @@
 	if announced == 0 || now-announced < period {
 		return 0
 	}
+	if _, listed := e.listedHost(); !listed {
+		return 0
+	}
 	return r.Extra * retryFraction / float64(hosts)
 }
 
