A call that has waited for its parts is placed and sent by one view of the servers

A call that waited for the suspected parts of its prompt was placed by the state of after the wait, and its server looked up in the one of before: a server that had started meanwhile had no address there, so the try failed and another was needed. Found by reading the diff; no play showed it.

--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -100,7 +100,8 @@
 	if refusal != nil {
 		return outcome{result: final, reason: refusal.reason, refusal: refusal}
 	}
-	p, service, refusal := g.placeWithGrant(ctx, c, g.state(), placeStage{max(stage, part.Stage), confined, part.Group})
+	s = g.state() // the call may have waited
+	p, service, refusal := g.placeWithGrant(ctx, c, s, placeStage{max(stage, part.Stage), confined, part.Group})
 	if refusal != nil {
 		return outcome{result: final, reason: refusal.reason, server: p.Lead, refusal: refusal}
 	}
