--- a/core/limit/budget.go
+++ b/core/limit/budget.go
@@ -6,6 +6,13 @@
 //	b := limit.NewRetryBudgets(0.1)
 //	b.Earn("till")            // for each request
 //	if b.Spend("till") { ... } // before each retry
+//
+// A [RetryWindow] is one host's part of a budget that all hosts share:
+//
+//	w := limit.NewRetryWindow(10*time.Second, 0.2, fixedRetries)
+//	w.AddRequest(route.Targets, now)                              // for each request
+//	if _, ok := w.Spend("plain", now, askOtherHosts); ok { ... }  // before each retry
+//	lent := w.Lend("plain", 1, now)                               // if another host asks
 package limit
 
 import "sync"
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -32,6 +32,14 @@
 //
 // The first takes a few network delays between hosts, the second takes seconds.
 //
+// # Parts of prompts
+//
+// Prompts share parts that have IDs, and one part may crash each server that begins to answer a
+// request with it, while no two of these requests are alike. [NewPartRegistry] returns a registry of
+// such parts. Each crash is added to all parts of each request that was lost, and each answer clears
+// all parts of its request, so that only a part which is never answered adds up crashes. Until it
+// is blocked, requests with the same suspected parts take turns; see [Registry.PartsStage].
+//
 // # Usage
 //
 //	reg := quarantine.NewRegistry()
@@ -41,6 +49,10 @@
 //	for _, o := range reg.OwnRecords(now) { ... send o.Record to other hosts }
 //	reg.Merge(record, now)
 //	reg.ConfirmCrash(server, now)   // as a witness
+//
+//	parts := quarantine.NewPartRegistry()
+//	parts.AddCrash(quarantine.PartIdentity(workspace, part), crash, now) // for each part
+//	switch p := parts.PartsStage(ids, wasAnswered, now); p.Stage { ... }
 package quarantine
 
 import "time"
