--- a/core/limit/window_test.go
+++ b/core/limit/window_test.go
@@ -145,8 +145,7 @@
 	}
 }
 
-// TestRetriesStayInTheBudgetThroughRestarts has all requests fail while hosts start again in
-// series, stop answering each other, or are split into halves.
+// TestRetriesStayInTheBudgetThroughRestarts has all requests fail while hosts restart or lose each other.
 func TestRetriesStayInTheBudgetThroughRestarts(t *testing.T) {
 	const length, perSecond, minUsable = 60 * time.Second, 400, 0.8
 	for name, disturb := range map[string]func(f *fleet, step int){
--- a/core/quarantine/parts_test.go
+++ b/core/quarantine/parts_test.go
@@ -8,8 +8,7 @@
 	"slipcrank.example/core/quarantine"
 )
 
-// TestPartsStage adds confirmed crashes under prompts of the parts "shared" and "fatal", with or
-// without answers to prompts of "shared" between them.
+// TestPartsStage adds crashes under prompts of two parts, of which one may be answered in between.
 func TestPartsStage(t *testing.T) {
 	shared, fatal := quarantine.PartIdentity("w", "shared"), quarantine.PartIdentity("w", "fatal")
 	for name, tc := range map[string]struct {
@@ -66,8 +65,7 @@
 	}
 }
 
-// TestPartsOfSoundPromptsHaveTheirOwnTurn guards against prompts with the fatal part that take all
-// turns of the parts which they share with sound ones, so that no answer can clear these.
+// TestPartsOfSoundPromptsHaveTheirOwnTurn compares the turns of prompts with and without a fatal part.
 func TestPartsOfSoundPromptsHaveTheirOwnTurn(t *testing.T) {
 	a, b, fatal := quarantine.PartIdentity("w", "a"), quarantine.PartIdentity("w", "b"), quarantine.PartIdentity("w", "fatal")
 	reg := quarantine.NewPartRegistry()
@@ -83,8 +81,7 @@
 	}
 }
 
-// TestAnswerRefutesCrash has a server that is held for crashed answer requests which were sent at
-// different times.
+// TestAnswerRefutesCrash has a server that is held for crashed answer requests sent at different times.
 func TestAnswerRefutesCrash(t *testing.T) {
 	const crashed = 2 * time.Second
 	for name, tc := range map[string]struct {
--- a/daemon/gateway/delegated_test.go
+++ b/daemon/gateway/delegated_test.go
@@ -78,8 +78,7 @@
 	}
 }
 
-// TestEachRepeatIsPaid guards against sends of a request beyond its first, by whichever host, that
-// no host takes from the retry budget.
+// TestEachRepeatIsPaid delegates requests of which sends may have reached servers, paid for or not.
 func TestEachRepeatIsPaid(t *testing.T) {
 	for name, tc := range map[string]struct {
 		header             string
