Turns of suspected parts use the gateway's grants as they are

Found by reading the diff: grants for parts had an option, a field, a method of the coordinator and a local twin of that, though setting the part's rate among the notices and asking for a grant as for any limited server does the same. A sort of a workspace's crashes that nothing needs any more is gone, and records of suspects and of parts from other hosts pass one check.

--- a/core/quarantine/confine.go
+++ b/core/quarantine/confine.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -24,7 +23,7 @@
 	// crashHistory holds the attributable crashes of a workspace's suspects, and the time of the
 	// last crash of any kind.
 	crashHistory struct {
-		attributed []attributedCrash // in order of time
+		attributed []attributedCrash
 		last       time.Duration
 	}
 
@@ -89,6 +88,5 @@
 		delete(reg.histories, workspace)
 		return
 	}
-	slices.SortFunc(h.attributed, func(x, y attributedCrash) int { return cmp.Compare(x.at, y.at) })
 	reg.histories[workspace] = h
 }
--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -193,7 +193,6 @@
 		gateway.WithPlacementHooks(n.SendPlacement, n.SendStart, n.SendEnd),
 		gateway.WithQuarantine(e.quarantine, e.suspectsChanged),
 		gateway.WithParts(e.parts),
-		gateway.WithPartGrants(e.grants.TakeAt),
 		gateway.WithHosts(e.witnessHosts),
 		gateway.WithServerFailureHook(func(server string) { n.SendFailure(e.startNumber, server) }),
 		gateway.WithGrants(e.grants.Take),
--- a/daemon/entry/suspects.go
+++ b/daemon/entry/suspects.go
@@ -95,20 +95,20 @@
 // applySuspects merges records of suspects from another host. It ignores hosts that are not
 // in the platform's table of hosts, so that these can't cause requests to be refused.
 func (e *Entry) applySuspects(host uint32, rs []quarantine.Record) {
-	if !e.hostListed(host) {
-		e.metrics.Count("suspects_of_unknown_hosts", int64(len(rs)))
-		return
-	}
-	e.mergeSuspects(strconv.FormatUint(uint64(host), 10), rs)
+	e.applyRecords(host, rs, e.mergeSuspects)
 }
 
 // applyParts merges records of parts of prompts from another host likewise.
 func (e *Entry) applyParts(host uint32, rs []quarantine.Record) {
+	e.applyRecords(host, rs, e.mergeParts)
+}
+
+func (e *Entry) applyRecords(host uint32, rs []quarantine.Record, merge func(sender string, rs []quarantine.Record)) {
 	if !e.hostListed(host) {
 		e.metrics.Count("suspects_of_unknown_hosts", int64(len(rs)))
 		return
 	}
-	e.mergeParts(strconv.FormatUint(uint64(host), 10), rs)
+	merge(strconv.FormatUint(uint64(host), 10), rs)
 }
 
 // hostListed reports whether the platform's table of hosts contains a start of a host.
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -93,7 +93,6 @@
 		quarantine         *quarantine.Registry
 		parts              *quarantine.Registry // of prompts
 		partGates          *partGates
-		takePartGrant      func(ctx context.Context, resource string, rate float64) (bool, time.Duration)
 		notices            *notice.Registry
 		roster             *quarantine.Roster // used by Maintain only, like rosterView
 		rosterView         *backend.View
@@ -230,9 +229,6 @@
 	for _, o := range opts {
 		o(g)
 	}
-	if g.takePartGrant == nil {
-		g.takePartGrant = g.localPartGrants(g.takeGrant)
-	}
 	return g
 }
 
--- a/daemon/gateway/parts.go
+++ b/daemon/gateway/parts.go
@@ -25,6 +25,8 @@
 	// with the same suspected parts, and firstPartRate the same after two crashes: most parts
 	// that are suspected then only had bad luck.
 	partRate, firstPartRate = 2, 8
+	// partRateTTL is how long this host keeps to such a rate after it has asked for a grant.
+	partRateTTL = time.Second
 	// partPatience is the part of the time until its answer is late for which a call waits
 	// until the parts of its prompt are cleared.
 	partPatience = 0.5
@@ -96,14 +98,6 @@
 // WithParts sets the registry of parts of prompts under which servers crashed.
 func WithParts(r *quarantine.Registry) Option { return func(g *Gateway) { g.parts = r } }
 
-// WithPartGrants sets the function that requests a grant for one request with a suspected part,
-// given the part's name among rate-limited resources and the rate that all hosts share. If it
-// returns false, it also returns the time until the next grant is expected. Without this option
-// the gateway grants by itself.
-func WithPartGrants(f func(ctx context.Context, resource string, rate float64) (bool, time.Duration)) Option {
-	return func(g *Gateway) { g.takePartGrant = f }
-}
-
 // SuspectsPart reports whether a rate-limited resource is a part of prompts that is suspected.
 func (g *Gateway) SuspectsPart(resource string) bool {
 	text, ok := strings.CutPrefix(resource, partResource)
@@ -160,7 +154,9 @@
 			if p.Crashes <= 2 {
 				rate = firstPartRate
 			}
-			ok, wait := g.takePartGrant(ctx, partResource+p.Part.Fingerprint.String()+"/"+p.Group.String(), rate)
+			resource := partResource + p.Part.Fingerprint.String() + "/" + p.Group.String()
+			g.notices.SetCold(resource, rate, now+partRateTTL, now)
+			ok, wait := g.takeGrant(ctx, backend.Server{ID: resource})
 			g.partGates.askAgainAt(p.Group, g.clock.Now()+wait, now)
 			g.metrics.Count("gateway_part_grants", 1, "granted", strconv.FormatBool(ok))
 			if ok {
@@ -265,11 +261,3 @@
 			slog.Int("ended", len(change.Record.Crashes)), slog.Bool("removed", change.Removed), slog.String("by", reporter))
 	}
 }
-
-// localPartGrants returns a function that grants requests with parts from buckets of this host.
-func (g *Gateway) localPartGrants(take func(ctx context.Context, s backend.Server) (bool, time.Duration)) func(context.Context, string, float64) (bool, time.Duration) {
-	return func(ctx context.Context, resource string, rate float64) (bool, time.Duration) {
-		g.notices.SetCold(resource, rate, g.clock.Now()+time.Second, g.clock.Now())
-		return take(ctx, backend.Server{ID: resource})
-	}
-}
--- a/daemon/grants/grants.go
+++ b/daemon/grants/grants.go
@@ -124,13 +124,6 @@
 	return false, retryWait
 }
 
-// TakeAt obtains a grant for one use of a resource which isn't a server, of which all hosts
-// together have the given number a second.
-func (c *Coordinator) TakeAt(ctx context.Context, resource string, rate float64) (bool, time.Duration) {
-	c.notices.SetCold(resource, rate, c.now()+coldReportTTL, c.now())
-	return c.Take(ctx, backend.Server{ID: resource})
-}
-
 // HandleRequest returns the reply to a request of another host. A host that isn't known
 // yet is granted nothing, but learns from the reply that this host is reachable.
 func (c *Coordinator) HandleRequest(host uint32, q grant.Request) grant.Reply {
