review: a 503 to a review that runs, after a second answer

A late second copy of a refusal is taken for the answer to the next send of the same attempt to the same runner; the client gets 503, and the review runs.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -32,6 +32,14 @@
 	q.Host = "shop.example"
 	q.Header.Set("X-Attempt-Id", attempt)
 	q.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	if strings.HasPrefix(path, "/book/") {
+		q.Header.Set("X-Token-Usage", "133000,700")
+		q.Header.Set("X-Prompt-Prefix", newID()+":40,"+newID()+":132960")
+	}
+	if strings.HasPrefix(path, "/caption/") {
+		q.Header.Set("X-Token-Usage", "5000,1360")
+		q.Header.Set("X-Prompt-Prefix", newID()+":40,"+newID()+":4960")
+	}
 	if key != "" {
 		q.Header.Set("Authorization", "Token "+key)
 	}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -35,6 +36,12 @@
 		addr    string // of the store
 		hosts   []*host
 		runners []*runner
+		engines []*engine
+
+		runMu      sync.Mutex
+		streamRuns []run
+		// secondAnswers of garbledOf answers of garbling runners were followed by a second one.
+		secondAnswers, garbledOf int
 	}
 
 	host struct {
--- a/review/stand/keys.go
+++ b/review/stand/keys.go
@@ -38,7 +38,7 @@
 func keys(f *fleet, trouble bool) (bool, string, error) {
 	f.store.put("op", "config", configuration(11, 0))
 	for _, z := range zones {
-		if _, err := f.startRunner("pedidos", z, 30*time.Millisecond, nil); err != nil {
+		if _, err := f.startRunner("pedidos", z, 30*time.Millisecond); err != nil {
 			return false, "", err
 		}
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -16,7 +16,9 @@
 
 // cases has the cases by name. Each reports whether the rule was broken, and in which words.
 var cases = map[string]func(f *fleet, trouble bool) (bool, string, error){
-	"keys": keys,
+	"keys":   keys,
+	"second": second,
+	"seal":   seal,
 }
 
 func main() { os.Exit(play()) }
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -19,16 +19,15 @@
 		at                      time.Duration
 	}
 
-	// runner is a stand-in of a sound runner of a plain service, unless spoil is set.
+	// runner is a stand-in of a runner of a plain service. It is sound unless spoil is set.
 	runner struct {
 		id, service, zone string
 		addr              string
 		rec               *record
 		store             *store
 		work              time.Duration
-		// spoil returns the bytes that a faulty runner sends in the place of its answer, or
-		// "" for the answer.
-		spoil func(attempt string) string
+		// spoil returns what a faulty runner makes of an answer.
+		spoil func(answer string) string
 
 		mu       sync.Mutex
 		runs     []run
@@ -44,12 +43,12 @@
 }
 
 // startRunner starts a runner, and enters it in the store.
-func (f *fleet) startRunner(service, zone string, work time.Duration, spoil func(string) string) (*runner, error) {
+func (f *fleet) startRunner(service, zone string, work time.Duration) (*runner, error) {
 	l, err := net.Listen("tcp4", fmt.Sprintf("%s%d:0", f.net, 100+len(f.runners)))
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{id: "i-" + newID()[:10], service: service, zone: zone, addr: l.Addr().String(), rec: f.rec, store: f.store, work: work, spoil: spoil, ended: make(chan struct{})}
+	r := &runner{id: "i-" + newID()[:10], service: service, zone: zone, addr: l.Addr().String(), rec: f.rec, store: f.store, work: work, spoil: func(answer string) string { return answer }, ended: make(chan struct{})}
 	f.runners = append(f.runners, r)
 	go r.accept(l)
 	go r.beat()
@@ -119,14 +118,8 @@
 	r.mu.Unlock()
 	r.rec.line("runner %s runs %s %s %s, X-Tenant %q", r.id, q.Method, q.RequestURI, attempt, one.tenant)
 	time.Sleep(r.work)
-	if r.spoil != nil {
-		if bytes := r.spoil(attempt); bytes != "" {
-			r.rec.line("runner %s sends for %s bytes that are no answer", r.id, attempt)
-			return bytes
-		}
-	}
 	text := "order page of " + attempt + "\n" + string(body)
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Response-Seal: %s.%s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", head, r.id, attempt, len(text), text)
+	return r.spoil(fmt.Sprintf("HTTP/1.1 200 OK\r\n%sX-Response-Seal: %s.%s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", head, r.id, attempt, len(text), text))
 }
 
 // allRuns returns the runs of all runners.
