--- a/review/stand/seal.go
+++ b/review/stand/seal.go
@@ -44,7 +44,7 @@
 	unsealed, counts := 0, map[int]int{}
 	begun := time.Now()
 	for n := 0; time.Since(begun) < 40*time.Second; n++ {
-		// Five entries of 5 s each, 7 s apart.
+		// Six entries of 5 s each, 7 s apart, the last cut short.
 		garbling.Store(trouble && time.Since(begun)%(7*time.Second) > 2*time.Second)
 		wg.Go(func() {
 			method, path := "GET", "/order/7"
