--- a/review/stand/engine.go
+++ b/review/stand/engine.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -123,7 +125,7 @@
 			e.f.rec.line("runner %s sends the second answer, where that to %s is due", e.id, q.Header.Get("X-Attempt-Id"))
 			_, _ = io.WriteString(c, surplus)
 		}
-		refusal, ok := e.run(c, q)
+		refusal, ok := e.run(c, in, q)
 		if surplus = ""; refusal != "" && e.repeats() {
 			surplus = refusal
 		}
@@ -168,7 +170,7 @@
 
 // run answers one request. It returns the refusal if it was one, and whether the connection stays
 // open.
-func (e *engine) run(c net.Conn, q *http.Request) (string, bool) {
+func (e *engine) run(c net.Conn, in *bufio.Reader, q *http.Request) (string, bool) {
 	e.countAnswer()
 	attempt := q.Header.Get("X-Attempt-Id")
 	head := "X-Attempt-Id: " + attempt + "\r\n"
@@ -193,7 +195,7 @@
 		}
 	}
 	time.Sleep(time.Duration(float64(tokens)/readPerMS/float64(parts)*float64(time.Millisecond)) + 10*time.Millisecond)
-	if e.isGone() {
+	if e.isGone() || closed(c, in) {
 		return "", false
 	}
 	e.f.began(run{attempt: attempt, runner: e.id, at: e.f.rec.now()})
@@ -213,6 +215,14 @@
 	return "", err == nil
 }
 
+// closed reports whether the caller has closed its connection: the request is dropped then.
+func closed(c net.Conn, in *bufio.Reader) bool {
+	_ = c.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := in.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // engineGone reports whether the runner at an address has crashed.
 func (f *fleet) engineGone(addr string) bool {
 	for _, e := range f.liveEngines() {
--- a/review/stand/second.go
+++ b/review/stand/second.go
@@ -42,12 +42,12 @@
 			replies = append(replies, a)
 		})
 	}
-	// For 104 s, 25 caption drafts and 2.5 book reviews a second.
-	const tick, length = 40 * time.Millisecond, 104 * time.Second
+	// For 96 s, 25 caption drafts and 3.1 book reviews a second.
+	const tick, length = 40 * time.Millisecond, 96 * time.Second
 	end, round := time.Now().Add(length), time.Now().Add(3*time.Second)
 	for n := 0; time.Now().Before(end); n++ {
 		send(n, "/caption/1", 10*time.Second)
-		if n%10 == 0 {
+		if n%8 == 0 {
 			send(n, "/book/1", 15*time.Second)
 		}
 		if trouble && time.Now().After(round) {
