gateway: log answers of servers that lack an ID or a seal

Two explanations couldn't be told apart from the logs: this host loses the header, or the server's answer doesn't have it and nothing looks for it.

SC1526 and gateway_invalid_answers{why} now tell what an answer lacked when it arrived. Nothing else changes.

--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -83,6 +83,7 @@
 	RequestDelegated        = Event{1521, "request delegated to another host"}
 	PartSuspected           = Event{1524, "part of prompts suspected of crashing servers"}
 	PartRefused             = Event{1525, "request refused since a part of its prompt crashes servers"}
+	AnswerInvalid           = Event{1526, "answer of a backend server is invalid"}
 	EngineTimeScarce        = Event{1523, "engines' time has become scarce, or is enough again"}
 	PathChanged             = Event{1322, "path to the backend servers of a service has changed"}
 	HallEvacuated           = Event{1320, "data hall evacuated, its backend servers get no new work"}
@@ -112,7 +113,7 @@
 	ClaimUndecided, CallOutcomeUnknown, AnswerNotStored,
 	LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 	PlatformUnreachable, PlatformReachable,
-	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceLimited, WorkspaceLimitLifted, EngineTimeScarce, PartSuspected, PartRefused,
+	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceLimited, WorkspaceLimitLifted, EngineTimeScarce, PartSuspected, PartRefused, AnswerInvalid,
 	SuspectChanged, SuspectRefused, SuspectCleared, SuspectRemoved,
 	ServerAvoided, ServersChanged, ServerCrashed, CrashConfirmed, ServerLeavingOrReturned, ServerLimitChanged, ServerNoticeUnreadable, ServerReportsLeaving, ServerRequestsBackoff, RequestDelegated, PathChanged, HallEvacuated, HallEvacuationEnded, PlatformReturned, PlatformRestored, ConfigInForce, PlatformRowUnusable, KeysUnproven, KeysProven,
 	SettingsReloaded, SettingsUnusable, UpdateLost, HostsChanged, RelayStreamLost, SourcesChosen, ForwardersChosen,
--- a/daemon/gateway/dialect.go
+++ b/daemon/gateway/dialect.go
@@ -21,6 +21,8 @@
 	ExpectInstance string
 	// NotRun marks the answer to a request that was not run.
 	NotRun string
+	// Seal marks, in an answer, that a server has made it.
+	Seal string
 	// LastEventID is the ID of the last stream event that the receiver has.
 	LastEventID string
 	// Urgency is the rank of the request at the backend server; 0 is the most urgent.
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -319,6 +319,7 @@
 	c.exchange.setHeard(g.clock.Now())
 	g.recordAnswer(server, a)
 	g.applyNotices(c, server, a)
+	g.checkMarks(c, server, a)
 	c.attempts++
 	c.recordSent()
 	if a.Header.Get(g.dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
