gateway: forward only answers that bear the marks of a server

Cause: what makes some bytes a server's answer to a request was never checked where they enter. An answer counted by its status alone; one without the request's ID was accepted as well.

Change: Request.Check of daemon/upstream is called for each head, before anything of it is believed (notices, refusals, events). The gateway's check wants the request's ID and, unless the answer reports that the request was not run, the seal; no success may have an encoding that wasn't asked for. Such a try is a failure that may have run: what may be repeated goes to another server, anything else gets 502. The server is avoided as after a broken answer; it isn't held for crashed, nor the path for broken, as it was for malformed heads.

Related paths, all through the same check: collected answers, streams, the second head of a resumed stream, answers that another host passes on (a host of an earlier version checks nothing), redirects and 4xx without a seal, X-Not-Executed on a success, refusals without an ID.

The test's own servers now send the marks where they lacked them.

--- a/daemon/gateway/broken_test.go
+++ b/daemon/gateway/broken_test.go
@@ -156,12 +156,17 @@
 		Lost:        func(uint32, string) bool { return false },
 		PathChanged: func() {},
 	})})
+	first.view = unreachableServers()
+	return first
+}
+
+// unreachableServers returns servers that refuse connections.
+func unreachableServers() *backend.View {
 	servers := backend.NewRegistry()
 	for n := range int64(4) {
 		servers.Put(backend.Server{ID: fmt.Sprintf("u%d", n), Service: "plain", Addr: unusedAddr, Slots: 4}, n+1)
 	}
-	first.view = servers.View(0)
-	return first
+	return servers.View(0)
 }
 
 // checkBroken checks that a caller gets all of a broken stream that may be resumed, and
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -29,11 +29,14 @@
 // dialect uses header names of no existing platform, so that the tests don't depend on
 // one.
 var dialect = gateway.Dialect{
-	AttemptID: "Try", Deadline: "Wait-Ms", Workspace: "Workspace", ExpectInstance: "Only", NotRun: "Not-Run",
+	AttemptID: "Try", Deadline: "Wait-Ms", Workspace: "Workspace", ExpectInstance: "Only", NotRun: "Not-Run", Seal: "Seal",
 	LastEventID: "After-Event", Urgency: "Rank", Helpers: "Readers", TokenCounts: "Size", AnswerHint: "Hint",
 	KeyScheme: "Key ", NotForwarded: []string{"Authorization", "Workspace", "Only", "Rank", "Readers", "Host", "Content-Length"},
 }
 
+// transport accepts no encoded bodies, as callers do.
+var transport = &http.Transport{DisableCompression: true}
+
 // engine is the model of an engine that reads a prompt of 10,000 tokens in 0.1 s.
 var engine = &site.Engine{Slots: 4, Memory: 100_000, StepsPerPass: 1, StepTime: time.Millisecond, PrefillRate: 100_000, PrefillChunk: 1000}
 
@@ -224,7 +227,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		r.Header.Set(headers[i], headers[i+1])
 	}
-	a, err := http.DefaultTransport.RoundTrip(r)
+	a, err := transport.RoundTrip(r)
 	if err != nil {
 		return answer{err: err}
 	}
@@ -264,7 +267,7 @@
 
 func TestAnswersToCallers(t *testing.T) {
 	broken := func(_ *http.Request, w io.Writer) bool {
-		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nTry: t1\r\nSeal: s\r\nContent-Length: 100\r\n\r\nhalf")
 		return false
 	}
 	closed := func(*http.Request, io.Writer) bool { return false }
@@ -294,7 +297,7 @@
 		"no route":                       {"/none/", []reply{fine}, 404, 0, ""},
 		"client error from the server":   {"/safe/", []reply{plainReply(400, "x")}, 400, 1, "s"},
 		"once, no length, ended by closing": {"/once/", []reply{func(_ *http.Request, w io.Writer) bool {
-			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nfine")
+			_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nTry: t1\r\nSeal: s\r\n\r\nfine")
 			return false
 		}}, 200, 1, "s"},
 	} {
@@ -356,7 +359,7 @@
 
 func TestAnswerToAnotherRequestIsNotForwarded(t *testing.T) {
 	f := start(t, func(r *http.Request, w io.Writer) bool {
-		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nTry: other\r\nContent-Length: 5\r\n\r\nwrong")
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nTry: other\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwrong")
 		return plainReply(200, "right")(r, w)
 	})
 	if a := f.do("POST", "/once/", "b"); a.status != 200 || a.body != "right" {
@@ -418,7 +421,7 @@
 // caller's connection, to a caller that reads nothing.
 func TestCallEndsIfCallerStopsReading(t *testing.T) {
 	f := start(t, func(r *http.Request, w io.Writer) bool {
-		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTry: %s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Try"))
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTry: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\n\r\n", r.Header.Get("Try"))
 		for n := 1; ; n++ {
 			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", 100<<10)); err != nil {
 				return false
--- a/daemon/gateway/marks.go
+++ b/daemon/gateway/marks.go
@@ -2,25 +2,83 @@
 
 import (
 	"log/slog"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
 
 	"slipcrank.example/core/backend"
+	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/event"
-	"slipcrank.example/daemon/upstream"
 )
 
-// checkMarks logs and counts an answer that lacks a mark of the answers that servers make.
-func (g *Gateway) checkMarks(c *call, server backend.Server, a *upstream.Answer) {
-	notRun := a.Header.Get(g.dialect.NotRun) != ""
-	var why string
+// Reasons why the answer to a request is invalid.
+var (
+	errNoID      = errors.New("the answer lacks the ID of the request")
+	errNoSeal    = errors.New("the answer lacks the seal of a server")
+	errEncoded   = errors.New("the body of the answer is encoded, which the request doesn't accept")
+	errNoRefusal = errors.New("the answer of a host is a success that no server has made")
+)
+
+// answerCheck returns the check of the answers that servers send to a call. Noise and answers to
+// other requests may have any status, so an answer counts only if it has the call's ID and, unless
+// it reports that the request was not run, a seal.
+func (g *Gateway) answerCheck(c *call) func(status int, h http.Header) error {
+	return func(status int, h http.Header) error {
+		switch {
+		case c.id != "" && h.Get(g.dialect.AttemptID) == "":
+			return errNoID
+		case g.reportsNotRun(status, h):
+			return nil
+		case g.dialect.Seal != "" && h.Get(g.dialect.Seal) == "":
+			return errNoSeal
+		case status < http.StatusMultipleChoices && isEncoded(h.Get("Content-Encoding")) && !c.acceptsEncoding():
+			return errEncoded
+		}
+		return nil
+	}
+}
+
+// peerAnswerCheck returns the check of the answers that other hosts send to a call. What they pass
+// on from servers has to be valid, too: hosts of earlier versions don't check it.
+func (g *Gateway) peerAnswerCheck(c *call) func(status int, h http.Header) error {
+	check := g.answerCheck(c)
+	return func(status int, h http.Header) error {
+		if parseReport(h.Get(delegationHeader)).origin == originServer {
+			return check(status, h)
+		}
+		if status < http.StatusMultipleChoices {
+			return errNoRefusal
+		}
+		return nil
+	}
+}
+
+// reportsNotRun reports whether an answer of a server means that the request was not run.
+func (g *Gateway) reportsNotRun(status int, h http.Header) bool {
+	return status >= http.StatusBadRequest && h.Get(g.dialect.NotRun) != "" || status == http.StatusMisdirectedRequest
+}
+
+// acceptsEncoding reports whether the body of an answer to the call may be encoded. Streams are read
+// event by event.
+func (c *call) acceptsEncoding() bool {
+	return c.route.Kind != site.Stream && isEncoded(c.header.Get("Accept-Encoding"))
+}
+
+// isEncoded reports whether a header names an encoding of a body.
+func isEncoded(encoding string) bool { return encoding != "" && encoding != "identity" }
+
+// logInvalidAnswer logs and counts an invalid answer of a server.
+func (g *Gateway) logInvalidAnswer(c *call, server backend.Server, err error) {
+	why := "malformed"
 	switch {
-	case c.id != "" && a.Header.Get(g.dialect.AttemptID) != c.id:
-		why = "id"
-	case g.dialect.Seal != "" && a.Header.Get(g.dialect.Seal) == "":
-		why = "seal"
-	default:
-		return
+	case errors.Is(err, errNoID):
+		why = "no_id"
+	case errors.Is(err, errNoSeal):
+		why = "no_seal"
+	case errors.Is(err, errEncoded):
+		why = "encoded"
 	}
 	g.metrics.Count("gateway_invalid_answers", 1, "why", why)
 	g.log.Write(event.AnswerInvalid, slog.String("id", c.id), slog.String("server", server.ID), slog.String("why", why),
-		slog.Int("status", a.Status), slog.Bool("not_run", notRun))
+		slog.String("error", err.Error()))
 }
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/reach"
 	"slipcrank.example/core/schedule"
@@ -188,7 +190,7 @@
 // recordPathFailure records a try that failed on the way to a server or back. A failure
 // that the server has answered with shows that the path is sound.
 func (g *Gateway) recordPathFailure(c *call, server backend.Server, out outcome) {
-	if out.answer != nil || out.reason == "memory_not_held" {
+	if out.heard() || out.reason == "memory_not_held" {
 		return
 	}
 	c.unreached++
@@ -204,9 +206,12 @@
 // answered with the failure itself, or this host has heard another server since the try
 // began.
 func (g *Gateway) mayBlame(server string, out outcome) bool {
-	return out.answer != nil || g.reach.HeardOther(server, g.clock.Now()-out.took)
+	return out.heard() || g.reach.HeardOther(server, g.clock.Now()-out.took)
 }
 
+// heard reports whether the server has sent something that shows that the path to it is sound.
+func (o outcome) heard() bool { return o.answer != nil || errors.Is(o.err, upstream.ErrInvalidAnswer) }
+
 // pathFailed reacts to a failure on the path to a server: it moves the calls that wait in
 // vain if the path to its service is lost, and otherwise finds out whether it is.
 func (g *Gateway) pathFailed(server backend.Server, why string) {
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -313,16 +313,15 @@
 ) outcome {
 	a, err := g.pool.Send(ctx, server.Addr, g.buildRequest(c, s, p))
 	if err != nil {
-		return g.failure(c, err, "send")
+		return g.sendFailure(c, server, err)
 	}
 	defer a.Close()
 	c.exchange.setHeard(g.clock.Now())
 	g.recordAnswer(server, a)
 	g.applyNotices(c, server, a)
-	g.checkMarks(c, server, a)
 	c.attempts++
 	c.recordSent()
-	if a.Header.Get(g.dialect.NotRun) != "" || a.Status == http.StatusMisdirectedRequest {
+	if g.reportsNotRun(a.Status, a.Header) {
 		return g.notRun(c, a)
 	}
 	c.mayHaveRun = true
@@ -344,6 +343,17 @@
 	return out
 }
 
+// sendFailure converts an error of sending a call or of the head of its answer to an outcome.
+func (g *Gateway) sendFailure(c *call, server backend.Server, err error) outcome {
+	out := g.failure(c, err, "send")
+	if errors.Is(err, upstream.ErrInvalidAnswer) {
+		g.recordHeard(server)
+		g.logInvalidAnswer(c, server, err)
+		out.reason, out.connBroken = "invalid_answer", false
+	}
+	return out
+}
+
 // failure converts an error of the given phase to an outcome.
 func (g *Gateway) failure(c *call, err error, phase string) outcome {
 	switch {
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -80,7 +80,11 @@
 	ErrNotSent = errors.New("nothing was sent to the backend server")
 	// ErrNoOpenConnection marks errors of requests with OpenOnly.
 	ErrNoOpenConnection = errors.New("no connection to the backend server is open")
-	// ErrIDMismatch reports an answer with the ID of another request.
+	// ErrInvalidAnswer marks errors after which the server has sent something, but no valid
+	// answer to the request. The request may have run.
+	ErrInvalidAnswer = errors.New("the server has sent no valid answer")
+	// ErrIDMismatch reports an answer with the ID of another request. It is also marked with
+	// ErrInvalidAnswer.
 	ErrIDMismatch = errors.New("the answer belongs to another request")
 
 	errClosedAtOnce = errors.New("closed right after it was opened")
@@ -96,8 +100,12 @@
 		Header http.Header
 		Body   []byte
 		// IDHeader names the header with the request's ID, if ID is set. Answers
-		// with another ID are skipped; answers without one are accepted.
+		// with another ID are skipped.
 		IDHeader, ID string
+		// Check returns an error if an answer, by its status and header, is not a valid one
+		// to the request. The connection is then closed, and the error of Send is marked
+		// with ErrInvalidAnswer. It may be nil: all answers are valid.
+		Check func(status int, h http.Header) error
 		// NewConnection requires that a new connection is opened.
 		NewConnection bool
 		// OpenOnly requires that an idle connection is used. If there is none, nothing is
@@ -247,23 +255,28 @@
 }
 
 // readHead reads the head of the answer, and skips interim answers and answers to
-// other requests.
+// other requests. It checks the answer.
 func (p *Pool) readHead(c *conn, r Request) (*Answer, error) {
 	for range maxSkippedAnswers + 1 {
 		req := &http.Request{Method: r.Method}
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
-			return nil, errors.Wrap(err, "read answer")
+			return nil, errors.Wrap(markInvalid(err), "read answer")
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
 		if id := resp.Header.Get(r.IDHeader); r.ID != "" && id != "" && id != r.ID {
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
-				return nil, ErrIDMismatch
+				return nil, errors.Mark(ErrIDMismatch, ErrInvalidAnswer)
 			}
 			continue
 		}
+		if r.Check != nil {
+			if err := r.Check(resp.StatusCode, resp.Header); err != nil {
+				return nil, errors.Mark(err, ErrInvalidAnswer)
+			}
+		}
 		return &Answer{
 			Status:  resp.StatusCode,
 			Header:  resp.Header,
@@ -273,7 +286,16 @@
 			resp:    resp,
 		}, nil
 	}
-	return nil, ErrIDMismatch
+	return nil, errors.Mark(ErrIDMismatch, ErrInvalidAnswer)
+}
+
+// markInvalid marks an error of reading the head of an answer with ErrInvalidAnswer, unless
+// the connection has failed.
+func markInvalid(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.HasInterface(err, (*net.Error)(nil)) {
+		return err
+	}
+	return errors.Mark(err, ErrInvalidAnswer)
 }
 
 // framingOf returns the framing of a response. One without a body has the length 0.
