site: tell a configuration without tenants from one without keys

Cause: an empty collection stood for an absent one. site.Config took "no key is in force" for "the configuration has no tenants", and the decoder handed it the map of keys only.

Change: site.Keys is explicit. Related: a key without text is none; it would have made every caller without a key one of that tenant.

--- a/core/site/site.go
+++ b/core/site/site.go
@@ -6,13 +6,14 @@
 //
 // # Usage
 //
-//	c := site.New(version, routes, services, workspaces, limits)
+//	c := site.New(version, routes, services, site.KeysOf(workspaces), limits)
 //	r, ok := c.Route("shop.example", "/orders/7")   // the longest prefix wins
 //	w, ok := c.Workspace(key)
 package site
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -127,6 +128,13 @@
 		Homes []string
 	}
 
+	// Keys are the callers' keys that are in force. The zero value is a site whose callers
+	// need keys, of which none is in force.
+	Keys struct {
+		unneeded   bool
+		workspaces map[string]Workspace
+	}
+
 	// Limits are the limits on what callers send.
 	Limits struct {
 		HeaderBytes, BodyBytes int
@@ -141,14 +149,24 @@
 		limits   Limits
 		routes   map[string][]Route // by host, longest prefix first
 		services map[string]Service
-		keys     map[string]Workspace
+		keys     Keys
 		names    []string // of all services, sorted
 	}
 )
 
-// New returns a configuration. Keys maps each key to its workspace; if it is
-// empty, no route requires a key.
-func New(version int64, routes []Route, services []Service, keys map[string]Workspace, limits Limits) *Config {
+// KeysOf returns the keys of workspaces. Without any, callers still need one. An empty key is
+// what callers send who have none, and is left out.
+func KeysOf(workspaces map[string]Workspace) Keys {
+	workspaces = maps.Clone(workspaces)
+	delete(workspaces, "")
+	return Keys{workspaces: workspaces}
+}
+
+// NoKeysNeeded returns the keys of a site that has no workspaces, and serves all callers.
+func NoKeysNeeded() Keys { return Keys{unneeded: true} }
+
+// New returns a configuration.
+func New(version int64, routes []Route, services []Service, keys Keys, limits Limits) *Config {
 	c := &Config{
 		version:  version,
 		limits:   limits,
@@ -177,7 +195,10 @@
 func (c *Config) Limits() Limits { return c.limits }
 
 // Keyed reports whether routes that are not public require a key.
-func (c *Config) Keyed() bool { return len(c.keys) > 0 }
+func (c *Config) Keyed() bool { return !c.keys.unneeded }
+
+// KeyCount returns the number of keys that are in force.
+func (c *Config) KeyCount() int { return len(c.keys.workspaces) }
 
 // Services returns the sorted names of all services.
 func (c *Config) Services() []string { return c.names }
@@ -201,7 +222,7 @@
 
 // Workspace returns the workspace that a key belongs to, and whether there is one.
 func (c *Config) Workspace(key string) (Workspace, bool) {
-	w, ok := c.keys[key]
+	w, ok := c.keys.workspaces[key]
 	return w, ok
 }
 
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -172,7 +172,7 @@
 		route("safe", site.Repeatable, 2), route("once", site.Once, 1), route("once-two", site.Once, 2),
 		route("resume", site.Stream, 2), route("stream", site.Stream, 2), public,
 		late, quick, read, wait, split,
-	}, []site.Service{{Name: "plain"}, {Name: "engine", Engine: engine}}, map[string]site.Workspace{"k1": {Name: "w1"}},
+	}, []site.Service{{Name: "plain"}, {Name: "engine", Engine: engine}}, site.KeysOf(map[string]site.Workspace{"k1": {Name: "w1"}}),
 		site.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 10})
 	l := decision.New(io.Discard)
 	t.Cleanup(l.Close)
--- a/daemon/gateway/homes_test.go
+++ b/daemon/gateway/homes_test.go
@@ -38,7 +38,7 @@
 			f.config = site.New(1, []site.Route{{
 				Name: "safe", Host: "shop.example", Prefix: "/safe/", Attempts: 2, Homes: tc.route,
 				Timeout: 5 * time.Second, Objective: time.Second, Targets: []site.Target{{Service: "plain", Weight: 1}},
-			}}, []site.Service{{Name: "plain"}}, map[string]site.Workspace{"k1": {Name: "w1", Homes: tc.workspace}}, site.Limits{BodyBytes: 1 << 10})
+			}}, []site.Service{{Name: "plain"}}, site.KeysOf(map[string]site.Workspace{"k1": {Name: "w1", Homes: tc.workspace}}), site.Limits{BodyBytes: 1 << 10})
 			for n := range 20 {
 				a := f.do("GET", fmt.Sprintf("/safe/%d", n), "")
 				if tc.status != 0 && a.status != tc.status {
--- a/daemon/gateway/shared_silence_test.go
+++ b/daemon/gateway/shared_silence_test.go
@@ -42,7 +42,7 @@
 			server := backend.Server{ID: "s", Service: "engine", Addr: addr.String(), Slots: 4}
 			e := &site.Engine{Slots: 4, Memory: 200_000, StepsPerPass: 43, StepTime: time.Millisecond, PrefillRate: 200_000, PrefillChunk: 2048}
 			g := &Gateway{pool: upstream.New(), scheduler: schedule.New(1), clock: boottime.New()}
-			s := State{Config: site.New(1, nil, []site.Service{{Name: "engine", Engine: e}}, nil, site.Limits{})}
+			s := State{Config: site.New(1, nil, []site.Service{{Name: "engine", Engine: e}}, site.Keys{}, site.Limits{})}
 			c := &call{route: site.Route{Kind: site.Stream, Resume: true, Objective: 4 * time.Second, Gap: 800 * time.Millisecond}}
 			p := schedule.Placement{Service: "engine", Lead: "s", FirstToken: 2500 * time.Millisecond}
 			if tc.shared {
@@ -85,7 +85,7 @@
 				}
 				e := &site.Engine{Slots: 4, Memory: 200_000, StepsPerPass: 43, StepTime: time.Millisecond, PrefillRate: 200_000, PrefillChunk: 2048}
 				g := &Gateway{pool: upstream.New(upstream.WithDial(dial)), scheduler: schedule.New(1), clock: boottime.New()}
-				s := State{Config: site.New(1, nil, []site.Service{{Name: "engine", Engine: e}}, nil, site.Limits{})}
+				s := State{Config: site.New(1, nil, []site.Service{{Name: "engine", Engine: e}}, site.Keys{}, site.Limits{})}
 				c := &call{route: site.Route{Kind: site.Stream, Resume: true, Objective: 8 * time.Second, Gap: time.Second}}
 				p := schedule.Placement{
 					Service: "engine", Lead: "s", FirstToken: 5 * time.Second,
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -61,7 +61,7 @@
 			Config: func(b []byte) (*site.Config, error) {
 				version, _, _ := strings.Cut(string(b), " ")
 				n, err := strconv.ParseInt(version, 10, 64)
-				return site.New(n, nil, nil, nil, site.Limits{}), err
+				return site.New(n, nil, nil, site.Keys{}, site.Limits{}), err
 			},
 			Server: func(key string, _ []byte) (backend.Server, error) { return backend.Server{ID: key}, nil },
 		},
--- a/daemon/watch/apply.go
+++ b/daemon/watch/apply.go
@@ -163,6 +163,7 @@
 func (w *Watcher) logConfigInForce(r read, row feed.Row) {
 	attrs := []slog.Attr{
 		slog.Int64("version", w.config.Version()), slog.Int64("revision", feed.Counter(row.Revision)), slog.Int64("era", feed.Era(row.Revision)),
+		slog.Bool("keyed", w.config.Keyed()), slog.Int("keys", w.config.KeyCount()),
 		slog.Int("bytes", len(row.Value)), slog.Bool("told", r.relayed),
 	}
 	if age, known := w.platformClock.Age(r.batch.Stamp, w.Now()); known {
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -200,7 +200,7 @@
 			watch.Decoders{
 				Config: func(b []byte) (*site.Config, error) {
 					n, err := strconv.ParseInt(string(b), 10, 64)
-					return site.New(n, nil, nil, nil, site.Limits{}), err
+					return site.New(n, nil, nil, site.Keys{}, site.Limits{}), err
 				},
 				Server: func(key string, b []byte) (backend.Server, error) {
 					s := backend.Server{ID: key}
