upstream: log the connections on which an attempt was sent

review/2 (REFUSED): a review gets 503 and runs. Explanations that the logs couldn't tell apart: the second send uses the connection of the first, on which a copy of the first answer is due; it uses another one; or the request runs at another server.

Nothing else changes.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -13,6 +13,7 @@
 	"slipcrank.example/core/quarantine"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/core/site"
+	"slipcrank.example/daemon/upstream"
 )
 
 // call is the state of one caller's request on this host.
@@ -42,6 +43,7 @@
 	sentAt        time.Duration       // right before the last try was sent, by the gateway's clock
 	grantedServer string              // the rate-limited server for which a grant was acquired
 	attempts      int                 // tries that reached a server and count against the route's
+	sends         upstream.Attempt    // at this host
 	sent          int                 // sends that may have reached a server, at any host
 	paidService   string              // to which one more send is paid from the retry budget
 	paidAt        time.Duration       // by the gateway's clock
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -92,7 +92,7 @@
 	}.String())
 	return upstream.Request{
 		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
-		IDHeader: g.dialect.AttemptID, ID: c.id, Check: g.peerAnswerCheck(c),
+		IDHeader: g.dialect.AttemptID, ID: c.id, Attempt: &c.sends, Check: g.peerAnswerCheck(c),
 		BeforeSend: func() error {
 			g.clock.Refresh() // the host may have been suspended since the call arrived
 			c.sentAt = g.clock.Now()
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -45,7 +45,7 @@
 func (g *Gateway) logRetried(c *call, out outcome) {
 	attrs := []slog.Attr{
 		slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("why", out.reason),
-		slog.String("server", out.server), slog.Int("attempts", c.attempts), slog.Duration("took", out.took),
+		slog.String("server", out.server), slog.Int("attempts", c.attempts), slog.Any("ports", c.sends.Ports()), slog.Duration("took", out.took),
 		slog.String("framing", string(out.framing)), slog.Int("partial", out.partial),
 	}
 	if c.balance != (limit.Balance{}) {
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -49,6 +49,7 @@
 		Body:     c.body,
 		IDHeader: g.dialect.AttemptID,
 		ID:       c.id,
+		Attempt:  &c.sends,
 		Check:    g.answerCheck(c),
 
 		NewConnection: c.freshConn || g.provesPath(c),
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -102,6 +102,9 @@
 		// IDHeader names the header with the request's ID, if ID is set. Answers
 		// with another ID are skipped.
 		IDHeader, ID string
+		// Attempt collects the connections on which one attempt of a caller is sent. It may
+		// be nil.
+		Attempt *Attempt
 		// Check returns an error if an answer, by its status and header, is not a valid one
 		// to the request. The connection is then closed, and the error of Send is marked
 		// with ErrInvalidAnswer. It may be nil: all answers are valid.
@@ -227,6 +230,7 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
+	r.Attempt.add(c)
 	stop := context.AfterFunc(ctx, c.abort)
 	if r.BeforeSend != nil {
 		if err := r.BeforeSend(); err != nil {
