upstream: send an attempt on no connection twice

Cause: answers are matched by the ID, and the ID names the caller's attempt, not the send. A refusal that blames another server (At-Server) has the call sent to the same lead again, on the connection that its answer has just given back to the pool. If the lead sends its refusal twice, the second copy stands there where the answer to the second send is due, with the right ID.

Change: upstream.Attempt remembers the connections of a call's sends at this host, and the pool takes another one for the next send of it. A late copy then meets another attempt, whose ID differs, and is skipped, or is seen as bytes that belong to no request when the connection is taken from the pool. Only repeated sends to one server can need a new connection.

Related paths, all through the pool: refusals that blame another server, rests that end, streams that are resumed at their server, sends to other hosts. A host that serves a delegated call has connections of its own.

--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -22,6 +22,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -102,8 +103,8 @@
 		// IDHeader names the header with the request's ID, if ID is set. Answers
 		// with another ID are skipped.
 		IDHeader, ID string
-		// Attempt collects the connections on which one attempt of a caller is sent. It may
-		// be nil.
+		// Attempt is the caller's attempt that the request is sent for. Each of its sends uses
+		// another connection. It may be nil.
 		Attempt *Attempt
 		// Check returns an error if an answer, by its status and header, is not a valid one
 		// to the request. The connection is then closed, and the error of Send is marked
@@ -226,7 +227,7 @@
 // the network never reaches the server. Send doesn't retry; the error satisfies
 // [NotSent] if nothing was sent.
 func (p *Pool) Send(ctx context.Context, addr string, r Request) (*Answer, error) {
-	c, err := p.connection(ctx, addr, r.NewConnection, r.OpenOnly)
+	c, err := p.connection(ctx, addr, r)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", addr), ErrNotSent)
 	}
@@ -327,11 +328,12 @@
 	a.pool.putIdle(a.addr, a.conn, idleTimeout(a.Header.Get("Keep-Alive")))
 }
 
-// connection returns an idle connection that is reusable, or a new one. With
-// forceNew it always opens a new one, with openOnly never.
-func (p *Pool) connection(ctx context.Context, addr string, forceNew, openOnly bool) (*conn, error) {
-	for !forceNew {
-		c := p.takeIdle(addr)
+// connection returns an idle connection that is reusable and on which the attempt of the
+// request was not sent, or a new one. It doesn't open one if the request is OpenOnly, and
+// always does if it needs a NewConnection.
+func (p *Pool) connection(ctx context.Context, addr string, r Request) (*conn, error) {
+	for !r.NewConnection {
+		c := p.takeIdle(addr, r.Attempt)
 		if c == nil {
 			break
 		}
@@ -340,7 +342,7 @@
 		}
 		_ = c.Close()
 	}
-	if openOnly {
+	if r.OpenOnly {
 		return nil, ErrNoOpenConnection
 	}
 	n, err := p.dial(ctx, addr)
@@ -353,18 +355,22 @@
 	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBufferBytes)}, nil
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil if
-// there is none. If that connection has expired, so have the others, and all are
-// closed.
-func (p *Pool) takeIdle(addr string) *conn {
+// takeIdle removes and returns the most recently used idle connection on which an attempt
+// was not sent, or nil if there is none. If that connection has expired, so have those used
+// before it, and all are closed.
+func (p *Pool) takeIdle(addr string, a *Attempt) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	cs := p.idle[addr]
-	if len(cs) == 0 {
+	i := len(cs) - 1
+	for i >= 0 && a.usedConn(cs[i]) {
+		i--
+	}
+	if i < 0 {
 		return nil
 	}
-	c := cs[len(cs)-1]
-	p.idle[addr] = cs[:len(cs)-1]
+	c := cs[i]
+	p.idle[addr] = slices.Delete(cs, i, i+1)
 	now := p.now()
 	if now.After(c.idleUntil) {
 		p.closeIdleLocked(addr)
@@ -399,7 +405,7 @@
 // [PortClosed] is true of the error, the server isn't running; other errors are
 // inconclusive.
 func (p *Pool) Probe(ctx context.Context, addr string) error {
-	c, err := p.connection(ctx, addr, true, false)
+	c, err := p.connection(ctx, addr, Request{NewConnection: true})
 	if err != nil {
 		return errors.Wrapf(err, "connect to %s", addr)
 	}
