upstream, gateway: bound what is read of bytes without end

What is seen: a server sends bytes without end in the place of an answer, until the connection is closed. Each head was read into memory up to the deadline; so was, without being kept, the body of an answer to another request. Bodies could take all buffers from other calls, which then failed.

Change, each bound where the bytes enter: - A head has 32 KB, a body that is skipped 256 KB, and both 2 s from their first bytes (upstream.limiter). What arrives at once needs no deadline. - The body of a refusal has 64 KB and 200 ms.

--- a/clients/web/client.go
+++ b/clients/web/client.go
@@ -45,7 +45,9 @@
 	Client struct {
 		http  *fasthttp.Client
 		stall time.Duration
-		now   func() time.Time
+		// maxBody bounds the bodies of the responses to JSON requests, in bytes.
+		maxBody int64
+		now     func() time.Time
 		// checkAfter is how long a read waits for data before it calls alive.
 		checkAfter time.Duration
 		alive      func(addr string) bool // nil for no liveness checks
@@ -80,6 +82,10 @@
 // WithStallTimeout sets how long a read may receive no data before it fails.
 func WithStallTimeout(d time.Duration) Option { return func(c *Client) { c.stall = d } }
 
+// WithMaxBody bounds the bodies of the responses to JSON requests, in bytes, instead of
+// [MaxBodyBytes].
+func WithMaxBody(bytes int64) Option { return func(c *Client) { c.maxBody = bytes } }
+
 // WithNow sets the clock against which the deadline of a request is checked before
 // it is sent.
 func WithNow(f func() time.Time) Option { return func(c *Client) { c.now = f } }
@@ -93,7 +99,7 @@
 
 // New returns a client.
 func New(os ...Option) *Client {
-	c := &Client{stall: defaultStall, now: time.Now}
+	c := &Client{stall: defaultStall, maxBody: MaxBodyBytes, now: time.Now}
 	for _, o := range os {
 		o(c)
 	}
@@ -241,7 +247,7 @@
 		return "", errors.Wrapf(err, "%s %s", method, path)
 	}
 	value := string(a.Header.Peek(header))
-	b, err := ReadBody(a)
+	b, err := readBody(a, c.maxBody)
 	if err != nil {
 		return value, err
 	}
--- a/clients/web/client_test.go
+++ b/clients/web/client_test.go
@@ -211,3 +211,29 @@
 		})
 	}
 }
+
+// TestBodyWithoutEndIsNotRead guards against a peer whose answer takes all memory.
+func TestBodyWithoutEndIsNotRead(t *testing.T) {
+	for name, head := range map[string]string{
+		"by close":  "HTTP/1.1 200 OK\r\n\r\n",
+		"by length": "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+		"failure":   "HTTP/1.1 500 X\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, _ := serve(t, func(_ int64, w io.Writer) bool {
+				_, err := io.WriteString(w, head)
+				for block := make([]byte, 64<<10); err == nil; {
+					_, err = w.Write(block)
+				}
+				return false
+			})
+			c := web.New(web.WithMaxBody(1 << 20))
+			if err := c.JSON(t.Context(), http.MethodGet, addr, "/", nil, nil); !errors.Is(err, web.ErrBodyTooLarge) {
+				t.Errorf("got %v", err)
+			}
+			if n := c.Bytes(); n > 4<<20 {
+				t.Errorf("%d bytes were read, want about 1 MiB", n)
+			}
+		})
+	}
+}
--- a/cmd/slipcrankd/entry.go
+++ b/cmd/slipcrankd/entry.go
@@ -38,7 +38,7 @@
 	}
 	e, err := entry.New(s, entry.Platform{
 		Source:   platform.Source(web.New(), s.Platform),
-		Orders:   platform.Orders(web.New()),
+		Orders:   platform.Orders(web.New(web.WithMaxBody(platform.MaxOrderAnswerBytes))),
 		Tables:   platform.Tables(),
 		Decoders: platform.Decoders(),
 		Dialect:  platform.Dialect(),
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"math"
 	"net/http"
@@ -194,10 +193,7 @@
 // refusedByPeer converts a refusal of another host. If that is due to the state of that
 // host only, or can't be read, another one may be tried.
 func (g *Gateway) refusedByPeer(c *call, a *upstream.Answer, r report) outcome {
-	body, err := c.buffer.readAll(io.LimitReader(a.Body, maxRefusalBytes))
-	if err == nil {
-		a.Finish()
-	}
+	body, _ := a.ReadShort(maxRefusalBytes, refusalTimeout, c.buffer.readAll) // without it, the reason is unknown
 	if r.origin == originUnknown {
 		c.mayHaveRun = true
 		return outcome{result: final, reason: "host_answer_unreadable"}
--- a/daemon/gateway/events.go
+++ b/daemon/gateway/events.go
@@ -31,23 +31,28 @@
 // broken off.
 type eventReader struct {
 	lines   *bufio.Reader
+	pending *answerReader // counts the bytes since the last complete event
 	framing upstream.Framing
 	events  int // read so far
 	partial int // bytes of the event inside of which the stream ended
 }
 
-func newEventReader(a *upstream.Answer) *eventReader {
-	return &eventReader{lines: bufio.NewReaderSize(a.Body, readBufferBytes), framing: a.Framing}
+func newEventReader(a *upstream.Answer, b *buffers) *eventReader {
+	r := &answerReader{reader: a.Body, buffers: b, server: a.Addr()}
+	return &eventReader{lines: bufio.NewReaderSize(r, readBufferBytes), pending: r, framing: a.Framing}
 }
 
 // next returns the next event including the empty line that ends it. It returns io.EOF only
 // at the end of a whole stream.
 func (r *eventReader) next() ([]byte, error) {
 	e, err := web.ReadEvent(r.lines, web.MaxEventBytes)
+	r.pending.drop()
 	switch {
 	case err == nil:
 		r.events++
 		return e, nil
+	case errors.Is(err, web.ErrEventTooLarge), errors.Is(err, errSourceFull):
+		err = errors.Mark(err, upstream.ErrInvalidAnswer)
 	case errors.Is(err, io.EOF) && len(e) > 0:
 		err = errInsideEvent
 	case errors.Is(err, io.EOF) && r.events == 0 && r.framing == upstream.FramedByClose:
--- a/daemon/gateway/events_internal_test.go
+++ b/daemon/gateway/events_internal_test.go
@@ -24,7 +24,7 @@
 		if byClose {
 			framing = upstream.FramedByClose
 		}
-		r := newEventReader(&upstream.Answer{Body: bytes.NewReader(body), Framing: framing})
+		r := newEventReader(&upstream.Answer{Body: bytes.NewReader(body), Framing: framing}, newBuffers(defaultBufferBytes))
 		var got []byte
 		var err error
 		for err == nil {
@@ -50,7 +50,7 @@
 	for _, n := range []int{readBufferBytes - 1, readBufferBytes, readBufferBytes + 1, 2*readBufferBytes - 1, 2 * readBufferBytes} {
 		for _, lineEnd := range []string{"\n", "\r\n"} {
 			line := "data: " + strings.Repeat("x", n-len("data: ")) + lineEnd
-			r := newEventReader(&upstream.Answer{Body: strings.NewReader("id: 1\n\n" + line), Framing: upstream.FramedByClose})
+			r := newEventReader(&upstream.Answer{Body: strings.NewReader("id: 1\n\n" + line), Framing: upstream.FramedByClose}, newBuffers(defaultBufferBytes))
 			if _, err := r.next(); err != nil {
 				t.Fatal(err)
 			}
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -127,7 +127,7 @@
 		refusal := refuse(http.StatusServiceUnavailable, c.lastFailure, busyRetryAfter)
 		refusal.hereOnly = out.result == unsent
 		g.writeRefusal(w, c, refusal)
-	case out.answer != nil && !meansNotRun(out.answer.status):
+	case out.answer != nil && !out.answer.bodyLost && !meansNotRun(out.answer.status):
 		g.forwardAnswer(w, c, out)
 	case overdue:
 		g.writeRefusal(w, c, refuse(http.StatusGatewayTimeout, c.lastFailure, 0))
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -14,7 +14,7 @@
 // breaks, an incomplete event is dropped, so that the stream can be resumed at another
 // server.
 func (g *Gateway) relay(w http.ResponseWriter, c *call, a *upstream.Answer, timer *silenceTimer, hooks relayHooks) outcome {
-	events := newEventReader(a)
+	events := newEventReader(a, g.buffers)
 	control := http.NewResponseController(w)
 	out := outcome{}
 	last := time.Now()
@@ -30,7 +30,8 @@
 		}
 		if err != nil {
 			failure := g.failure(c, err, "stream")
-			out.result, out.reason, out.connBroken, out.err = failure.result, "stream_broken", failure.connBroken, err
+			out.result, out.reason, out.err = failure.result, "stream_broken", err
+			out.connBroken = failure.connBroken && !errors.Is(err, upstream.ErrInvalidAnswer)
 			out.partial = events.partial
 			return out
 		}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -34,13 +34,16 @@
 	callerGone               // the caller has disconnected
 )
 
-// maxRefusalBytes bounds how much of the answer to a request that was not run is read.
-// The connection is reused only if the answer is complete within it.
-const maxRefusalBytes = 1 << 20
-
-// maxAnswerBytes bounds an answer that isn't a stream, since it is buffered completely:
-// to a tenth of the memory of the smallest hosts. Typical answers have a few KB.
-const maxAnswerBytes = 16 << 20
+const (
+	// maxRefusalBytes and refusalTimeout bound how much of the answer to a request that was
+	// not run is read, and for how long. The connection is reused only if the answer is
+	// complete within them.
+	maxRefusalBytes = 64 << 10
+	refusalTimeout  = 200 * time.Millisecond
+	// maxAnswerBytes bounds an answer that isn't a stream, since it is buffered completely:
+	// to a tenth of the memory of the smallest hosts. Typical answers have a few KB.
+	maxAnswerBytes = 16 << 20
+)
 
 // errServerSilent cancels a try whose server has sent nothing for too long.
 var errServerSilent = errors.New("backend server has sent nothing for too long")
@@ -68,11 +71,12 @@
 		isolated   bool             // it ran on a server without other known suspects
 	}
 
-	// bufferedAnswer is a server's complete answer.
+	// bufferedAnswer is a server's answer.
 	bufferedAnswer struct {
-		status int
-		header http.Header
-		body   []byte
+		status   int
+		header   http.Header
+		body     []byte
+		bodyLost bool // the body is not complete, so the answer can't be forwarded
 	}
 )
 
@@ -377,34 +381,33 @@
 
 // notRun reads an answer that reports that the request was not run.
 func (g *Gateway) notRun(c *call, a *upstream.Answer) outcome {
-	body, err := c.buffer.readAll(io.LimitReader(a.Body, maxRefusalBytes))
-	if err == nil {
-		a.Finish()
-	}
+	body, whole := a.ReadShort(maxRefusalBytes, refusalTimeout, c.buffer.readAll)
 	return outcome{
 		result:       refused,
 		reason:       "refused_" + strconv.Itoa(a.Status),
 		faultyServer: a.Header.Get(g.dialect.FaultyServer),
-		answer:       &bufferedAnswer{a.Status, a.Header, body},
+		answer:       &bufferedAnswer{status: a.Status, header: a.Header, body: body, bodyLost: !whole},
 	}
 }
 
-// readAnswer reads an answer completely. It returns an error if the connection fails, and a
-// final outcome if the answer can't be buffered.
+// readAnswer reads an answer completely. It returns an error if the connection fails, and
+// an outcome that isn't answered if the answer can't be buffered.
 func (g *Gateway) readAnswer(c *call, a *upstream.Answer) (outcome, error) {
-	body, err := c.buffer.readAll(io.LimitReader(a.Body, maxAnswerBytes+1))
-	if errors.Is(err, errBuffersFull) {
+	body, err := c.buffer.readAnswer(a.Addr(), io.LimitReader(a.Body, maxAnswerBytes+1))
+	switch {
+	case errors.Is(err, errBuffersFull):
 		g.metrics.Count("gateway_buffers_full", 1, "body", "answer")
 		return outcome{result: final, reason: "no_buffer_memory"}, nil
-	}
-	if err != nil {
+	case errors.Is(err, errSourceFull):
+		g.metrics.Count("gateway_buffers_full", 1, "body", "answers_of_one_server")
+		return outcome{result: failed, reason: "answer_too_large", err: errors.Mark(err, upstream.ErrInvalidAnswer)}, nil
+	case err != nil:
 		return outcome{}, err
-	}
-	if len(body) > maxAnswerBytes {
-		return outcome{result: final, reason: "answer_too_large"}, nil
+	case len(body) > maxAnswerBytes:
+		return outcome{result: failed, reason: "answer_too_large", err: upstream.ErrInvalidAnswer}, nil
 	}
 	a.Finish()
-	return outcome{result: answered, answer: &bufferedAnswer{a.Status, a.Header, body}}, nil
+	return outcome{result: answered, answer: &bufferedAnswer{status: a.Status, header: a.Header, body: body}}, nil
 }
 
 // collect reads an answer completely, and forwards it unless it is a failure.
--- a/daemon/upstream/conn.go
+++ b/daemon/upstream/conn.go
@@ -16,7 +16,8 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	limiter *limiter
+	reader  *bufio.Reader // of limiter
 	// idleUntil is when the idle connection expires, as the server may close it
 	// from then on.
 	idleUntil time.Time
@@ -26,6 +27,11 @@
 	used         bool // an answer has arrived on it
 }
 
+func newConn(n net.Conn) *conn {
+	l := &limiter{conn: n}
+	return &conn{Conn: n, limiter: l, reader: bufio.NewReaderSize(l, readBufferBytes)}
+}
+
 // abort closes the connection. If the head of an answer is outstanding, it resets
 // the connection instead, so that a delayed request doesn't reach the server after
 // it has been abandoned, when the server may be leaving.
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -16,7 +16,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -63,6 +62,13 @@
 	// requests, are skipped before the connection is given up.
 	maxSkippedAnswers = 2
 	readBufferBytes   = 4 << 10
+	// maxHeadBytes bounds the head of an answer, and maxSkippedBodyBytes the body of an
+	// answer to another request.
+	maxHeadBytes        = 32 << 10
+	maxSkippedBodyBytes = 256 << 10
+	// slowHeadTimeout bounds the time from the first bytes of a head, or of a body that is
+	// skipped, to the last. Servers send a head at once.
+	slowHeadTimeout = 2 * time.Second
 )
 
 // Framings of answers.
@@ -262,7 +268,9 @@
 // readHead reads the head of the answer, and skips interim answers and answers to
 // other requests. It checks the answer.
 func (p *Pool) readHead(c *conn, r Request) (*Answer, error) {
+	defer c.limiter.lift()
 	for range maxSkippedAnswers + 1 {
+		c.limiter.limit(maxHeadBytes, slowHeadTimeout)
 		req := &http.Request{Method: r.Method}
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
@@ -272,6 +280,7 @@
 			continue
 		}
 		if id := resp.Header.Get(r.IDHeader); r.ID != "" && id != "" && id != r.ID {
+			c.limiter.limit(maxSkippedBodyBytes, slowHeadTimeout)
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
 				return nil, errors.Mark(ErrIDMismatch, ErrInvalidAnswer)
 			}
@@ -314,10 +323,25 @@
 	return FramedByClose
 }
 
+// Addr returns the address of the server.
+func (a *Answer) Addr() string { return a.addr }
+
 // Finish records that the body was read to its end, so that Close may return the
 // connection to the pool.
 func (a *Answer) Finish() { a.complete = true }
 
+// ReadShort reads a body of at most limit bytes, which has to arrive within the timeout, by
+// the function read. It reports whether that was the whole body.
+func (a *Answer) ReadShort(limit int64, timeout time.Duration, read func(io.Reader) ([]byte, error)) ([]byte, bool) {
+	a.conn.limiter.limit(limit, timeout)
+	defer a.conn.limiter.lift()
+	body, err := read(io.LimitReader(a.Body, limit+1))
+	if a.complete = err == nil && int64(len(body)) <= limit; !a.complete {
+		return nil, false
+	}
+	return body, true
+}
+
 // Close ends the exchange. Without [Answer.Finish] it closes the connection, from
 // which the backend server learns that the answer is no longer wanted.
 func (a *Answer) Close() {
@@ -352,7 +376,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBufferBytes)}, nil
+	return newConn(n), nil
 }
 
 // takeIdle removes and returns the most recently used idle connection on which an attempt
