gateway: a mark that ends at this host is none

A header that the Connection header of an answer names is not forwarded. An answer that names its own seal or ID there passed the check, and reached the caller without it.

Test: two more heads in invalidHeads; 14 of their cases failed before.

--- a/daemon/gateway/marks.go
+++ b/daemon/gateway/marks.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,11 +26,11 @@
 func (g *Gateway) answerCheck(c *call) func(status int, h http.Header) error {
 	return func(status int, h http.Header) error {
 		switch {
-		case c.id != "" && h.Get(g.dialect.AttemptID) == "":
+		case c.id != "" && !hasMark(h, g.dialect.AttemptID):
 			return errNoID
 		case g.reportsNotRun(status, h):
 			return nil
-		case g.dialect.Seal != "" && h.Get(g.dialect.Seal) == "":
+		case g.dialect.Seal != "" && !hasMark(h, g.dialect.Seal):
 			return errNoSeal
 		case status < http.StatusMultipleChoices && isEncoded(h.Get("Content-Encoding")) && !c.acceptsEncoding():
 			return errEncoded
@@ -38,6 +39,21 @@
 	}
 }
 
+// hasMark reports whether an answer has a header that also reaches the caller.
+func hasMark(h http.Header, name string) bool {
+	if h.Get(name) == "" {
+		return false
+	}
+	for _, v := range h["Connection"] {
+		for option := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(strings.TrimSpace(option), name) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // peerAnswerCheck returns the check of the answers that other hosts send to a call. What they pass
 // on from servers has to be valid, too: hosts of earlier versions don't check it.
 func (g *Gateway) peerAnswerCheck(c *call) func(status int, h http.Header) error {
--- a/daemon/gateway/marks_test.go
+++ b/daemon/gateway/marks_test.go
@@ -23,6 +23,8 @@
 	"neither":            "",
 	"encoded body":       "Try: t1\r\nSeal: s\r\nContent-Encoding: gzip\r\n",
 	"also not run":       "Try: t1\r\nNot-Run: 1\r\n",
+	"seal for one hop":   "Try: t1\r\nSeal: s\r\nConnection: keep-alive, seal\r\n",
+	"ID for one hop":     "Try: t1\r\nSeal: s\r\nConnection: try\r\n",
 	"seal after the end": "Try: t1\r\n\r\nSeal: s\r\n",
 }
 
