entry: answer "OPTIONS *" by the gateway

net/http answers it by itself with 200: a success without a seal, to a caller without a key. It has no route, and gets 404 now.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -264,6 +264,8 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnContext:       gateway.ConnContext,
+		// The library's own answer to "OPTIONS *" is a success of no server.
+		DisableGeneralOptionsHandler: true,
 	}
 	ctx, e.cancel = context.WithCancel(ctx)
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}
@@ -275,6 +277,7 @@
 	if len(listeners) > 4 {
 		e.delegated = &http.Server{
 			Handler: e.gateway.DelegatedHandler(), IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+			DisableGeneralOptionsHandler: true,
 		}
 		go e.serve(e.delegated, listeners[4])
 	}
