gateway: a delegated request names all servers known to leave

A delegated request names the servers that leave, but only those that the first host still lists as ready. A host that a store's entry has told earlier, or that was cut off, lists others than the one that it asks.

Now it names all of which it has such an answer, those listed last first, 32 at most. The last resort of notice.Available stays: it serves callers where a host has other hosts' word only.

TestDelegatedRequestAvoidsLeavingServersOfBothHosts failed before.

--- a/core/notice/notice.go
+++ b/core/notice/notice.go
@@ -221,6 +221,23 @@
 	return s != nil && s.leaving
 }
 
+// LeavingServers returns the IDs of up to limit servers that have reported to this host that they
+// are leaving, those listed last first.
+func (reg *Registry) LeavingServers(limit int) []string {
+	reg.mu.Lock()
+	defer reg.mu.Unlock()
+	var ids []string
+	for id, s := range reg.servers {
+		if s.leaving {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		return cmp.Or(cmp.Compare(reg.servers[b].lastListed, reg.servers[a].lastListed), cmp.Compare(a, b))
+	})
+	return ids[:min(limit, len(ids))]
+}
+
 // MergeLimit merges a server's limit received from another host, and reports whether
 // that has changed the limit in effect.
 func (reg *Registry) MergeLimit(server string, l Limit, now time.Duration) bool {
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -88,7 +88,9 @@
 	h.Set(g.dialect.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
 	h.Set(delegationHeader, delegation{
 		attempts: c.attempts, sent: c.sent, paid: c.paidService, version: max(s.Config.Version(), g.servedVersion.Load()), elapsed: time.Since(c.arrivedAt), counted: c.counted,
-		leaving: g.leavingServers(c, s),
+		// Other hosts may not know it, since they remember what they are told for some seconds
+		// only. They may list servers that this host doesn't.
+		leaving: g.notices.LeavingServers(maxLeavingServers),
 	}.String())
 	return upstream.Request{
 		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
@@ -104,20 +106,6 @@
 	}
 }
 
-// leavingServers returns the IDs of servers that may serve a call, but are leaving. Other
-// hosts may not know it, since they remember what they are told for some seconds only.
-func (g *Gateway) leavingServers(c *call, s State) []string {
-	var ids []string
-	for _, service := range c.services() {
-		for _, server := range s.Servers.Ready(service) {
-			if len(ids) < maxLeavingServers && g.notices.Leaving(server.ID) {
-				ids = append(ids, server.ID)
-			}
-		}
-	}
-	return ids
-}
-
 // refuseDelegated refuses a delegated call that another host can serve better.
 func (g *Gateway) refuseDelegated(c *call, s State) *refusalResponse {
 	if c.delegated == nil {
--- a/daemon/gateway/delegated_test.go
+++ b/daemon/gateway/delegated_test.go
@@ -113,3 +113,20 @@
 		})
 	}
 }
+
+// TestDelegatedRequestAvoidsLeavingServersOfBothHosts guards against a host that knows a server to be
+// leaving, but no longer lists it, and has another one that lists it serve a request.
+func TestDelegatedRequestAvoidsLeavingServersOfBothHosts(t *testing.T) {
+	leaving := plainReply(200, "fine", "Leaving: 1\r\n")
+	f := start(t, leaving)
+	first := f.startDelegating()
+	unreachable := first.view
+	first.view = f.view
+	if a := first.do("POST", "/safe/", "b"); a.status != 200 || a.header.Get("Leaving") == "" {
+		t.Fatalf("got %+v, want the answer of the server that leaves", a)
+	}
+	first.view = unreachable
+	if a := first.do("POST", "/safe/", "b"); a.status != 503 || f.requestCount() != 1 {
+		t.Errorf("got %d, and the server that leaves received %d requests; want 503 and one", a.status, f.requestCount())
+	}
+}
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -29,7 +29,7 @@
 // dialect uses header names of no existing platform, so that the tests don't depend on
 // one.
 var dialect = gateway.Dialect{
-	AttemptID: "Try", Deadline: "Wait-Ms", Workspace: "Workspace", ExpectInstance: "Only", NotRun: "Not-Run", Seal: "Seal", FaultyServer: "At",
+	AttemptID: "Try", Deadline: "Wait-Ms", Workspace: "Workspace", ExpectInstance: "Only", NotRun: "Not-Run", Seal: "Seal", FaultyServer: "At", Leaving: "Leaving",
 	LastEventID: "After-Event", Urgency: "Rank", Helpers: "Readers", TokenCounts: "Size", AnswerHint: "Hint",
 	KeyScheme: "Key ", NotForwarded: []string{"Authorization", "Workspace", "Only", "Rank", "Readers", "Host", "Content-Length"},
 }
