watch: a host that was cut off doesn't conclude that the platform was away

A host that was cut off from the platform and from the other hosts took that for an outage of the platform, in which entries lapse by themselves, and kept the server for 2.2 s after its own first answer, which came 1.1 s after the end of the cut. In the logs: no other host has SC1803, and all others drop the server at once.

In an outage of the platform, other hosts are heard all the time. So a host's own failed polls prove an outage only if it wasn't without a datagram of all other hosts for three heartbeat intervals meanwhile (reach.Silence). A host whose outage and cut coincide learns of the return from the others, as before. A host that never heard another concludes as before. A cut of a hall whose hosts hear each other isn't told from an outage by this: open.

TestServersThatLeaveWhileThisHostIsCutOff failed before.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -169,6 +169,7 @@
 	e.watcher = watch.New(p.Source, p.Tables, p.Decoders, e.log, e.metrics, e.setHosts)
 	e.watcher.SetClock(e.clock)
 	e.watcher.SetRestoredHandler(e.platformRestored)
+	e.watcher.SetIsolation(n.SilentSince)
 	e.relayClient, e.relayServer = relay.NewClient(e.watcher, e.log), relay.NewServer(e.watcher)
 	e.grants = grants.New(s.Host, s.Hall, e.notices, n.SendGrantRequest, e.clock.Now)
 	budget := limit.NewRetryWindow(s.Bounds.Retries.Span, s.Bounds.Retries.Share*retryFraction, e.extraRetries)
--- a/daemon/news/forward.go
+++ b/daemon/news/forward.go
@@ -129,6 +129,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.lastReceived[from] = n.now()
+	n.silence.Heard(n.lastReceived[from])
 }
 
 // LastReceived returns when the last datagram from an address arrived, zero if none has
--- a/daemon/news/news.go
+++ b/daemon/news/news.go
@@ -36,6 +36,7 @@
 	"slipcrank.example/core/limit"
 	"slipcrank.example/core/notice"
 	"slipcrank.example/core/quarantine"
+	"slipcrank.example/core/reach"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/event"
@@ -115,6 +116,7 @@
 
 		mu           sync.Mutex
 		lastReceived map[netip.AddrPort]time.Duration
+		silence      reach.Silence
 	}
 
 	// memoryShare is the number of a placement's KV cache tokens on one server.
@@ -193,6 +195,7 @@
 	n := &Exchange{
 		conn: c, scheduler: s, log: l, now: now,
 		lastReceived: map[netip.AddrPort]time.Duration{},
+		silence:      reach.NewSilence(silenceBound),
 		suspects:     func(uint32, []quarantine.Record) {},
 		parts:        func(uint32, []quarantine.Record) {},
 		paths:        func(uint32, []string) {},
@@ -399,6 +402,18 @@
 // is a third of the time after which other hosts consider it gone.
 const HeartbeatInterval = 500 * time.Millisecond
 
+// silenceBound is the time without a datagram of any other host after which this host was probably
+// cut off from them.
+const silenceBound = 3 * HeartbeatInterval
+
+// SilentSince reports whether all other hosts were silent for a while at some time since the given
+// one.
+func (n *Exchange) SilentSince(since time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.silence.Since(since, n.now())
+}
+
 // Run receives datagrams, forwards them and applies their messages, until the socket is
 // closed.
 func (n *Exchange) Run() {
--- a/daemon/watch/apply.go
+++ b/daemon/watch/apply.go
@@ -70,7 +70,8 @@
 // another host, and either its own polls failed for more than minOutage or another
 // host reports a return. Neither is sufficient alone: the platform may refuse one
 // host or a hall while it serves others, and a host that merely receives proofs late
-// has missed nothing.
+// has missed nothing. A host that was cut off from the other hosts at the same time concludes
+// nothing from its own polls, since it was probably cut off from the platform, too.
 //
 // The time of the return is the first proof after the gap. Later reports of the same
 // return don't change it, since that would retain servers that have left since.
@@ -84,7 +85,7 @@
 	switch {
 	case r.relayed && r.returned > w.gap.from:
 		w.returned = min(r.returned, w.gap.to)
-	case !r.relayed && r.failing > minOutage:
+	case !r.relayed && r.failing > minOutage && !w.isolatedSince(w.Now()-r.failing):
 		w.returned = w.gap.to
 	default:
 		return
--- a/daemon/watch/watch.go
+++ b/daemon/watch/watch.go
@@ -146,6 +146,7 @@
 		digests       atomic.Pointer[map[string]uint64] // of the known rows, by table
 		onHosts       func([]Host)
 		onRestored    func()
+		isolatedSince func(time.Duration) bool
 		scope         atomic.Int32
 		scopeChanged  atomic.Pointer[chan struct{}] // closed when scope changes
 		maxBackoff    atomic.Int64                  // between failed polls
@@ -214,6 +215,8 @@
 		subscribers: map[chan Update]bool{},
 		onRestored:  func() {},
 		era:         -1,
+
+		isolatedSince: func(time.Duration) bool { return false },
 	}
 	if w.decode.Evacuation == nil {
 		w.decode.Evacuation = func(string) (string, bool) { return "", false }
@@ -304,6 +307,11 @@
 // copy of its data, and has lost the latest writes. It must be called before Run.
 func (w *Watcher) SetRestoredHandler(f func()) { w.onRestored = f }
 
+// SetIsolation sets a function that reports whether this host was cut off from all other
+// hosts at some time since the given one, by the watcher's local clock. It must be called
+// before Run.
+func (w *Watcher) SetIsolation(f func(since time.Duration) bool) { w.isolatedSince = f }
+
 // Now returns the time on the watcher's local clock.
 func (w *Watcher) Now() time.Duration { return w.localClock.Now() }
 
--- a/daemon/watch/watch_test.go
+++ b/daemon/watch/watch_test.go
@@ -287,6 +287,28 @@
 	}
 }
 
+// TestServersThatLeaveWhileThisHostIsCutOff guards against a host that takes its own cut for an outage
+// of the platform, and sends requests to servers that have left meanwhile.
+func TestServersThatLeaveWhileThisHostIsCutOff(t *testing.T) {
+	runWatcher(t, func(s *fakeStore, w *watch.Watcher) {
+		s.put(serversTable, "a", `{"Service":"s"}`)
+		s.put(serversTable, "b", `{"Service":"s"}`)
+		settle()
+		from := w.Now()
+		w.SetIsolation(func(since time.Duration) bool { return since < from+2*time.Second })
+		outage("a")(s)
+		sleep(time.Second)
+		if got := len(w.State().Servers.Ready("s")); got != 1 {
+			t.Errorf("%d servers are ready after the cut, want 1", got)
+		}
+		outage("b")(s)
+		sleep(time.Second)
+		if got := len(w.State().Servers.Ready("s")); got != 1 {
+			t.Errorf("%d servers are ready after an outage, want 1", got)
+		}
+	})
+}
+
 // TestRemovalWhileOnlyThisHostIsRefused: the platform refuses this host, which receives
 // proofs from another host meanwhile. A server that is removed right after isn't
 // retained, since this was no outage.
