gateway: probe a server for a crash after an invalid answer

Cause: the stand-in's server sent a head without ID and seal before it crashed.

Change: after an invalid answer the server is probed as after a broken connection, as it was for malformed heads before.

--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -30,8 +30,7 @@
 		}
 		if err != nil {
 			failure := g.failure(c, err, "stream")
-			out.result, out.reason, out.err = failure.result, "stream_broken", err
-			out.connBroken = failure.connBroken && !errors.Is(err, upstream.ErrInvalidAnswer)
+			out.result, out.reason, out.connBroken, out.err = failure.result, "stream_broken", failure.connBroken, err
 			out.partial = events.partial
 			return out
 		}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -353,7 +353,7 @@
 	if errors.Is(err, upstream.ErrInvalidAnswer) {
 		g.recordHeard(server)
 		g.logInvalidAnswer(c, server, err)
-		out.reason, out.connBroken = "invalid_answer", false
+		out.reason = "invalid_answer" // the server may be about to crash, so it is probed as after a broken connection
 	}
 	return out
 }
