--- a/daemon/gateway/marks_test.go
+++ b/daemon/gateway/marks_test.go
@@ -150,3 +150,23 @@
 		})
 	}
 }
+
+// TestServerWithoutSealsGetsLess guards against a server whose answers are never valid, and which goes
+// on to get its share of requests: the retries would use up the budget.
+func TestServerWithoutSealsGetsLess(t *testing.T) {
+	sound := plainReply(200, "fine")
+	f := start(t, spoiledReply(invalidHeads["no seal"]), sound, sound)
+	const requests = 300
+	served := 0
+	for n := range requests {
+		if a := f.do("GET", fmt.Sprintf("/safe/%d", n), ""); a.status == 200 && a.body == "fine" && a.header.Get("Seal") != "" {
+			served++
+		}
+	}
+	if served*100 < 95*requests {
+		t.Errorf("%d of %d requests were served", served, requests)
+	}
+	if got := len(f.servers[0].received()); got > requests/3/2 {
+		t.Errorf("the server without seals received %d of %d requests, want at most half of a third", got, requests)
+	}
+}
