--- a/daemon/gateway/buffers.go
+++ b/daemon/gateway/buffers.go
@@ -25,9 +25,9 @@
 	// errBuffersFull means that a body can't be buffered now, since callers and servers read
 	// too slowly what is buffered already.
 	errBuffersFull = errors.New("the bodies of other calls take all memory for buffers")
-	// errSourceFull means that a body can't be buffered, since the server has sent too much
+	// errServerShareFull means that a body can't be buffered, since the server has sent too much
 	// of unfinished ones.
-	errSourceFull = errors.New("unfinished answers of the server take all memory that one server may have")
+	errServerShareFull = errors.New("unfinished answers of the server take all memory that one server may have")
 )
 
 type (
@@ -87,7 +87,7 @@
 	defer b.mu.Unlock()
 	switch {
 	case float64(b.unfinished[server]+n) > serverFraction*float64(b.total):
-		return errSourceFull
+		return errServerShareFull
 	case b.used+n > b.total:
 		return errBuffersFull
 	}
@@ -110,7 +110,7 @@
 func (b *bodyBuffer) readAll(r io.Reader) ([]byte, error) { return io.ReadAll(countingReader{r, b}) }
 
 // readAnswer is like readAll, for the answer of the server with the given address. It returns
-// errSourceFull as soon as the server's unfinished answers have no room for more. After an error,
+// errServerShareFull as soon as the server's unfinished answers have no room for more. After an error,
 // nothing of the answer is counted.
 func (b *bodyBuffer) readAnswer(server string, r io.Reader) ([]byte, error) {
 	a := &answerReader{reader: r, buffers: b.buffers, server: server}
--- a/daemon/gateway/events.go
+++ b/daemon/gateway/events.go
@@ -51,7 +51,7 @@
 	case err == nil:
 		r.events++
 		return e, nil
-	case errors.Is(err, web.ErrEventTooLarge), errors.Is(err, errSourceFull):
+	case errors.Is(err, web.ErrEventTooLarge), errors.Is(err, errServerShareFull):
 		err = errors.Mark(err, upstream.ErrInvalidAnswer)
 	case errors.Is(err, io.EOF) && len(e) > 0:
 		err = errInsideEvent
--- a/daemon/gateway/marks.go
+++ b/daemon/gateway/marks.go
@@ -14,10 +14,10 @@
 
 // Reasons why the answer to a request is invalid.
 var (
-	errNoID      = errors.New("the answer lacks the ID of the request")
-	errNoSeal    = errors.New("the answer lacks the seal of a server")
-	errEncoded   = errors.New("the body of the answer is encoded, which the request doesn't accept")
-	errNoRefusal = errors.New("the answer of a host is a success that no server has made")
+	errNoID       = errors.New("the answer lacks the ID of the request")
+	errNoSeal     = errors.New("the answer lacks the seal of a server")
+	errEncoded    = errors.New("the body of the answer is encoded, which the request doesn't accept")
+	errOwnSuccess = errors.New("the answer of a host is a success that no server has made")
 )
 
 // answerCheck returns the check of the answers that servers send to a call. Noise and answers to
@@ -63,7 +63,7 @@
 			return check(status, h)
 		}
 		if status < http.StatusMultipleChoices {
-			return errNoRefusal
+			return errOwnSuccess
 		}
 		return nil
 	}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -398,7 +398,7 @@
 	case errors.Is(err, errBuffersFull):
 		g.metrics.Count("gateway_buffers_full", 1, "body", "answer")
 		return outcome{result: final, reason: "no_buffer_memory"}, nil
-	case errors.Is(err, errSourceFull):
+	case errors.Is(err, errServerShareFull):
 		g.metrics.Count("gateway_buffers_full", 1, "body", "answers_of_one_server")
 		return outcome{result: failed, reason: "answer_too_large", err: errors.Mark(err, upstream.ErrInvalidAnswer)}, nil
 	case err != nil:
--- a/daemon/upstream/limiter.go
+++ b/daemon/upstream/limiter.go
@@ -8,11 +8,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Errors of reading what has no end. They are marked with ErrInvalidAnswer where they occur in a
-// head.
+// Errors of reading more than a limit allows.
 var (
-	errTooLong = errors.New("the server sends more bytes than are allowed here")
-	errTooSlow = errors.New("the server sends the bytes too slowly")
+	errTooLong = errors.New("the server sends more bytes than are allowed")
+	errTooSlow = errors.New("the server sends bytes too slowly")
 )
 
 // limiter reads from a connection. While it has a limit, a server that sends bytes without end,
