--- a/daemon/gateway/broken_test.go
+++ b/daemon/gateway/broken_test.go
@@ -147,7 +147,14 @@
 	f.t.Helper()
 	s := httptest.NewServer(f.gateway.DelegatedHandler())
 	f.t.Cleanup(s.Close)
-	first := startWith(f.t, []gateway.Option{gateway.WithDelegation(gateway.Delegation{
+	first := startWith(f.t, []gateway.Option{delegateTo(s)})
+	first.view = unreachableServers()
+	return first
+}
+
+// delegateTo has a gateway delegate calls to the host that s stands for.
+func delegateTo(s *httptest.Server) gateway.Option {
+	return gateway.WithDelegation(gateway.Delegation{
 		Pool: upstream.New(),
 		Peers: func([]string) []reach.Peer {
 			return []reach.Peer{{Number: 2, Addr: strings.TrimPrefix(s.URL, "http://")}}
@@ -155,9 +162,7 @@
 		Alive:       func(uint32) bool { return true },
 		Lost:        func(uint32, string) bool { return false },
 		PathChanged: func() {},
-	})})
-	first.view = unreachableServers()
-	return first
+	})
 }
 
 // unreachableServers returns servers that refuse connections.
--- a/daemon/gateway/marks_test.go
+++ b/daemon/gateway/marks_test.go
@@ -9,9 +9,7 @@
 	"sync/atomic"
 	"testing"
 
-	"slipcrank.example/core/reach"
 	"slipcrank.example/daemon/gateway"
-	"slipcrank.example/daemon/upstream"
 )
 
 // invalidHeads are heads of successes that lack a mark of the answers that servers make.
@@ -134,15 +132,7 @@
 				_, _ = io.WriteString(w, "unsealed")
 			}))
 			t.Cleanup(peer.Close)
-			f := startWith(t, []gateway.Option{gateway.WithDelegation(gateway.Delegation{
-				Pool: upstream.New(),
-				Peers: func([]string) []reach.Peer {
-					return []reach.Peer{{Number: 2, Addr: strings.TrimPrefix(peer.URL, "http://")}}
-				},
-				Alive:       func(uint32) bool { return true },
-				Lost:        func(uint32, string) bool { return false },
-				PathChanged: func() {},
-			})})
+			f := startWith(t, []gateway.Option{delegateTo(peer)})
 			f.view = unreachableServers()
 			if a := f.do("POST", "/safe/", "b"); a.status == 200 {
 				t.Errorf("the caller got %d %q", a.status, a.body)
