soak: planned stops in series, judged by callers and servers

Cause: the soak never judged an answer that was cut around a planned stop. Its streams lasted 0.2 s, bodies came with their head, stops were single, so it could not find rule LOST broken.

Change: TestPlannedStopsCutNoAnswers runs hosts with a grace period of 8 s. They are stopped and restarted one after the other, up to half at a time, with SIGHUP and a second SIGTERM inside a stop and signals right after the start. Callers stay with a host until it accepts no connection, rest on open connections, send half of the bodies up to 0.6 s after the head, and streams last up to 7.2 s. Each request that was sent whole or passed on, and ended without a whole answer around a stop or a reload, fails the test, unless the rule excuses it: its server was at work in the last sixth of the grace period and its last byte was sent within 3 s of the SIGTERM, its server broke off, its deadline was reached, or its host, a proxy or a server was disturbed otherwise from 3 s before it. The check also applies to the runs of other faults.

--- a/cmd/soak/caller.go
+++ b/cmd/soak/caller.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -34,7 +36,11 @@
 	attempt, token, key string
 	kind                string
 	host                *host
+	deadline            time.Duration // zero: requestDeadline
+	bodyDelay           time.Duration // from the head to the body
+	eventGap            time.Duration // of a stream; zero: the server's own
 	sentAt              time.Time
+	wroteAt             atomic.Pointer[time.Time] // when the last byte was sent; nil if it wasn't
 	duration            time.Duration
 	status              int // 0 for none
 	body                string
@@ -68,18 +74,25 @@
 
 // send sends a request, and stores the answer in it.
 func (w *world) send(t *http.Transport, r *request, old bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), requestDeadline+2*answerSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), r.timeout()+2*answerSlack)
 	defer cancel()
 	d := platform.Dialect()
 	httpReq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.host.addr()+"/"+r.kind+"/"+r.token, strings.NewReader(r.token))
 	if err != nil {
 		panic(err) // the URL is built by this package
 	}
+	if r.bodyDelay > 0 {
+		httpReq.Body = io.NopCloser(&lateReader{httpReq.Body, r.bodyDelay})
+	}
+	if r.eventGap > 0 {
+		httpReq.Header.Set(standin.EventGapHeader, fmt.Sprint(r.eventGap.Milliseconds()))
+	}
+	httpReq = httpReq.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: r.recordWritten}))
 	// Without GetBody, the HTTP client can't send the request a second time.
 	httpReq.GetBody = nil
 	httpReq.Host = siteHost
 	httpReq.Header.Set(d.AttemptID, r.attempt)
-	httpReq.Header.Set(d.Deadline, fmt.Sprint(requestDeadline.Milliseconds()))
+	httpReq.Header.Set(d.Deadline, fmt.Sprint(r.timeout().Milliseconds()))
 	httpReq.Header.Set("Authorization", d.KeyScheme+r.key)
 	r.sentAt = time.Now()
 	defer func() { r.duration = time.Since(r.sentAt) }()
@@ -97,6 +110,27 @@
 	r.status, r.body, r.seal, r.incomplete = resp.StatusCode, string(body), resp.Header.Get(standin.SealHeader), err != nil
 }
 
+// timeout returns the deadline of the request, as a time from its sending.
+func (r *request) timeout() time.Duration { return cmp.Or(r.deadline, requestDeadline) }
+
+func (r *request) recordWritten(i httptrace.WroteRequestInfo) {
+	if now := time.Now(); i.Err == nil {
+		r.wroteAt.Store(&now)
+	}
+}
+
+// lateReader is a body whose bytes come after a delay.
+type lateReader struct {
+	io.Reader
+	delay time.Duration
+}
+
+func (l *lateReader) Read(b []byte) (int, error) {
+	time.Sleep(l.delay)
+	l.delay = 0
+	return l.Reader.Read(b)
+}
+
 // sendOverHTTP10 sends a request on a connection of its own over HTTP/1.0: the end of the
 // connection may be the end of the answer.
 func sendOverHTTP10(r *http.Request) (*http.Response, error) {
@@ -144,14 +178,14 @@
 	w.mu.Lock()
 	w.requests = append(w.requests, r)
 	w.mu.Unlock()
-	if ok, since := r.host.running(); ok && since > r.duration && r.duration > requestDeadline+answerSlack {
+	if ok, since := r.host.running(); ok && since > r.duration && r.duration > r.timeout()+answerSlack {
 		w.failf("request %s at %s had no final answer after %v", r.attempt, r.host.name, r.duration)
 	}
 	if r.status != http.StatusOK {
 		return
 	}
 	want := standin.Body(r.token, []byte(r.token))
-	if r.kind == "stream" {
+	if strings.HasSuffix(r.kind, "stream") {
 		want = ""
 		for n := 1; n <= standin.Events; n++ {
 			want += standin.Event(r.token, n)
--- a/cmd/soak/cuts.go
+++ b/cmd/soak/cuts.go
@@ -158,7 +158,7 @@
 		cutOff, others := cutCount{failed: map[string]int{}}, cutCount{failed: map[string]int{}}
 		for _, r := range requests {
 			end := r.sentAt.Add(r.duration)
-			if r.sentAt.Before(c.from.Add(cutNotice)) || end.After(c.to) || w.excused(r, end) || !w.pathLeft(c, r, end) || overlapsAny(noServer, r.sentAt, end) {
+			if r.sentAt.Before(c.from.Add(cutNotice)) || end.After(c.to) || w.excused(r, end) || !w.pathLeft(c, r, end) || overlapsAny(noServer, r.sentAt, end) || w.plannedStops && r.host.stoppedDuring(r.sentAt, end) {
 				continue
 			}
 			n := &others
--- a/cmd/soak/faults.go
+++ b/cmd/soak/faults.go
@@ -18,7 +18,7 @@
 		w.disturbStorePath, w.injectStoreFaults, w.disturbServerPath, w.injectAnswerFaults,
 		w.replaceServer, w.rotateKeys, w.resetConnections, w.blackholeConnections, w.restoreStore, w.cutHosts,
 	}
-	for pause.UpTo(ctx, 2*meanFaultInterval) == nil {
+	for pause.UpTo(ctx, 2*w.interval(meanFaultInterval)) == nil {
 		inject := faults[w.rnd.IntN(len(faults))]
 		duration := time.Duration(w.rnd.Int64N(int64(maxFaultTime)))
 		inject(ctx, duration)
@@ -58,7 +58,7 @@
 func (w *world) stopHost(ctx context.Context, d time.Duration) {
 	h := w.randomHost()
 	h.signal(syscall.SIGTERM)
-	runAfter(ctx, shutdownGrace+d, func() {
+	runAfter(ctx, h.grace+d, func() {
 		h.signal(syscall.SIGKILL)
 		w.restartHost(h)
 	})
@@ -183,7 +183,10 @@
 	s.httpServer = nil
 	go func() {
 		_ = pause.For(ctx, delay) // when ctx ends, the server stops at once
-		_ = old.Close()           // errors don't matter; closed reports that the listener is gone
+		s.mu.Lock()
+		s.closings.addInstant()
+		s.mu.Unlock()
+		_ = old.Close() // errors don't matter; closed reports that the listener is gone
 		<-closed
 		w.store.RemoveServer(id)
 		_ = pause.For(ctx, gap) // when ctx ends, the next server starts at once
--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -46,6 +46,7 @@
 type host struct {
 	name, ip string
 	binary   string
+	grace    time.Duration
 	settings string
 	log      *os.File
 	store    *proxy // proxy in front of the platform
@@ -58,13 +59,25 @@
 	lastDisturbed time.Time    // when the process was last signalled, was started, or exited
 	disturbances  disturbances // periods in which it was not running, and signals
 	outages       disturbances // periods in which it was not running, and starts
+	unplanned     disturbances // periods in which it was paused, or down after a kill
+	stops         []plannedStop
+	reloads       []time.Time // when it was sent SIGHUP
 }
 
+// hostOption changes a host under construction.
+type hostOption func(*host)
+
+// withGrace sets the time between SIGTERM and SIGKILL of a planned stop.
+func withGrace(d time.Duration) hostOption { return func(h *host) { h.grace = d } }
+
 // newHost writes the settings of a host and creates its log file.
-func newHost(dir, binary, name, hall, ip string) (*host, error) {
-	h := &host{name: name, ip: ip, binary: binary, settings: filepath.Join(dir, name+".yaml")}
+func newHost(dir, binary, name, hall, ip string, opts ...hostOption) (*host, error) {
+	h := &host{name: name, ip: ip, binary: binary, grace: shutdownGrace, settings: filepath.Join(dir, name+".yaml")}
+	for _, o := range opts {
+		o(h)
+	}
 	text := fmt.Sprintf(settingsTemplate, name, hall, ip, callersPort, ip, readyPort, ip, metricsPort, ip, newsPort, ip, delegationPort,
-		ip, storePort, ip, keyProof, configBound, shutdownGrace)
+		ip, storePort, ip, keyProof, configBound, h.grace)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -103,6 +116,7 @@
 	h.disturbances.addInstant()
 	h.outages.setActive(false)
 	h.outages.addInstant()
+	h.unplanned.setActive(false)
 	go func() {
 		_ = c.Wait() // the log has the reason of the exit
 		defer close(exited)
@@ -112,6 +126,9 @@
 			h.cmd, h.paused, h.lastDisturbed = nil, false, time.Now()
 			h.disturbances.setActive(true)
 			h.outages.setActive(true)
+			if n := len(h.stops); n > 0 && h.stops[n-1].exited.IsZero() {
+				h.stops[n-1].exited = time.Now()
+			}
 		}
 	}()
 	return nil
@@ -131,13 +148,27 @@
 		h.paused = true
 		h.disturbances.setActive(true)
 		h.outages.setActive(true)
+		h.unplanned.setActive(true)
 	case syscall.SIGCONT:
 		h.paused = false
 		h.disturbances.setActive(false)
 		h.outages.setActive(false)
+		h.unplanned.setActive(false)
 	default:
 		h.disturbances.addInstant()
 	}
+	switch n := len(h.stops); s {
+	case syscall.SIGTERM:
+		if n == 0 || !h.stops[n-1].exited.IsZero() {
+			h.stops = append(h.stops, plannedStop{at: time.Now()})
+		}
+	case syscall.SIGHUP:
+		h.reloads = append(h.reloads, time.Now())
+	case syscall.SIGKILL:
+		if n == 0 || !h.stops[n-1].exited.IsZero() || time.Since(h.stops[n-1].at) < h.grace {
+			h.unplanned.setActive(true)
+		}
+	}
 	h.killed = h.killed || s == syscall.SIGKILL
 	_ = h.cmd.Process.Signal(s) // fails if the process has just exited
 }
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -15,6 +15,10 @@
 //   - Hosts are cut off from all backend servers.
 //   - Keys are revoked.
 //
+// Runs of planned stops have fewer of these faults. In them, hosts are stopped and restarted one
+// after the other, with overlap and further signals, while some callers send streams that last
+// seconds.
+//
 // Only processes that were started by this package are ended.
 //
 // # Usage
@@ -23,6 +27,7 @@
 //	go test ./cmd/soak -args -soak.seeds=50 -soak.for=20s       # many seeds, run by hand
 //	go test ./cmd/soak -args -soak.seed=17 -soak.keep=DIR       # one seed, keeping its logs
 //	go test ./cmd/soak -args -soak.hosts=30                     # 90 processes
+//	go test ./cmd/soak -run PlannedStops -args -soak.seeds=50   # planned stops, run by hand
 package soak
 
 import (
@@ -32,6 +37,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -79,6 +85,9 @@
 	Hosts    int    // number of hosts in each of three halls, up to 60
 	Binary   string // path of slipcrankd
 	Dir      string // directory for settings and logs
+	// Stops has hosts stopped as planned one after the other, with callers whose requests last
+	// seconds, and other faults less often.
+	Stops bool
 }
 
 type (
@@ -90,6 +99,8 @@
 		hosts    []*host
 		slots    []*serverSlot
 		cuts     *cuts
+		// plannedStops says that hosts are stopped as planned all the time.
+		plannedStops bool
 
 		mu           sync.Mutex
 		version      int64
@@ -113,6 +124,7 @@
 		server     *standin.Server
 		servers    []*standin.Server
 		startTimes []time.Time   // of the servers
+		closings   disturbances  // when servers were stopped
 		httpServer *http.Server  // nil while no server runs
 		closed     chan struct{} // closed once the server's listener is closed
 	}
@@ -129,6 +141,7 @@
 		rnd:          rand.New(rand.NewPCG(opts.Seed, 1)),
 		ipPrefix:     nextIPPrefix(),
 		store:        standin.NewStore(),
+		plannedStops: opts.Stops,
 		cuts:         newCuts(),
 		validKeys:    map[string]string{"key-0": "workspace-0"},
 		revokedAt:    map[string]time.Time{},
@@ -148,6 +161,13 @@
 		rnd := rand.New(rand.NewPCG(opts.Seed, uint64(n)+2))
 		wg.Go(func() { w.runCaller(ctx, rnd) })
 	}
+	if opts.Stops {
+		wg.Go(func() { w.injectStops(ctx, rand.New(rand.NewPCG(opts.Seed, stopStream))) })
+		for n := range min(slowCallersPerHost*len(w.hosts), maxSlowCallers) {
+			rnd := rand.New(rand.NewPCG(opts.Seed, stopStream+1+uint64(n)))
+			wg.Go(func() { w.runSlowCaller(ctx, rnd) })
+		}
+	}
 	wg.Go(func() { w.injectFaults(ctx) })
 	wg.Go(func() { w.injectNotices(ctx, rand.New(rand.NewPCG(opts.Seed, noticeStream))) })
 	wg.Go(func() { w.injectEvacuations(ctx, rand.New(rand.NewPCG(opts.Seed, evacuationStream))) })
@@ -159,6 +179,7 @@
 	w.checkRuns()
 	w.checkNotices()
 	w.checkCuts()
+	w.checkStops()
 	return w.failures, nil
 }
 
@@ -198,7 +219,7 @@
 		}
 	}
 	for n := range hallCount * opts.Hosts {
-		h, err := newHost(opts.Dir, opts.Binary, fmt.Sprintf("host-%d", n), fmt.Sprintf("hall-%d", n%hallCount), fmt.Sprintf("%s%d", w.ipPrefix, n+1))
+		h, err := newHost(opts.Dir, opts.Binary, fmt.Sprintf("host-%d", n), fmt.Sprintf("hall-%d", n%hallCount), fmt.Sprintf("%s%d", w.ipPrefix, n+1), w.hostOptions()...)
 		if err != nil {
 			return err
 		}
@@ -223,9 +244,13 @@
 			Targets: []site.Target{{Service: service, Weight: 1}},
 		}
 	}
-	w.store.PutConfig(w.version, []site.Route{
-		route("safe", site.Repeatable, 2), route("once", site.Once, 1), route("stream", site.Stream, 2),
-	}, []string{service}, w.validKeys)
+	routes := []site.Route{route("safe", site.Repeatable, 2), route("once", site.Once, 1), route("stream", site.Stream, 2)}
+	if w.plannedStops {
+		slow := route(slowKind, site.Stream, 2)
+		slow.Name, slow.Timeout, slow.Gap = "slow", slowDeadline, maxEventGap
+		routes = append(routes, slow)
+	}
+	w.store.PutConfig(w.version, routes, []string{service}, w.validKeys)
 }
 
 // startServer starts the next backend server of a slot.
@@ -323,11 +348,11 @@
 	}
 }
 
-// checkRuns compares the requests that servers ran with the answers that callers
-// got.
-func (w *world) checkRuns() {
+// allRuns returns what servers ran by attempt, in the order of the arrivals, and the slot of each
+// server.
+func (w *world) allRuns() (map[string][]standin.Run, map[string]*serverSlot) {
 	runs := map[string][]standin.Run{}
-	slots := map[string]*serverSlot{} // by server ID
+	slots := map[string]*serverSlot{}
 	for _, s := range w.slots {
 		s.mu.Lock()
 		for _, server := range s.servers {
@@ -338,6 +363,16 @@
 		}
 		s.mu.Unlock()
 	}
+	for _, rs := range runs {
+		slices.SortFunc(rs, func(a, b standin.Run) int { return a.At.Compare(b.At) })
+	}
+	return runs, slots
+}
+
+// checkRuns compares the requests that servers ran with the answers that callers
+// got.
+func (w *world) checkRuns() {
+	runs, slots := w.allRuns()
 	w.mu.Lock()
 	requests, revokedAt := w.requests, w.revokedAt
 	w.mu.Unlock()
