gateway: name each request that the end of the process cuts

Seen: no line of the stopped hosts names a request that was cut; SC1105 has their number alone. Cause: handlers are canceled when the process is already ending, so that their own lines are lost. SC1104 and SC1105 have the length of the stop. No decision is changed.

--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -41,11 +41,10 @@
 			break
 		}
 	}
-	left := e.gateway.Active()
-	if left > 0 {
-		e.log.Write(event.DaemonStoppedWithRequests, slog.Int64("active", left))
+	if left := e.gateway.LogCut(); left > 0 {
+		e.log.WriteLast(event.DaemonStoppedWithRequests, slog.Int("active", left), slog.Duration("took", time.Since(begun)))
 	} else {
-		e.log.Write(event.DaemonStopped)
+		e.log.WriteLast(event.DaemonStopped, slog.Duration("took", time.Since(begun)))
 	}
 	for _, s := range []*http.Server{e.callerServer, e.delegated, e.readinessServer, e.operatorServer} {
 		if s != nil {
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -152,7 +152,7 @@
 	}
 	timer.start()
 	defer timer.stop()
-	a, err := g.delegation.Pool.Send(ctx, to.Addr, g.delegatedRequest(c, s))
+	a, err := g.delegation.Pool.Send(ctx, to.Addr, g.delegatedRequest(c, s, to))
 	if err != nil && upstream.NotSent(err) {
 		return outcome{result: unsent, reason: "host_not_reached", err: err}
 	}
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -74,7 +74,7 @@
 }
 
 // delegatedRequest builds the request with which a call is delegated to another host.
-func (g *Gateway) delegatedRequest(c *call, s State) upstream.Request {
+func (g *Gateway) delegatedRequest(c *call, s State, to reach.Peer) upstream.Request {
 	h := c.header.Clone()
 	if h == nil {
 		h = http.Header{}
@@ -101,6 +101,7 @@
 			if c.sentAt >= c.bootDeadline {
 				return errNotAllowed
 			}
+			c.progress.setSent(to.Addr, time.Now())
 			return nil
 		},
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -79,7 +79,7 @@
 		regions            map[string]string // by data hall
 		clock              *boottime.Clock
 		drain              atomic.Pointer[drain]
-		active             atomic.Int64
+		progresses         *progresses
 		memory             *memory.Reserver // nil: no memory can be reserved
 		buffers            *buffers
 		shareRefusals      *shareRefusals
@@ -120,7 +120,7 @@
 	// drain is a planned shutdown: requests that may not finish before end are refused
 	// from refuseFrom on.
 	drain struct {
-		refuseFrom, end time.Time
+		begun, refuseFrom, end time.Time
 	}
 
 	// Option configures a Gateway.
@@ -204,6 +204,7 @@
 		onServerFailure: func(string) {},
 
 		exchanges:       newExchanges(),
+		progresses:      newProgresses(),
 		reach:           reach.New(),
 		quarantine:      quarantine.NewRegistry(),
 		parts:           quarantine.NewPartRegistry(),
@@ -234,27 +235,31 @@
 
 // Drain starts a planned shutdown: each further answer closes its connection, and from
 // refuseFrom on, requests that may not finish before end are refused.
-func (g *Gateway) Drain(refuseFrom, end time.Time) { g.drain.Store(&drain{refuseFrom, end}) }
+func (g *Gateway) Drain(refuseFrom, end time.Time) {
+	g.drain.Store(&drain{time.Now(), refuseFrom, end})
+}
 
 // Active returns the number of requests in progress.
-func (g *Gateway) Active() int64 { return g.active.Load() }
+func (g *Gateway) Active() int64 { return g.progresses.count() }
 
 // ServeHTTP implements [http.Handler].
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.handle(w, r, nil) }
 
 // handle serves a call of a caller or, if d is set, one that another host has delegated.
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request, d *delegation) {
-	g.active.Add(1)
-	defer g.active.Add(-1)
+	now := time.Now()
+	p := g.progresses.add(r.Header.Get(g.dialect.AttemptID), d != nil, now)
+	defer g.progresses.remove(p)
 	if g.drain.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	now := time.Now()
 	g.setWriteDeadline(w, now.Add(defaultTimeout))
 	buffer := &bodyBuffer{buffers: g.buffers}
 	defer buffer.release()
 	c, refusal := g.readCall(w, r, buffer, now, d)
 	if refusal == nil {
+		c.progress = p
+		p.setRead(c.route.Name, time.Now())
 		g.recognize(c)
 		refusal = g.refuseIfBlocked(c)
 	}
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -69,7 +69,11 @@
 		!g.checkPaid(c, p.Service) || !g.partsAllow(c) {
 		return errNotAllowed
 	}
-	return c.exchange.beginSending()
+	if err := c.exchange.beginSending(); err != nil {
+		return err
+	}
+	c.progress.setSent(p.Lead, time.Now())
+	return nil
 }
 
 // acceptPlacement reports whether the lead and all helpers of a placement accept new work.
