gateway: decide right before each send whether a planned stop leaves time for it

Callers saw streams end without a whole answer around a planned stop. Cause: the stop was checked once, with the time at which the handler began, before the body was read. What then waited (body, grant, part, memory, delegation) or was tried again was sent however late, and cut at the end of the process. Change: core/drain decides, by the time before the request is sent; the gateway asks it on arrival, before a retry, and under the lock under which a send begins. A request that isn't expected to be answered before the end (the 95th percentile of its route's answers, four objectives where none are known) is refused from the first moment of the stop, so that its caller goes to another host in all of its time; after the balancer's notice new calls are sent only if their deadline lies before the end. Requests that wait when no time is left are refused at once.

--- /dev/null
+++ b/daemon/gateway/answertimes.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// answerSamples bounds the memory per route, and answerDecay lets the samples of the last
+	// minutes dominate.
+	answerSamples = 128
+	answerDecay   = 0.015
+	// minAnswerSamples is the number of answers that make a percentile meaningful.
+	minAnswerSamples = 10
+	answerPercentile = 0.95
+	// maxAnswerRoutes bounds the routes that are tracked.
+	maxAnswerRoutes = 1024
+)
+
+// answerTimes tracks how long answers take by route, from the first send of a call to the end
+// of its answer. It is safe for concurrent use.
+type answerTimes struct {
+	mu      sync.Mutex
+	byRoute map[string]metrics.Sample // in µs
+}
+
+func newAnswerTimes() *answerTimes { return &answerTimes{byRoute: map[string]metrics.Sample{}} }
+
+// record adds the time of one answer.
+func (t *answerTimes) record(route string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.byRoute[route]
+	if !ok {
+		if len(t.byRoute) >= maxAnswerRoutes {
+			clear(t.byRoute) // routes come and go with the configuration
+		}
+		s = metrics.NewExpDecaySample(answerSamples, answerDecay)
+		t.byRoute[route] = s
+	}
+	s.Update(took.Microseconds())
+}
+
+// percentile returns the time within which almost all answers of a route ended, and false if
+// too few were recorded.
+func (t *answerTimes) percentile(route string) (time.Duration, bool) {
+	t.mu.Lock()
+	s, ok := t.byRoute[route]
+	t.mu.Unlock()
+	if !ok || s.Size() < minAnswerSamples {
+		return 0, false
+	}
+	return time.Duration(s.Percentile(answerPercentile)) * time.Microsecond, true
+}
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -126,6 +126,8 @@
 	out.took, out.server, out.service = g.clock.Now()-began, to.Addr, site.HeaviestService(c.route.Targets)
 	switch {
 	case out.result == answered:
+	case isStopping(ctx):
+		out = stopped(out)
 	case errors.Is(ctx.Err(), context.Canceled):
 		out.result, out.reason = callerGone, "caller_gone"
 	case ctx.Err() != nil:
@@ -153,6 +155,9 @@
 	timer.start()
 	defer timer.stop()
 	a, err := g.delegation.Pool.Send(ctx, to.Addr, g.delegatedRequest(c, s, to))
+	if errors.Is(err, errStopping) {
+		return stopped(outcome{})
+	}
 	if err != nil && upstream.NotSent(err) {
 		return outcome{result: unsent, reason: "host_not_reached", err: err}
 	}
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -101,8 +101,7 @@
 			if c.sentAt >= c.bootDeadline {
 				return errNotAllowed
 			}
-			c.progress.setSent(to.Addr, time.Now())
-			return nil
+			return c.progress.beginSending(to.Addr, g.mayServe)
 		},
 	}
 }
--- /dev/null
+++ b/daemon/gateway/drain.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/drain"
+	"slipcrank.example/core/site"
+)
+
+const (
+	// drainObjectives is the number of objectives within which almost all calls finish, of a
+	// route whose answers haven't been observed.
+	drainObjectives = 4
+	// drainPollInterval is the interval at which waiting calls are checked during a stop.
+	drainPollInterval = 50 * time.Millisecond
+)
+
+// errStopping cancels a call that can't be served before the process ends.
+var errStopping = errors.New("host is stopping")
+
+// stop is a planned stop of this host.
+type stop struct {
+	begun time.Time
+	plan  drain.Plan
+}
+
+// Drain starts a planned shutdown: each further answer closes its connection, and requests
+// that may not finish before end are refused, from refuseFrom on also those that usually do.
+func (g *Gateway) Drain(refuseFrom, end time.Time) {
+	g.stop.Store(&stop{time.Now(), drain.Plan{RefuseFrom: refuseFrom, End: end}})
+	go g.refuseWaiting(end)
+}
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int64 { return g.progresses.count() }
+
+// mayServe reports whether a planned stop leaves enough time to send a call now. The
+// progress of the call must be locked.
+func (g *Gateway) mayServe(p *progress, now time.Time) bool {
+	s := g.stop.Load()
+	return s == nil || s.plan.Allows(now, p.drainRequest(g.expectedTime(p.route), now))
+}
+
+// expectedTime returns the time within which almost all calls of a route are answered.
+func (g *Gateway) expectedTime(r site.Route) time.Duration {
+	if d, ok := g.answerTimes.percentile(r.Name); ok {
+		return d
+	}
+	return drainObjectives * r.Objective
+}
+
+// refuseStopping refuses a call that a planned stop leaves no time for.
+func (g *Gateway) refuseStopping(c *call) *refusalResponse {
+	if c.progress.allowed(g.mayServe) {
+		return nil
+	}
+	return refuseHere("stopping")
+}
+
+// refuseWaiting cancels the calls that wait to be sent until there is no time left for them,
+// so that their callers are answered.
+func (g *Gateway) refuseWaiting(end time.Time) {
+	tick := time.NewTicker(drainPollInterval)
+	defer tick.Stop()
+	for now := range tick.C {
+		for _, p := range g.progresses.all() {
+			p.cancelWaiting(g.mayServe)
+		}
+		if now.After(end) {
+			return
+		}
+	}
+}
+
+// stopped returns out as the outcome of a try that a planned stop has prevented.
+func stopped(out outcome) outcome {
+	out.result, out.reason, out.refusal = final, "stopping", refuseHere("stopping")
+	return out
+}
+
+// isStopping reports whether a call was canceled by a planned stop.
+func isStopping(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errStopping) }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -78,7 +78,8 @@
 		hall               string
 		regions            map[string]string // by data hall
 		clock              *boottime.Clock
-		drain              atomic.Pointer[drain]
+		stop               atomic.Pointer[stop]
+		answerTimes        *answerTimes
 		progresses         *progresses
 		memory             *memory.Reserver // nil: no memory can be reserved
 		buffers            *buffers
@@ -117,12 +118,6 @@
 		SendLeaving func(server string)
 	}
 
-	// drain is a planned shutdown: requests that may not finish before end are refused
-	// from refuseFrom on.
-	drain struct {
-		begun, refuseFrom, end time.Time
-	}
-
 	// Option configures a Gateway.
 	Option func(*Gateway)
 )
@@ -205,6 +200,7 @@
 
 		exchanges:       newExchanges(),
 		progresses:      newProgresses(),
+		answerTimes:     newAnswerTimes(),
 		reach:           reach.New(),
 		quarantine:      quarantine.NewRegistry(),
 		parts:           quarantine.NewPartRegistry(),
@@ -233,15 +229,6 @@
 	return g
 }
 
-// Drain starts a planned shutdown: each further answer closes its connection, and from
-// refuseFrom on, requests that may not finish before end are refused.
-func (g *Gateway) Drain(refuseFrom, end time.Time) {
-	g.drain.Store(&drain{time.Now(), refuseFrom, end})
-}
-
-// Active returns the number of requests in progress.
-func (g *Gateway) Active() int64 { return g.progresses.count() }
-
 // ServeHTTP implements [http.Handler].
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) { g.handle(w, r, nil) }
 
@@ -250,7 +237,7 @@
 	now := time.Now()
 	p := g.progresses.add(r.Header.Get(g.dialect.AttemptID), d != nil, now)
 	defer g.progresses.remove(p)
-	if g.drain.Load() != nil {
+	if g.stop.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	g.setWriteDeadline(w, now.Add(defaultTimeout))
@@ -259,7 +246,7 @@
 	c, refusal := g.readCall(w, r, buffer, now, d)
 	if refusal == nil {
 		c.progress = p
-		p.setRead(c.route.Name, time.Now())
+		p.setRead(c, time.Now())
 		g.recognize(c)
 		refusal = g.refuseIfBlocked(c)
 	}
@@ -267,7 +254,7 @@
 		refusal = g.refuseIfPartBlocked(c)
 	}
 	if refusal == nil {
-		refusal = g.refuseIfDraining(c, now)
+		refusal = g.refuseStopping(c)
 	}
 	if refusal == nil {
 		refusal = g.refuseDelegated(c, g.state())
@@ -277,9 +264,11 @@
 		return
 	}
 	g.setWriteDeadline(w, c.deadline)
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
-	defer cancel()
-	g.serve(ctx, w, c)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	ctx, cancelDeadline := context.WithDeadline(ctx, c.deadline)
+	defer cancelDeadline()
+	g.serve(ctx, cancel, w, c)
 }
 
 // setWriteDeadline bounds writes to the caller. Otherwise a caller that stops reading
@@ -293,26 +282,15 @@
 // written. It suffices on a host with a fifth of a core.
 const writeSlack = time.Second
 
-// refuseIfDraining refuses a call that may not finish before a planned shutdown.
-func (g *Gateway) refuseIfDraining(c *call, now time.Time) *refusalResponse {
-	d := g.drain.Load()
-	if d == nil || now.Before(d.refuseFrom) {
-		return nil
-	}
-	if c.route.Kind != site.Stream && now.Add(drainObjectives*c.route.Objective).Before(d.end) {
-		return nil
-	}
-	return refuseHere("stopping")
-}
-
-// drainObjectives is the number of objectives within which almost all non-stream calls
-// finish.
-const drainObjectives = 4
-
 // serve tries servers until one has answered the call or no further try is allowed.
-func (g *Gateway) serve(ctx context.Context, w http.ResponseWriter, c *call) {
+func (g *Gateway) serve(ctx context.Context, cancel context.CancelCauseFunc, w http.ResponseWriter, c *call) {
+	c.progress.setWaiting(cancel)
 	for {
 		out := g.try(ctx, w, c)
+		c.progress.setWaiting(cancel)
+		if c.sentAt > 0 && (out.result == answered || out.reason == "out_of_time") {
+			g.answerTimes.record(c.route.Name, g.clock.Now()-c.sentAt)
+		}
 		if out.result == answered {
 			g.logAnswered(c, out)
 			return
@@ -339,6 +317,10 @@
 	if c.mayHaveRun && !c.route.Resumable() || c.headSent && !(c.route.Kind == site.Stream && c.route.Resume) {
 		return false
 	}
+	if !c.progress.allowed(g.mayServe) {
+		c.lastFailure += ",stopping"
+		return false
+	}
 	if out.result == unsent {
 		if c.unsentTries++; c.unsentTries > maxUnsentTries || g.hopeless(c, out) {
 			return false
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"time"
 
+	"slipcrank.example/core/drain"
+	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/event"
 )
 
@@ -15,19 +18,24 @@
 		open map[*progress]bool
 	}
 
-	// progress is how far a request has come, for the log line that names it if the process
-	// ends before it. It is safe for concurrent use.
+	// progress is how far a request has come: whether a planned stop may still refuse it, and
+	// what the log says of it if the process ends before it. It is safe for concurrent use.
 	progress struct {
 		id        string
 		delegated bool // by another host
 		arrivedAt time.Time
 
-		mu     sync.Mutex
-		readAt time.Time // when its body was complete, zero before
-		route  string
-		server string    // to which it was sent last, empty for none
-		sentAt time.Time // when it was sent last
-		sends  int
+		mu       sync.Mutex
+		readAt   time.Time // when its body was complete, zero before
+		route    site.Route
+		deadline time.Time
+		sentElse bool                    // by the host that delegates it
+		cancel   context.CancelCauseFunc // nil before it may be sent
+		waiting  bool                    // no server has it
+		canceled bool                    // while waiting
+		server   string                  // to which it was sent last, empty for none
+		sentAt   time.Time               // when it was sent last
+		sends    int
 	}
 )
 
@@ -66,19 +74,57 @@
 	return out
 }
 
-// setRead records that the request was read and has a route.
-func (p *progress) setRead(route string, now time.Time) {
+// setRead records that the call was read.
+func (p *progress) setRead(c *call, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.readAt, p.route = now, route
+	p.readAt, p.route, p.deadline, p.sentElse = now, c.route, c.deadline, c.sent > 0
 }
 
-// setSent records that the request is about to be sent to a server.
-func (p *progress) setSent(server string, now time.Time) {
+// setWaiting records that no server has the call, and how it can be canceled.
+func (p *progress) setWaiting(cancel context.CancelCauseFunc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.server, p.sentAt = server, now
+	p.waiting, p.cancel = true, cancel
+}
+
+// beginSending records that the call is about to be sent to a server. It returns an error if
+// the call was canceled, or isn't allowed: then nothing may be sent.
+func (p *progress) beginSending(server string, allowed func(*progress, time.Time) bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.canceled || !allowed(p, now) {
+		return errStopping
+	}
+	p.waiting, p.server, p.sentAt = false, server, now
 	p.sends++
+	return nil
+}
+
+// cancelWaiting cancels the call if it waits and is no longer allowed.
+func (p *progress) cancelWaiting(allowed func(*progress, time.Time) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting && !p.canceled && !allowed(p, time.Now()) {
+		p.canceled = true
+		p.cancel(errStopping)
+	}
+}
+
+// allowed reports whether the call is allowed now.
+func (p *progress) allowed(allowed func(*progress, time.Time) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return allowed(p, time.Now())
+}
+
+// drainRequest returns what a planned stop decides by. The progress must be locked.
+func (p *progress) drainRequest(expected time.Duration, now time.Time) drain.Request {
+	return drain.Request{
+		Stream: p.route.Kind == site.Stream, Continued: p.sentElse || p.sends > 0,
+		Expected: expected, Left: p.deadline.Sub(now),
+	}
 }
 
 // attrs returns the attributes of the log line of a request. Times are relative to the
@@ -87,7 +133,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	attrs := []slog.Attr{
-		slog.String("id", p.id), slog.String("route", p.route), slog.String("server", p.server), slog.Int("sends", p.sends),
+		slog.String("id", p.id), slog.String("route", p.route.Name), slog.String("server", p.server), slog.Int("sends", p.sends),
 		slog.Bool("delegated", p.delegated), slog.Duration("age", now.Sub(p.arrivedAt)),
 		slog.Duration("arrived", p.arrivedAt.Sub(begun)),
 	}
@@ -104,8 +150,8 @@
 // number.
 func (g *Gateway) LogCut() int {
 	now, begun := time.Now(), time.Time{}
-	if d := g.drain.Load(); d != nil {
-		begun = d.begun
+	if s := g.stop.Load(); s != nil {
+		begun = s.begun
 	}
 	cut := g.progresses.all()
 	for _, p := range cut {
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -125,7 +125,7 @@
 		g.writeRefusal(w, c, out.refusal)
 	case !c.mayHaveRun:
 		refusal := refuse(http.StatusServiceUnavailable, c.lastFailure, busyRetryAfter)
-		refusal.hereOnly = out.result == unsent
+		refusal.hereOnly = out.result == unsent || g.stop.Load() != nil
 		g.writeRefusal(w, c, refusal)
 	case out.answer != nil && !out.answer.bodyLost && !meansNotRun(out.answer.status):
 		g.forwardAnswer(w, c, out)
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -72,8 +72,7 @@
 	if err := c.exchange.beginSending(); err != nil {
 		return err
 	}
-	c.progress.setSent(p.Lead, time.Now())
-	return nil
+	return c.progress.beginSending(p.Lead, g.mayServe)
 }
 
 // acceptPlacement reports whether the lead and all helpers of a placement accept new work.
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -271,6 +271,8 @@
 	out := g.sendWatched(parent, w, c, s, p, server)
 	switch {
 	case out.result == answered:
+	case isStopping(parent):
+		out = stopped(out)
 	case errors.Is(parent.Err(), context.Canceled):
 		out.result, out.reason = callerGone, "caller_gone"
 	case parent.Err() != nil:
@@ -361,6 +363,8 @@
 // failure converts an error of the given phase to an outcome.
 func (g *Gateway) failure(c *call, err error, phase string) outcome {
 	switch {
+	case errors.Is(err, errStopping):
+		return stopped(outcome{})
 	case errors.Is(err, errNotAllowed):
 		return outcome{result: unsent, reason: "not_allowed"}
 	case errors.Is(err, upstream.ErrNoOpenConnection):
