soak: requests that the end of a process cuts are named in its log

Cause: a request that is cut as the process ends could leave no line, and nothing looked. Requests that were delegated to a host that stops, and those that end without a whole answer apart from any stop, were not judged.

Change: each request that a server got and that is cut within a second of the exit of a planned stop must be in the host's log, with its server and age (SC1527). Any request without a whole answer fails the test unless a disturbance, its deadline, its server or a planned stop of its host or of the host that sent it to the server excuses it; before, only those around a planned stop or a reload did.

As a trial, a daemon that writes another event in place of SC1527 fails.

--- a/cmd/soak/host.go
+++ b/cmd/soak/host.go
@@ -61,7 +61,6 @@
 	outages       disturbances // periods in which it was not running, and starts
 	unplanned     disturbances // periods in which it was paused, or down after a kill
 	stops         []plannedStop
-	reloads       []time.Time // when it was sent SIGHUP
 }
 
 // hostOption changes a host under construction.
@@ -162,10 +161,12 @@
 		if n == 0 || !h.stops[n-1].exited.IsZero() {
 			h.stops = append(h.stops, plannedStop{at: time.Now()})
 		}
-	case syscall.SIGHUP:
-		h.reloads = append(h.reloads, time.Now())
 	case syscall.SIGKILL:
-		if n == 0 || !h.stops[n-1].exited.IsZero() || time.Since(h.stops[n-1].at) < h.grace {
+		stopping := n > 0 && h.stops[n-1].exited.IsZero()
+		if stopping {
+			h.stops[n-1].killed = true
+		}
+		if !stopping || time.Since(h.stops[n-1].at) < h.grace {
 			h.unplanned.setActive(true)
 		}
 	}
--- a/cmd/soak/stops.go
+++ b/cmd/soak/stops.go
@@ -1,17 +1,21 @@
 package soak
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"slipcrank.example/core/pause"
+	"slipcrank.example/daemon/event"
 	"slipcrank.example/platform/standin"
 )
 
@@ -42,6 +46,8 @@
 	earlySend    = 3 * time.Second
 	lastPart     = 6
 	crossingTime = 200 * time.Millisecond
+	// exitTime is the time from the cut of the last connections to the exit of the process.
+	exitTime = time.Second
 	// stopMargin extends the time of a planned stop beyond the grace period.
 	stopMargin = time.Second
 )
@@ -49,6 +55,7 @@
 // plannedStop is a planned stop of a host, from the SIGTERM on.
 type plannedStop struct {
 	at, exited time.Time // exited is zero until the process has exited
+	killed     bool      // SIGKILL was sent
 }
 
 func (w *world) hostOptions() []hostOption {
@@ -184,46 +191,82 @@
 	}
 }
 
-// checkStops checks that each request around a planned stop or a reload of its host ended with a
-// whole answer, unless something else disturbed it or the stop could not wait for it.
+// checkStops checks that each request ended with a whole answer, unless something else than a
+// planned stop or a reload disturbed it, or the stop could not wait for it, and that each host
+// named the requests in its log that were cut as its process ended.
 func (w *world) checkStops() {
 	runs, slots := w.allRuns()
 	w.mu.Lock()
 	requests := w.requests
 	w.mu.Unlock()
-	cut := 0
+	named, stopped, cut := map[*host]map[string]bool{}, 0, 0
+	for _, h := range w.hosts {
+		named[h], stopped = h.namedCuts(), stopped+len(h.stops)
+	}
 	for _, r := range requests {
 		if !r.incomplete || w.mayEndWithoutAnswer(r, runs[r.attempt], slots) {
 			continue
 		}
-		from, to := r.sentAt, r.sentAt.Add(r.duration)
-		r.host.mu.Lock()
-		stops, reloads := r.host.stops, r.host.reloads
-		r.host.mu.Unlock()
-		for _, s := range stops {
-			if to.Before(s.at) || to.After(s.at.Add(r.host.grace+stopMargin)) {
-				continue
-			}
-			if cut++; r.mayBeCut(s, runs[r.attempt]) {
-				continue
-			}
-			w.failf("request %s (%s) at %s, sent %v after SIGTERM, got no whole answer: status %d, %d bytes, ended %v after SIGTERM; runs: %s; the process exited %v after SIGTERM",
-				r.attempt, r.kind, r.host.name, r.lastByte().Sub(s.at), r.status, len(r.body), to.Sub(s.at), describe(runs[r.attempt], s.at), s.exited.Sub(s.at))
+		cut++
+		to := r.sentAt.Add(r.duration)
+		s, ok := r.host.stopAt(to)
+		if ok && !s.exited.IsZero() && !s.killed && len(runs[r.attempt]) > 0 && to.After(s.exited.Add(-exitTime)) && !named[r.host][r.attempt] {
+			w.failf("request %s at %s was cut as the process ended, and its log doesn't name it", r.attempt, r.host.name)
 		}
-		if r.host.stoppedDuring(from, to) {
+		if ok && r.mayBeCut(s, runs[r.attempt]) || w.delegateMayCut(r, runs[r.attempt], slots) {
 			continue
 		}
-		for _, at := range reloads {
-			if from.Before(at.Add(configBound)) && to.After(at) {
-				w.failf("request %s (%s) at %s, sent %v after SIGHUP, got no whole answer: ended %v after SIGHUP", r.attempt, r.kind, r.host.name, from.Sub(at), to.Sub(at))
-			}
+		w.failf("request %s (%s) at %s, sent %v, got no whole answer: status %d, %d bytes, ended %v after that; last SIGTERM %v before the end, exit %v after it; runs: %s",
+			r.attempt, r.kind, r.host.name, r.lastByte().Format("05.000"), r.status, len(r.body), to.Sub(r.lastByte()), to.Sub(s.at), s.exited.Sub(s.at), w.describe(r, runs[r.attempt], slots))
+	}
+	fmt.Printf("%d planned stops: %d requests without a whole answer and nothing else to blame\n", stopped, cut)
+}
+
+// namedCuts returns the requests that the host's log names as cut by the end of its process.
+func (h *host) namedCuts() map[string]bool {
+	out := map[string]bool{}
+	text, err := os.ReadFile(h.log.Name())
+	if err != nil {
+		return out // all are missing
+	}
+	for line := range bytes.Lines(text) {
+		var cut struct {
+			Event      int
+			ID, Server string
+			Age        *int64
+		}
+		// Other lines may be no JSON.
+		if json.Unmarshal(line, &cut) == nil && cut.Event == event.RequestCut.Number && cut.Server != "" && cut.Age != nil {
+			out[cut.ID] = true
 		}
 	}
-	stopped := 0
-	for _, h := range w.hosts {
-		stopped += len(h.stops)
+	return out
+}
+
+// stopAt returns the last planned stop of a host that began before a time, and whether it was
+// under way then.
+func (h *host) stopAt(at time.Time) (plannedStop, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, s := range slices.Backward(h.stops) {
+		if !s.at.After(at) {
+			return s, !at.After(s.at.Add(h.grace + stopMargin))
+		}
 	}
-	fmt.Printf("%d planned stops: %d requests without a whole answer and nothing else to blame\n", stopped, cut)
+	return plannedStop{}, false
+}
+
+// delegateMayCut reports whether a host that sent the request to a server for its own host was
+// stopped, and that stop may cut it.
+func (w *world) delegateMayCut(r *request, runs []standin.Run, slots map[string]*serverSlot) bool {
+	return slices.ContainsFunc(runs, func(run standin.Run) bool {
+		h := w.hostAt(slots[run.Server].proxy.clientOf(run.From))
+		if h == nil || h == r.host {
+			return false
+		}
+		s, ok := h.stopAt(r.sentAt.Add(r.duration))
+		return ok && r.mayBeCut(s, runs)
+	})
 }
 
 // lastByte returns when the last byte was sent, or the first if the request was cut before.
@@ -252,20 +295,23 @@
 	if n := len(runs); n > 0 && runs[n-1].BrokeOff {
 		return true
 	}
-	r.host.mu.Lock()
-	disturbed := r.host.unplanned.overlap(from, to)
-	r.host.mu.Unlock()
-	if disturbed || r.host.store.disturbedDuring(from, to) || w.cuts.overlap(r.host.ip, from, to) {
-		return true
-	}
-	involved := w.slots
+	involved, hosts := w.slots, []*host{r.host}
 	if len(runs) > 0 {
 		involved = nil
 		for _, run := range runs {
-			involved = append(involved, slots[run.Server])
+			s := slots[run.Server]
+			involved = append(involved, s)
+			if h := w.hostAt(s.proxy.clientOf(run.From)); h != nil {
+				hosts = append(hosts, h)
+			}
 		}
 	}
-	return slices.ContainsFunc(involved, func(s *serverSlot) bool {
+	return slices.ContainsFunc(hosts, func(h *host) bool {
+		h.mu.Lock()
+		disturbed := h.unplanned.overlap(from, to)
+		h.mu.Unlock()
+		return disturbed || h.store.disturbedDuring(from, to) || w.cuts.overlap(h.ip, from, to)
+	}) || slices.ContainsFunc(involved, func(s *serverSlot) bool {
 		s.mu.Lock()
 		closed := s.closings.overlap(from, to)
 		s.mu.Unlock()
@@ -280,11 +326,11 @@
 	})
 }
 
-// describe returns the runs of a request, as times after a SIGTERM.
-func describe(runs []standin.Run, at time.Time) string {
-	out := ""
-	for _, r := range runs {
-		out += fmt.Sprintf("[%s %v to %v]", r.Server, r.At.Sub(at), r.Ended.Sub(at))
+// describe returns the runs of a request, as times after its last byte.
+func (w *world) describe(r *request, runs []standin.Run, slots map[string]*serverSlot) string {
+	out, at := "", r.lastByte()
+	for _, run := range runs {
+		out += fmt.Sprintf("[%s from %s, %v to %v]", run.Server, slots[run.Server].proxy.clientOf(run.From), run.At.Sub(at), run.Ended.Sub(at))
 	}
 	return out
 }
