limit: a host that was lent nothing pauses from then on

Spend took the time at which it was called for the pause that follows a loan which failed, and for the payment. Asking eight hosts that don't answer takes 0.4 s, so the pause of 0.1 s was over before it was set, and each further retry waited as long for the same hosts. The payment was counted that much too early too, and left the span sooner than a retry that is sent MaxDelay after it.

The time now advances by what borrowing took.

--- a/core/limit/window.go
+++ b/core/limit/window.go
@@ -91,7 +91,10 @@
 		return b, ok
 	}
 	own := min(max(b.Allowed-b.Spent, 0), 1)
-	if borrow(1-own) < 1-own {
+	asked := time.Now()
+	lent := borrow(1 - own)
+	now = now.Add(time.Since(asked)) // borrowing waits for other hosts
+	if lent < 1-own {
 		w.pauseBorrowing(service, now)
 		return b, false
 	}
