upstream: nothing is sent for a caller that has gone

Send watched its context only by a function that closes the connection, which runs on a goroutine of its own. A call whose caller had gone, or whose time had passed, while it waited for something that doesn't notice it (an order to reserve memory takes up to 0.7 s) was written to an idle connection before that function ran, and its server began to work on it.

Send now checks the context, and its deadline by the clock, right before the request is written. The error says that nothing was sent.

--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -28,6 +28,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/deadline"
 )
 
 const (
@@ -229,8 +231,8 @@
 // Send writes a request and waits for the head of its answer. When ctx ends, the
 // connection is closed, and reading the body fails. If the head hasn't arrived by
 // then, the connection is reset instead, so that a request that is still delayed in
-// the network never reaches the server. Send doesn't retry; the error satisfies
-// [NotSent] if nothing was sent.
+// the network never reaches the server. If ctx has ended before the request is written,
+// nothing is sent. Send doesn't retry; the error satisfies [NotSent] if nothing was sent.
 func (p *Pool) Send(ctx context.Context, addr string, r Request) (*Answer, error) {
 	c, err := p.connection(ctx, addr, r)
 	if err != nil {
@@ -238,6 +240,10 @@
 	}
 	r.Attempt.add(c)
 	stop := context.AfterFunc(ctx, c.abort)
+	if err := deadline.Err(ctx); err != nil { // abort may come too late
+		p.discard(c, stop)
+		return nil, errors.Mark(err, ErrNotSent)
+	}
 	if r.BeforeSend != nil {
 		if err := r.BeforeSend(); err != nil {
 			p.discard(c, stop)
