gateway: the configuration that is in force after the body decides

readCall took the configuration before it read the body, and looked up the route and the key in it afterwards. A caller whose head came just before a version, and whose body came after it, got 404 or 401 for a route or key which that version has, and didn't try again. The check whether a newer configuration may allow the call looked at the new one already, so that it didn't turn this into a 503 either.

The state is now read again after the body.

Before: body_test.go:49 (in a trial with both tests of the file): status 404 {"error":{"kind":"no_route"}}, want 200 After: passes with -race.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -116,7 +116,8 @@
 	}
 	c.path, _, _ = strings.Cut(c.target, "?")
 	c.key, _ = strings.CutPrefix(r.Header.Get("Authorization"), g.dialect.KeyScheme)
-	if refusal := g.authorize(c, s); refusal != nil {
+	// The configuration may have changed while the body arrived.
+	if refusal := g.authorize(c, g.state()); refusal != nil {
 		return c, refusal
 	}
 	c.headHash = c.identity().HeadHash()
