gateway: a suspension while the body arrives counts

A call has its deadline twice: by a clock that stops during a suspension of the host, counted from its arrival, and by one that doesn't, counted from the end of its body. A call whose deadline passed in a suspension while its body arrived was sent to a server all the same. Without one, the second deadline is later than the first by what the body took, and so is the time at which a payment that a delegating host passes on is taken for made.

Both clocks are now read when the call arrives.

Before: body_test.go:64: status 200 after 1 requests reached the server, want none After: passes with -race.

--- a/daemon/gateway/body_test.go
+++ b/daemon/gateway/body_test.go
@@ -4,9 +4,13 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"slipcrank.example/core/boottime"
 	"slipcrank.example/core/site"
+	"slipcrank.example/daemon/gateway"
 )
 
 // waitFunc is a body that is read only after it was called.
@@ -45,3 +49,18 @@
 		t.Errorf("status %d %s, want 200", a.Code, a.Body)
 	}
 }
+
+// TestNothingIsSentAfterDeadlineThatPassedBeforeTheBody suspends the host while the body of a request
+// arrives.
+func TestNothingIsSentAfterDeadlineThatPassedBeforeTheBody(t *testing.T) {
+	var bootTime atomic.Int64
+	clock := boottime.New(boottime.WithBootTime(func() (time.Duration, error) { return time.Duration(bootTime.Load()), nil }))
+	f := startWith(t, []gateway.Option{gateway.WithClock(clock)}, plainReply(200, "fine"))
+	a := f.serveWithBody("/once/", func() {
+		bootTime.Add(int64(20 * time.Second))
+		clock.Refresh()
+	})
+	if a.Code == http.StatusOK || f.requestCount() > 0 {
+		t.Errorf("status %d after %d requests reached the server, want none", a.Code, f.requestCount())
+	}
+}
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -77,7 +77,7 @@
 // readCall reads and authorizes a request. It returns a refusal if the request can't be
 // served.
 func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, buffer *bodyBuffer, now time.Time, d *delegation) (*call, *refusalResponse) {
-	s := g.state()
+	s, arrived := g.state(), g.clock.Now()
 	if s.Config == nil {
 		left := callTimeout(r.Header.Get(g.dialect.Deadline), 0)
 		return nil, refuse(http.StatusServiceUnavailable, "no_configuration", min(startupRetryAfter, time.Duration(startupRetryFraction*float64(left))))
@@ -109,7 +109,7 @@
 	}
 	if d != nil {
 		c.attempts, c.counted, c.arrivedAt = d.attempts, d.counted, now.Add(-d.elapsed)
-		c.sent, c.paidService, c.paidAt = d.sent, d.paid, g.clock.Now()
+		c.sent, c.paidService, c.paidAt = d.sent, d.paid, arrived
 		for _, id := range d.leaving {
 			c.failedServers[id] = true
 		}
@@ -128,7 +128,7 @@
 		c.work.Answer = n
 	}
 	timeout := callTimeout(r.Header.Get(g.dialect.Deadline), c.route.Timeout)
-	c.deadline, c.bootDeadline = now.Add(timeout), g.clock.Now()+timeout
+	c.deadline, c.bootDeadline = now.Add(timeout), arrived+timeout
 	return c, nil
 }
 
