gateway: a payment for a retry counts from when it was asked for

The hosts that lend a retry count it when they are asked, up to 0.4 s before the call knows that it is paid. The call took the time after that for the time of the payment, so that it could be sent up to 0.4 s later than MaxDelay after it was counted, when the span of the budget may already have lost it.

The time is now read before the payment.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -338,13 +338,13 @@
 	if c.sent == 0 || c.paidService != "" {
 		return true
 	}
-	service, ok := c.route.Pick(rand.Float64()), false
+	service, asked, ok := c.route.Pick(rand.Float64()), g.clock.Now(), false
 	if c.balance, ok = g.payRetry(ctx, service, time.Now()); !ok {
 		g.metrics.Count("gateway_retries_denied", 1, "service", service)
 		c.lastFailure += ",retry_budget_used"
 		return false
 	}
-	c.paidService, c.paidAt = service, g.clock.Now()
+	c.paidService, c.paidAt = service, asked
 	return true
 }
 
