gateway: silence cuts no stream that can't be resumed

A call whose server sends nothing for 1.2 s or more was ended at that server first, and then tried elsewhere if the attempts of its route, the retry budget and a planned stop allowed that. If they didn't, a caller that had a part of a stream lost the rest, though the server would have gone on. Engines fall silent for that long while they read long prompts; so many streams end together when the budget is used up, which the silence of many streams itself does. In a planned stop a resume is refused if it may not end before the process does, so that there the silence cuts streams that would have had time.

Once a part of a stream has been sent, the decision whether the call may be sent to another server now comes before the call is ended: attempts are left, a planned stop leaves time, and the retry is paid. Otherwise the host goes on listening to the server and asks again each second. A payment is kept with the exchange, and counts for as long as any other.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -338,16 +338,25 @@
 	if c.sent == 0 || c.paidService != "" {
 		return true
 	}
-	service, asked, ok := c.route.Pick(rand.Float64()), g.clock.Now(), false
-	if c.balance, ok = g.payRetry(ctx, service, time.Now()); !ok {
-		g.metrics.Count("gateway_retries_denied", 1, "service", service)
+	p, ok := g.payFor(ctx, c.route)
+	if c.balance = p.balance; !ok {
 		c.lastFailure += ",retry_budget_used"
 		return false
 	}
-	c.paidService, c.paidAt = service, asked
+	c.paidService, c.paidAt = p.service, p.at
 	return true
 }
 
+// payFor pays for one more send of a call of a route.
+func (g *Gateway) payFor(ctx context.Context, r site.Route) (payment, bool) {
+	service, asked := r.Pick(rand.Float64()), g.clock.Now()
+	balance, ok := g.payRetry(ctx, service, time.Now())
+	if !ok {
+		g.metrics.Count("gateway_retries_denied", 1, "service", service)
+	}
+	return payment{service, asked, balance}, ok
+}
+
 // pickService returns the service of the next try: the one to which it is paid, if the route
 // still has that.
 func (c *call) pickService() string {
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"slipcrank.example/core/backend"
+	"slipcrank.example/core/limit"
 )
 
 // errServerRestarted cancels a call whose server has restarted, or at whose address another
@@ -23,26 +24,37 @@
 // time.
 var errPastDeadline = errors.New("host was suspended past the call's deadline")
 
-// exchanges tracks the calls that are in progress at servers. It is safe for concurrent
-// use.
-type exchanges struct {
-	mu   sync.Mutex
-	open map[*exchange]bool
-}
+type (
+	// exchanges tracks the calls that are in progress at servers. It is safe for concurrent
+	// use.
+	exchanges struct {
+		mu   sync.Mutex
+		open map[*exchange]bool
+	}
 
-// exchange is one call in progress at a server. It is safe for concurrent use.
-type exchange struct {
-	server       backend.Server
-	bootDeadline time.Duration
-	movable      bool // the call may be sent to another server after it was sent to this one
-	cancel       context.CancelCauseFunc
-
-	mu       sync.Mutex
-	sent     bool          // the request may have begun to leave this host
-	canceled bool          // before the request was sent
-	begun    bool          // the server has begun to answer
-	heard    time.Duration // when the server last sent something, or the exchange began
-}
+	// exchange is one call in progress at a server. It is safe for concurrent use.
+	exchange struct {
+		server       backend.Server
+		bootDeadline time.Duration
+		movable      bool // the call may be sent to another server after it was sent to this one
+		cancel       context.CancelCauseFunc
+
+		mu       sync.Mutex
+		sent     bool          // the request may have begun to leave this host
+		canceled bool          // before the request was sent
+		begun    bool          // the server has begun to answer
+		headSent bool          // the caller has the head of the answer
+		heard    time.Duration // when the server last sent something, or the exchange began
+		payment  payment       // for sending the call to another server, zero for none
+	}
+
+	// payment is a payment from the retry budget for one send to a service.
+	payment struct {
+		service string
+		at      time.Duration // by the gateway's clock
+		balance limit.Balance // when it was asked for
+	}
+)
 
 func newExchanges() *exchanges { return &exchanges{open: map[*exchange]bool{}} }
 
@@ -87,6 +99,34 @@
 	return e.heard
 }
 
+// setHeadSent records that the caller has the head of the answer.
+func (e *exchange) setHeadSent() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.headSent = true
+}
+
+// isHeadSent reports whether the caller has the head of the answer.
+func (e *exchange) isHeadSent() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.headSent
+}
+
+// setPayment records a payment for sending the call to another server.
+func (e *exchange) setPayment(p payment) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.payment = p
+}
+
+// paid returns the payment for sending the call to another server, if there is one.
+func (e *exchange) paid() (payment, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.payment, e.payment.service != ""
+}
+
 // cancelIfMovable cancels an exchange whose server has sent nothing since a time, unless
 // the call may have been sent and may run only once.
 func (e *exchange) cancelIfMovable(since time.Duration) {
--- a/daemon/gateway/silence.go
+++ b/daemon/gateway/silence.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -34,12 +35,16 @@
 	// single probe may fail although the server is alive.
 	sharedCheckInterval = 500 * time.Millisecond
 	maxProbeFailures    = 2
+	// silenceRecheckInterval is the time until it is checked again whether a silent stream can
+	// be resumed elsewhere.
+	silenceRecheckInterval = time.Second
 )
 
 // silenceTimer calls onExpire when a server has sent nothing for too long.
 type silenceTimer struct {
 	timeout   time.Duration
 	extension func(silent time.Duration) time.Duration // how much longer than timeout the silence may last
+	mayExpire func() bool                              // called when the silence has lasted too long; nil for always
 	onExpire  func()
 
 	mu           sync.Mutex
@@ -69,8 +74,8 @@
 	t.timer.Stop()
 }
 
-// check calls onExpire if the silence has lasted too long, and otherwise schedules the
-// next check.
+// check calls onExpire if the silence has lasted too long and may expire, and otherwise
+// schedules the next check.
 func (t *silenceTimer) check() {
 	bound := t.timeout
 	t.mu.Lock()
@@ -79,17 +84,22 @@
 	if silent >= bound {
 		bound += t.extension(silent)
 	}
+	expires := silent >= bound && (t.mayExpire == nil || t.mayExpire())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.stopped {
 		return
 	}
-	if silent = time.Since(t.lastActivity); silent >= bound {
+	silent = time.Since(t.lastActivity)
+	switch {
+	case silent < bound:
+		t.timer.Reset(bound - silent)
+	case !expires:
+		t.timer.Reset(silenceRecheckInterval)
+	default:
 		t.stopped = true
 		go t.onExpire()
-		return
 	}
-	t.timer.Reset(bound - silent)
 }
 
 // silenceTimeout returns how long a server may send nothing before the call is tried on
@@ -149,5 +159,28 @@
 	}
 }
 
+// silenceMayExpire returns a function that reports whether a call may be taken from a silent
+// server. A caller that has a part of its answer would lose the rest unless the call can be
+// resumed elsewhere, so that this is paid for first.
+func (g *Gateway) silenceMayExpire(ctx context.Context, c *call) func() bool {
+	x, route, isLast := c.exchange, c.route, c.attempts+1 >= max(c.route.Attempts, 1)
+	return func() bool {
+		if !x.isHeadSent() {
+			return true
+		}
+		if isLast || !c.progress.allowed(g.mayServe) {
+			return false
+		}
+		if p, ok := x.paid(); ok && g.clock.Now()-p.at <= g.budget.MaxDelay() {
+			return true
+		}
+		p, ok := g.payFor(ctx, route)
+		if ok {
+			x.setPayment(p)
+		}
+		return ok
+	}
+}
+
 // reachable reports whether a server accepts connections.
 func (g *Gateway) reachable(s backend.Server) bool { return g.probe(s) == nil }
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -79,4 +79,7 @@
 	c.beginCloseFramed()
 	w.WriteHeader(a.Status)
 	c.headSent = true
+	if c.exchange != nil {
+		c.exchange.setHeadSent()
+	}
 }
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -286,12 +286,18 @@
 func (g *Gateway) sendWatched(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement, server backend.Server) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	timer := &silenceTimer{timeout: firstSilenceCheck(c, p), extension: g.silenceExtension(c, s, p, server), onExpire: func() { cancel(errServerSilent) }}
-	timer.start()
-	defer timer.stop()
 	x := g.exchanges.add(server, c.bootDeadline, c.route.Resumable(), g.clock.Now(), cancel)
 	c.exchange = x
 	defer g.exchanges.remove(x)
+	if c.headSent {
+		x.setHeadSent()
+	}
+	timer := &silenceTimer{
+		timeout: firstSilenceCheck(c, p), extension: g.silenceExtension(c, s, p, server),
+		mayExpire: g.silenceMayExpire(ctx, c), onExpire: func() { cancel(errServerSilent) },
+	}
+	timer.start()
+	defer timer.stop()
 	check := time.AfterFunc(pathCheckDelay(p), func() { g.checkSilentPath(x) })
 	defer check.Stop()
 	out := g.sendAndForward(ctx, w, c, s, p, server, timer)
@@ -310,6 +316,9 @@
 		c.freshConn = true
 		g.pool.CloseIdle(server.Addr)
 	}
+	if paid, ok := x.paid(); ok && out.result == failed {
+		c.paidService, c.paidAt, c.balance = paid.service, paid.at, paid.balance
+	}
 	return out
 }
 
