gateway: a server learns the time and the workspace as of the send

The headers of a request were made before its connection was opened, which may take 0.6 s, and longer on a host that is short of processor time. The server got that much more time than was left, and the time that the host had been suspended on top. A key that went to another workspace meanwhile was served under the new one, while its server was told the old one.

The time left, the workspace and the rank are now set after the last check, right before the first byte. The time left is the smaller one by the two clocks.

--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -22,25 +22,20 @@
 	maxUrgency = 9
 )
 
-// buildRequest builds the request that is sent to the lead of a placement.
+// buildRequest builds the request that is sent to the lead of a placement. What may change
+// while the connection is opened is set right before it is sent.
 func (g *Gateway) buildRequest(c *call, s State, p schedule.Placement) upstream.Request {
 	h := c.header.Clone()
-	left := time.Until(c.deadline)
 	set := func(name, value string) {
 		if name != "" && value != "" {
 			h.Set(name, value)
 		}
 	}
-	set(g.dialect.Deadline, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	if lead, ok := s.Servers.Get(p.Lead); ok {
 		set(g.dialect.ExpectInstance, lead.PlatformID())
 	}
-	set(g.dialect.Workspace, c.workspace.Name)
 	set(g.dialect.LastEventID, c.lastEventID)
 	set(g.dialect.Helpers, strings.Join(helperAddrs(s, p), ","))
-	if c.work.Prompt > 0 {
-		set(g.dialect.Urgency, strconv.Itoa(urgency(c)))
-	}
 	return upstream.Request{
 		Method:   c.method,
 		Target:   c.target,
@@ -54,10 +49,26 @@
 
 		NewConnection: c.freshConn || g.provesPath(c),
 		OpenOnly:      g.usesOpenConnections(c, p.Service),
-		BeforeSend:    func() error { return g.checkBeforeSend(c, p) },
+		BeforeSend: func() error {
+			if err := g.checkBeforeSend(c, p); err != nil {
+				return err
+			}
+			set(g.dialect.Deadline, g.formatTimeLeft(c))
+			set(g.dialect.Workspace, c.workspace.Name)
+			if c.work.Prompt > 0 {
+				set(g.dialect.Urgency, strconv.Itoa(urgency(c)))
+			}
+			return nil
+		},
 	}
 }
 
+// formatTimeLeft returns the milliseconds until a call's deadline, at least one.
+func (g *Gateway) formatTimeLeft(c *call) string {
+	left := min(time.Until(c.deadline), c.bootDeadline-g.clock.Now())
+	return strconv.FormatInt(max(left.Milliseconds(), 1), 10)
+}
+
 // checkBeforeSend is called right before the first byte of a request is sent. It
 // returns an error if the request must not be sent any more.
 func (g *Gateway) checkBeforeSend(c *call, p schedule.Placement) error {
--- a/daemon/gateway/suspended_test.go
+++ b/daemon/gateway/suspended_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -47,3 +48,20 @@
 		t.Errorf("status %d after %d requests reached the server, want none", a.status, f.requestCount())
 	}
 }
+
+// TestServerGetsNoTimeThatWasSpentSuspended suspends the host for 2 s of a call's 5 s.
+func TestServerGetsNoTimeThatWasSpentSuspended(t *testing.T) {
+	var bootTime atomic.Int64
+	clock := boottime.New(boottime.WithBootTime(func() (time.Duration, error) { return time.Duration(bootTime.Load()), nil }))
+	f := startWith(t, []gateway.Option{
+		gateway.WithClock(clock),
+		gateway.WithPlacementHooks(func(schedule.Placement) { bootTime.Add(int64(2 * time.Second)) }, func(schedule.ID) {}, func(schedule.ID) {}),
+	}, plainReply(200, "fine"))
+	if a := f.do("POST", "/once/", "b"); a.status != http.StatusOK {
+		t.Fatalf("got %+v", a)
+	}
+	text := f.servers[0].received()[0].request.Header.Get("Wait-Ms")
+	if ms, err := strconv.Atoi(text); err != nil || ms > 3500 {
+		t.Errorf("the server may take %q ms, want at most 3500", text)
+	}
+}
