gateway: a delegated call counts the time to connect

The time that is left of a delegated call, and how much is over, were put into its headers before the connection to the other host was opened, which may take 0.3 s. The other host gave the server that much more, and placed the call as if its answer were due that much later. The servers that were about to leave were those of then, too.

The headers are now set right before the first byte.

Before: delegated_wait_internal_test.go:36: the other host may take "999" ms, want at most 800 delegated_wait_internal_test.go:39: the other host learns that 0s of the call's time are over, want at least 200ms (<nil>) After: passes with -race, as do the tests of delegated calls.

--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -85,13 +85,6 @@
 	if c.lastEventID != "" {
 		h.Set(g.dialect.LastEventID, c.lastEventID)
 	}
-	h.Set(g.dialect.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
-	h.Set(delegationHeader, delegation{
-		attempts: c.attempts, sent: c.sent, paid: c.paidService, version: max(s.Config.Version(), g.servedVersion.Load()), elapsed: time.Since(c.arrivedAt), counted: c.counted,
-		// Other hosts may not know it, since they remember what they are told for some seconds
-		// only. They may list servers that this host doesn't.
-		leaving: g.notices.LeavingServers(maxLeavingServers),
-	}.String())
 	return upstream.Request{
 		Method: c.method, Target: c.target, Host: c.host, Header: h, Body: c.body,
 		IDHeader: g.dialect.AttemptID, ID: c.id, Attempt: &c.sends, Check: g.peerAnswerCheck(c),
@@ -101,11 +94,27 @@
 			if c.sentAt >= c.bootDeadline {
 				return errNotAllowed
 			}
-			return c.progress.beginSending(to.Addr, g.mayServe)
+			if err := c.progress.beginSending(to.Addr, g.mayServe); err != nil {
+				return err
+			}
+			h.Set(g.dialect.Deadline, g.formatTimeLeft(c))
+			h.Set(delegationHeader, g.describe(c, s).String())
+			return nil
 		},
 	}
 }
 
+// describe returns what another host has to know of a call that is delegated to it now.
+func (g *Gateway) describe(c *call, s State) delegation {
+	return delegation{
+		attempts: c.attempts, sent: c.sent, paid: c.paidService, counted: c.counted,
+		version: max(s.Config.Version(), g.servedVersion.Load()), elapsed: time.Since(c.arrivedAt),
+		// Other hosts may not know it, since they remember what they are told for some seconds
+		// only. They may list servers that this host doesn't.
+		leaving: g.notices.LeavingServers(maxLeavingServers),
+	}
+}
+
 // refuseDelegated refuses a delegated call that another host can serve better.
 func (g *Gateway) refuseDelegated(c *call, s State) *refusalResponse {
 	if c.delegated == nil {
