--- a/cmd/slipcrankd/stop_world_test.go
+++ b/cmd/slipcrankd/stop_world_test.go
@@ -1,15 +1,17 @@
 package main_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,6 +32,11 @@
 	// stopDeadline is the deadline of each request and the timeout of each route.
 	stopDeadline = 15 * time.Second
 	stopServers  = 4
+	// stopGap is the pause between two events of a stream.
+	stopGap = 50 * time.Millisecond
+	// Every faultInterval-th run of a faulty server fails, on average.
+	faultInterval = 3
+	silence       = 3 * time.Second
 
 	stopSettings = `host: %[1]s
 hall: hall-0
@@ -45,6 +52,7 @@
 	stopWorld struct {
 		t        *testing.T
 		ctx      context.Context
+		cancel   context.CancelFunc
 		ipPrefix string
 		store    *standin.Store
 		storeAt  string
@@ -62,18 +70,22 @@
 		name, ip string
 		settings string
 		env      []string
-		log      logBuffer
-		cmd      *exec.Cmd
-		exited   chan error // has the result of the process
+		ready    atomic.Bool // as the load balancer sees it
+
+		// Of the process that was started last.
+		log    *logBuffer
+		cmd    *exec.Cmd
+		exited chan error // has the result
 	}
 
 	// stopServer is a backend server that records its runs.
 	stopServer struct {
-		id     string
-		faults func() (silence time.Duration, breaksOff bool)
+		id string
 
-		mu   sync.Mutex
-		runs map[string][]*stopRun // by attempt
+		mu             sync.Mutex
+		runs           map[string][]*stopRun // by attempt
+		rnd            *rand.Rand            // draws the runs that are silent at first or break off
+		silent, broken bool
 	}
 
 	// stopRun is a run of a request on a server.
@@ -83,16 +95,6 @@
 		cut          bool      // by the host
 		brokeOff     bool      // by the server
 	}
-
-	// stopRequest is a request of a caller.
-	stopRequest struct {
-		id                       string
-		host                     *stopHost
-		firstByte, lastByte, end time.Time // lastByte is zero if the request wasn't sent whole
-		status                   int
-		whole, closes            bool
-		err                      error
-	}
 )
 
 var stopWorlds atomic.Int64
@@ -103,7 +105,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	w := &stopWorld{
-		t: t, ctx: ctx, store: standin.NewStore(), grace: grace,
+		t: t, ctx: ctx, cancel: cancel, store: standin.NewStore(), grace: grace,
 		ipPrefix: fmt.Sprintf("127.%d.%d.", 2+os.Getpid()%200, 1+stopWorlds.Add(1)%250),
 	}
 	w.storeAt = w.listen(250, w.store)
@@ -118,7 +120,6 @@
 		[]string{stopService}, map[string]string{"key": "workspace"})
 	for n := range stopServers {
 		s := &stopServer{id: fmt.Sprintf("server-%d", n), runs: map[string][]*stopRun{}}
-		s.faults = func() (time.Duration, bool) { return 0, false }
 		w.servers = append(w.servers, s)
 		w.store.PutServer(backend.Server{ID: s.id, Service: stopService, Addr: w.listen(200+n, s), Hall: "hall-0", Slots: 64})
 	}
@@ -130,10 +131,15 @@
 			t.Fatal(err)
 		}
 		w.hosts = append(w.hosts, h)
-		h.start()
+		if err := h.start(); err != nil {
+			t.Fatal(err)
+		}
+		go h.checkReadiness()
 	}
 	for _, h := range w.hosts {
-		h.waitUntilServing()
+		if err := h.waitUntilServing(); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return w
 }
@@ -150,35 +156,51 @@
 	return l.Addr().String()
 }
 
-// start starts the process of the host.
-func (h *stopHost) start() {
-	c := exec.Command(filepath.Join(binDir, "slipcrankd"), "entry")
+// start starts the process of the host. It is killed at the end of the test.
+func (h *stopHost) start() error {
+	c, log := exec.Command(filepath.Join(binDir, "slipcrankd"), "entry"), &logBuffer{}
 	c.Env = append(append(os.Environ(), platform.SettingsVariable+"="+h.settings), h.env...)
-	c.Stdout, c.Stderr = &h.log, &h.log
+	c.Stdout, c.Stderr = log, log
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
-		h.w.t.Fatal(err)
+		return err
 	}
 	exited := make(chan error, 1)
-	h.cmd, h.exited = c, exited
+	h.log, h.cmd, h.exited = log, c, exited
 	go func() { exited <- c.Wait() }()
-	h.w.t.Cleanup(func() { _ = c.Process.Kill() })
+	context.AfterFunc(h.w.ctx, func() { _ = c.Process.Kill() }) // fails if it has exited
+	return nil
+}
+
+// checkReadiness checks the host once per second, as the load balancer does.
+func (h *stopHost) checkReadiness() {
+	client := http.Client{Timeout: time.Second}
+	for misses := 0; h.w.ctx.Err() == nil; _ = pause.For(h.w.ctx, time.Second) {
+		resp, err := client.Get("http://" + h.ip + ":7101/readiness")
+		misses++
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				misses = 0
+			}
+		}
+		h.ready.Store(misses < 2)
+	}
 }
 
 // waitUntilServing waits until the host answers a call.
-func (h *stopHost) waitUntilServing() {
-	h.w.t.Helper()
+func (h *stopHost) waitUntilServing() error {
 	end := time.Now().Add(waitTimeout)
-	for n := 0; time.Now().Before(end); n++ {
+	for time.Now().Before(end) {
 		c := &stopCaller{w: h.w, name: fmt.Sprintf("probe-%s-%d", h.name, time.Now().UnixNano())}
-		r := c.send(h, stopWork{path: "/call/1/"})
+		r := c.send(h, stopWork{path: "/call/1/0/"})
 		c.close()
 		if r.status == http.StatusOK && r.whole {
-			return
+			return nil
 		}
 		_ = pause.For(h.w.ctx, 20*time.Millisecond)
 	}
-	h.w.t.Fatalf("%s doesn't serve within %v:\n%s", h.name, waitTimeout, h.log.String())
+	return fmt.Errorf("%s doesn't serve within %v:\n%s", h.name, waitTimeout, h.log.String())
 }
 
 // runsOf returns the runs of a request in the order in which they began.
@@ -191,21 +213,24 @@
 		}
 		s.mu.Unlock()
 	}
-	for i := range all {
-		for j := i; j > 0 && all[j].began.Before(all[j-1].began); j-- {
-			all[j], all[j-1] = all[j-1], all[j]
-		}
-	}
+	slices.SortFunc(all, func(a, b stopRun) int { return a.began.Compare(b.began) })
 	return all
 }
 
+// setFaults sets whether some runs are silent at first, and whether some streams break off.
+func (s *stopServer) setFaults(r *rand.Rand, silent, broken bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rnd, s.silent, s.broken = r, silent, broken
+}
+
 // stopEvent returns the n-th event of a stream.
 func stopEvent(n, size int) string {
 	return fmt.Sprintf("id: %d\ndata: piece %d %s\n\n", n, n, strings.Repeat(".", size))
 }
 
-// ServeHTTP runs a request for the time that is in its path: /KIND/MILLISECONDS/...
-// A stream has an event every stopGap.
+// ServeHTTP runs a request as its path says, /KIND/MILLISECONDS/BYTES/...: for how long, with
+// events of what size. A stream has an event every stopGap.
 func (s *stopServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d := platform.Dialect()
 	attempt := r.Header.Get(d.AttemptID)
@@ -221,7 +246,7 @@
 	run := &stopRun{from: from, server: s.id, began: time.Now()}
 	s.mu.Lock()
 	s.runs[attempt] = append(s.runs[attempt], run)
-	silence, breaksOff := s.faults()
+	silent, breaksOff := s.silent && s.rnd.IntN(faultInterval) == 0, s.broken && s.rnd.IntN(faultInterval) == 0
 	s.mu.Unlock()
 	defer func() {
 		s.mu.Lock()
@@ -230,11 +255,11 @@
 		run.cut = !run.brokeOff && r.Context().Err() != nil
 	}()
 	w.Header().Set(d.Seal, s.id)
-	var ms, size int
 	kind := strings.Split(r.URL.Path, "/")
-	_, _ = fmt.Sscanf(kind[2]+" "+kind[3], "%d %d", &ms, &size) // zero for others
+	ms, _ := strconv.Atoi(kind[2]) // the tests' callers send numbers
+	size, _ := strconv.Atoi(kind[3])
 	work := time.Duration(ms) * time.Millisecond
-	if pause.For(r.Context(), silence) != nil {
+	if silent && pause.For(r.Context(), silence) != nil {
 		return
 	}
 	if kind[1] != "stream" {
@@ -243,8 +268,7 @@
 		}
 		return
 	}
-	after := 0
-	_, _ = fmt.Sscan(r.Header.Get(d.LastEventID), &after) // zero if it has none
+	after, _ := strconv.Atoi(r.Header.Get(d.LastEventID)) // zero if it has none
 	w.Header().Set("Content-Type", "text/event-stream")
 	for n, last := after+1, int(work/stopGap); n <= last; n++ {
 		if breaksOff && n > after+last/4+1 {
@@ -259,105 +283,3 @@
 		}
 	}
 }
-
-const stopGap = 50 * time.Millisecond
-
-type (
-	// stopWork is what a caller asks for, and how it sends and reads.
-	stopWork struct {
-		path      string        // with the kind and the time that the server needs
-		bodyDelay time.Duration // from the head to the body
-		readPause time.Duration // between two reads of up to readBytes
-	}
-
-	// stopCaller sends one request at a time on a connection that it keeps.
-	stopCaller struct {
-		w    *stopWorld
-		name string
-		sent int
-		host *stopHost
-		conn net.Conn
-		in   *bufio.Reader
-	}
-
-	// slowReader pauses after each read.
-	slowReader struct {
-		io.Reader
-		pause time.Duration
-	}
-)
-
-// Read implements [io.Reader].
-func (r slowReader) Read(b []byte) (int, error) {
-	_ = pause.For(context.Background(), r.pause)
-	return r.Reader.Read(b[:min(len(b), readBytes)])
-}
-
-const readBytes = 4 << 10
-
-func (c *stopCaller) close() {
-	if c.conn != nil {
-		_ = c.conn.Close()
-		c.conn = nil
-	}
-}
-
-// send sends a request and reads its answer. It returns nil if the host can't be reached.
-func (c *stopCaller) send(h *stopHost, work stopWork) *stopRequest {
-	if c.host != h {
-		c.close()
-		c.host = h
-	}
-	c.sent++
-	r := &stopRequest{id: fmt.Sprintf("%s-%d", c.name, c.sent), host: h}
-	if c.conn == nil {
-		conn, err := net.DialTimeout("tcp", h.ip+":7100", time.Second)
-		if err != nil {
-			r.err = err
-			return r
-		}
-		c.conn, c.in = conn, bufio.NewReader(conn)
-	}
-	c.exchange(r, work)
-	c.w.mu.Lock()
-	c.w.requests = append(c.w.requests, r)
-	c.w.mu.Unlock()
-	if r.err != nil || r.closes {
-		c.close()
-	}
-	return r
-}
-
-// exchange sends a request on the caller's connection and reads the answer.
-func (c *stopCaller) exchange(r *stopRequest, work stopWork) {
-	d := platform.Dialect()
-	body := "body of " + r.id
-	_ = c.conn.SetDeadline(time.Now().Add(stopDeadline + 5*time.Second))
-	defer func() { r.end = time.Now() }()
-	r.firstByte = time.Now()
-	head := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n",
-		work.path, r.id, stopSite, d.AttemptID, r.id, d.Deadline, stopDeadline.Milliseconds(), len(body))
-	if work.bodyDelay == 0 {
-		head += body
-	}
-	if _, r.err = io.WriteString(c.conn, head); r.err != nil {
-		return
-	}
-	if work.bodyDelay > 0 {
-		_ = pause.For(c.w.ctx, work.bodyDelay)
-		if _, r.err = io.WriteString(c.conn, body); r.err != nil {
-			return
-		}
-	}
-	r.lastByte = time.Now()
-	resp, err := http.ReadResponse(c.in, nil)
-	if err != nil {
-		r.err = err
-		return
-	}
-	defer resp.Body.Close()
-	r.status, r.closes = resp.StatusCode, resp.Close
-	if _, r.err = io.Copy(io.Discard, slowReader{resp.Body, work.readPause}); r.err == nil {
-		r.whole = true
-	}
-}
