--- /dev/null
+++ b/cmd/slipcrankd/stop_world_test.go
@@ -0,0 +1,285 @@
+package main_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/pause"
+	"slipcrank.example/core/site"
+	"slipcrank.example/platform"
+	"slipcrank.example/platform/standin"
+)
+
+const (
+	stopSite    = "stops.example"
+	stopService = "plain"
+	// stopDeadline is the deadline of each request and the timeout of each route.
+	stopDeadline = 15 * time.Second
+	stopServers  = 4
+	// stopGap is the pause between two events of a stream.
+	stopGap = 50 * time.Millisecond
+	// Every faultInterval-th run of a faulty server fails, on average.
+	faultInterval = 3
+	silence       = 3 * time.Second
+
+	stopSettings = `host: %[1]s
+hall: hall-0
+listen: {callers: "%[2]s:7100", readiness: "%[2]s:7101", metrics: "%[2]s:7102", news: "%[2]s:7103", delegation: "%[2]s:7105"}
+platform: "%[3]s"
+source: %[2]s
+bounds: {key_proof: 5s, config: 2s, grace: %[4]s, retries: {share: 0.2, extra: 100, span: 10s}}
+`
+)
+
+type (
+	// stopWorld is a platform, backend servers, and hosts that are stopped.
+	stopWorld struct {
+		t        *testing.T
+		ctx      context.Context
+		cancel   context.CancelFunc
+		ipPrefix string
+		store    *standin.Store
+		storeAt  string
+		grace    time.Duration
+		hosts    []*stopHost
+		servers  []*stopServer
+
+		mu       sync.Mutex
+		requests []*stopRequest
+	}
+
+	// stopHost is an entry host, whose process can be started again.
+	stopHost struct {
+		w        *stopWorld
+		name, ip string
+		settings string
+		env      []string
+		ready    atomic.Bool // as the load balancer sees it
+
+		// Of the process that was started last.
+		log    *logBuffer
+		cmd    *exec.Cmd
+		exited chan error // has the result
+	}
+
+	// stopServer is a backend server that records its runs.
+	stopServer struct {
+		id string
+
+		mu             sync.Mutex
+		runs           map[string][]*stopRun // by attempt
+		rnd            *rand.Rand            // draws the runs that are silent at first or break off
+		silent, broken bool
+	}
+
+	// stopRun is a run of a request on a server.
+	stopRun struct {
+		from, server string
+		began, ended time.Time // ended is zero while it runs
+		cut          bool      // by the host
+		brokeOff     bool      // by the server
+	}
+)
+
+var stopWorlds atomic.Int64
+
+// startStopWorld starts the platform, the servers and hosts until the end of the test.
+func startStopWorld(t *testing.T, hosts int, grace time.Duration, env ...string) *stopWorld {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	w := &stopWorld{
+		t: t, ctx: ctx, cancel: cancel, store: standin.NewStore(), grace: grace,
+		ipPrefix: fmt.Sprintf("127.%d.%d.", 2+os.Getpid()%200, 1+stopWorlds.Add(1)%250),
+	}
+	w.storeAt = w.listen(250, w.store)
+	route := func(name string, k site.Kind, attempts int) site.Route {
+		return site.Route{
+			Name: name, Host: stopSite, Prefix: "/" + name + "/", Kind: k, Attempts: attempts, Resume: k == site.Stream,
+			Timeout: stopDeadline, Objective: 500 * time.Millisecond, Gap: 500 * time.Millisecond, Public: true,
+			Targets: []site.Target{{Service: stopService, Weight: 1}},
+		}
+	}
+	w.store.PutConfig(1, []site.Route{route("call", site.Repeatable, 2), route("once", site.Once, 1), route("stream", site.Stream, 3)},
+		[]string{stopService}, map[string]string{"key": "workspace"})
+	for n := range stopServers {
+		s := &stopServer{id: fmt.Sprintf("server-%d", n), runs: map[string][]*stopRun{}}
+		w.servers = append(w.servers, s)
+		w.store.PutServer(backend.Server{ID: s.id, Service: stopService, Addr: w.listen(200+n, s), Hall: "hall-0", Slots: 64})
+	}
+	for n := range hosts {
+		h := &stopHost{w: w, name: fmt.Sprintf("host-%d", n), ip: fmt.Sprintf("%s%d", w.ipPrefix, n+1), env: env}
+		h.settings = filepath.Join(t.TempDir(), h.name+".yaml")
+		text := fmt.Sprintf(stopSettings, h.name, h.ip, w.storeAt, grace)
+		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		w.hosts = append(w.hosts, h)
+		if err := h.start(); err != nil {
+			t.Fatal(err)
+		}
+		go h.checkReadiness()
+	}
+	for _, h := range w.hosts {
+		if err := h.waitUntilServing(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return w
+}
+
+// listen serves an address of the world until the end of the test.
+func (w *stopWorld) listen(n int, handler http.Handler) string {
+	l, err := net.Listen("tcp", fmt.Sprintf("%s%d:7200", w.ipPrefix, n))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	s := &http.Server{Handler: handler}
+	go func() { _ = s.Serve(l) }() // ends with Close
+	w.t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
+}
+
+// start starts the process of the host. It is killed at the end of the test.
+func (h *stopHost) start() error {
+	c, log := exec.Command(filepath.Join(binDir, "slipcrankd"), "entry"), &logBuffer{}
+	c.Env = append(append(os.Environ(), platform.SettingsVariable+"="+h.settings), h.env...)
+	c.Stdout, c.Stderr = log, log
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	exited := make(chan error, 1)
+	h.log, h.cmd, h.exited = log, c, exited
+	go func() { exited <- c.Wait() }()
+	context.AfterFunc(h.w.ctx, func() { _ = c.Process.Kill() }) // fails if it has exited
+	return nil
+}
+
+// checkReadiness checks the host once per second, as the load balancer does.
+func (h *stopHost) checkReadiness() {
+	client := http.Client{Timeout: time.Second}
+	for misses := 0; h.w.ctx.Err() == nil; _ = pause.For(h.w.ctx, time.Second) {
+		resp, err := client.Get("http://" + h.ip + ":7101/readiness")
+		misses++
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				misses = 0
+			}
+		}
+		h.ready.Store(misses < 2)
+	}
+}
+
+// waitUntilServing waits until the host answers a call.
+func (h *stopHost) waitUntilServing() error {
+	end := time.Now().Add(waitTimeout)
+	for time.Now().Before(end) {
+		c := &stopCaller{w: h.w, name: fmt.Sprintf("probe-%s-%d", h.name, time.Now().UnixNano())}
+		r := c.send(h, stopWork{path: "/call/1/0/"})
+		c.close()
+		if r.status == http.StatusOK && r.whole {
+			return nil
+		}
+		_ = pause.For(h.w.ctx, 20*time.Millisecond)
+	}
+	return fmt.Errorf("%s doesn't serve within %v:\n%s", h.name, waitTimeout, h.log.String())
+}
+
+// runsOf returns the runs of a request in the order in which they began.
+func (w *stopWorld) runsOf(id string) []stopRun {
+	var all []stopRun
+	for _, s := range w.servers {
+		s.mu.Lock()
+		for _, r := range s.runs[id] {
+			all = append(all, *r)
+		}
+		s.mu.Unlock()
+	}
+	slices.SortFunc(all, func(a, b stopRun) int { return a.began.Compare(b.began) })
+	return all
+}
+
+// setFaults sets whether some runs are silent at first, and whether some streams break off.
+func (s *stopServer) setFaults(r *rand.Rand, silent, broken bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rnd, s.silent, s.broken = r, silent, broken
+}
+
+// stopEvent returns the n-th event of a stream.
+func stopEvent(n, size int) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d %s\n\n", n, n, strings.Repeat(".", size))
+}
+
+// ServeHTTP runs a request as its path says, /KIND/MILLISECONDS/BYTES/...: for how long, with
+// events of what size. A stream has an event every stopGap.
+func (s *stopServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d := platform.Dialect()
+	attempt := r.Header.Get(d.AttemptID)
+	w.Header().Set(d.AttemptID, attempt)
+	if want := r.Header.Get(d.ExpectInstance); want != s.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if _, err := io.ReadAll(r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	from, _, _ := net.SplitHostPort(r.RemoteAddr)
+	run := &stopRun{from: from, server: s.id, began: time.Now()}
+	s.mu.Lock()
+	s.runs[attempt] = append(s.runs[attempt], run)
+	silent, breaksOff := s.silent && s.rnd.IntN(faultInterval) == 0, s.broken && s.rnd.IntN(faultInterval) == 0
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		run.ended = time.Now()
+		run.cut = !run.brokeOff && r.Context().Err() != nil
+	}()
+	w.Header().Set(d.Seal, s.id)
+	kind := strings.Split(r.URL.Path, "/")
+	ms, _ := strconv.Atoi(kind[2]) // the tests' callers send numbers
+	size, _ := strconv.Atoi(kind[3])
+	work := time.Duration(ms) * time.Millisecond
+	if silent && pause.For(r.Context(), silence) != nil {
+		return
+	}
+	if kind[1] != "stream" {
+		if pause.For(r.Context(), work) == nil {
+			_, _ = io.WriteString(w, stopEvent(1, size)) // a lost connection shows in the context
+		}
+		return
+	}
+	after, _ := strconv.Atoi(r.Header.Get(d.LastEventID)) // zero if it has none
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n, last := after+1, int(work/stopGap); n <= last; n++ {
+		if breaksOff && n > after+last/4+1 {
+			s.mu.Lock()
+			run.brokeOff = true
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, stopEvent(n, size))
+		if http.NewResponseController(w).Flush() != nil || n < last && pause.For(r.Context(), stopGap) != nil {
+			return
+		}
+	}
+}
