gateway: a delegated request that is cut names its server

Seen: TestPlannedStops, silent servers: the line of a delegated request that the end of the process cut named the other host, not the server that the answer had named. Change: the answer of the other host says which server it is from; the line takes that. Until then it names the host.

--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -175,6 +175,7 @@
 	if r.origin != originServer {
 		return g.refusedByPeer(c, a, r)
 	}
+	c.progress.setServer(r.server)
 	if server, ok := s.Servers.Get(r.server); ok {
 		g.applyNotices(c, server, a) // what this host passes on binds it, too
 	}
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -102,6 +102,13 @@
 	return nil
 }
 
+// setServer records the server to which another host has sent the call.
+func (p *progress) setServer(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.server = server
+}
+
 // cancelWaiting cancels the call if it waits and is no longer allowed.
 func (p *progress) cancelWaiting(allowed func(*progress, time.Time) bool) {
 	p.mu.Lock()
