gateway: a payment keeps its age when its call is delegated

A payment for a retry counts for MaxDelay, since the budget forgets it. A host to which a call was delegated counted that from the arrival of the call, so that each host in turn began anew: up to three delegations, each with up to 0.3 s to connect. A payment too old to be used was passed on as well.

The delegating host now tells the age of the payment, and leaves out one that is too old. Hosts of an earlier version ignore the age, and tell none.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -109,7 +109,7 @@
 	}
 	if d != nil {
 		c.attempts, c.counted, c.arrivedAt = d.attempts, d.counted, now.Add(-d.elapsed)
-		c.sent, c.paidService, c.paidAt = d.sent, d.paid, arrived
+		c.sent, c.paidService, c.paidAt = d.sent, d.paid, arrived-d.paidAge
 		for _, id := range d.leaving {
 			c.failedServers[id] = true
 		}
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -41,6 +41,7 @@
 		attempts int           // that count against the route's
 		sent     int           // sends that may have reached servers
 		paid     string        // the service to which one more send is paid, empty for none
+		paidAge  time.Duration // since that was paid
 		version  int64         // of the configuration by which the call must be served at least
 		elapsed  time.Duration // since the call arrived at the other host
 		counted  bool          // the other host has counted it in the retry budget
@@ -106,8 +107,12 @@
 
 // describe returns what another host has to know of a call that is delegated to it now.
 func (g *Gateway) describe(c *call, s State) delegation {
+	paid, age := c.paidService, g.clock.Now()-c.paidAt
+	if paid == "" || age > g.budget.MaxDelay() {
+		paid, age = "", 0
+	}
 	return delegation{
-		attempts: c.attempts, sent: c.sent, paid: c.paidService, counted: c.counted,
+		attempts: c.attempts, sent: c.sent, paid: paid, paidAge: age, counted: c.counted,
 		version: max(s.Config.Version(), g.servedVersion.Load()), elapsed: time.Since(c.arrivedAt),
 		// Other hosts may not know it, since they remember what they are told for some seconds
 		// only. They may list servers that this host doesn't.
@@ -152,8 +157,8 @@
 	for _, id := range d.leaving {
 		leaving = append(leaving, url.QueryEscape(id))
 	}
-	return fmt.Sprintf("attempts=%d, sent=%d, paid=%s, version=%d, elapsed=%d, counted=%t, leaving=%s",
-		d.attempts, d.sent, url.QueryEscape(d.paid), d.version, d.elapsed.Milliseconds(), d.counted, strings.Join(leaving, " "))
+	return fmt.Sprintf("attempts=%d, sent=%d, paid=%s, paid_ms=%d, version=%d, elapsed=%d, counted=%t, leaving=%s",
+		d.attempts, d.sent, url.QueryEscape(d.paid), d.paidAge.Milliseconds(), d.version, d.elapsed.Milliseconds(), d.counted, strings.Join(leaving, " "))
 }
 
 // String returns the value of the header of an answer to a delegated request.
@@ -176,6 +181,10 @@
 	if err != nil {
 		return delegation{}, fmt.Errorf("paid %q of a delegated request: escape the service", f["paid"])
 	}
+	paidAge, err := strconv.ParseUint(cmp.Or(f["paid_ms"], "0"), 10, 32) // hosts of an earlier version don't tell
+	if err != nil {
+		return delegation{}, fmt.Errorf("paid_ms %q of a delegated request: send milliseconds", f["paid_ms"])
+	}
 	version, err := strconv.ParseInt(f["version"], 10, 64)
 	if err != nil {
 		return delegation{}, fmt.Errorf("version %q of a delegated request: send a number", f["version"])
@@ -192,7 +201,10 @@
 		}
 		leaving = append(leaving, server)
 	}
-	return delegation{int(attempts), sent, paid, version, time.Duration(elapsed) * time.Millisecond, f["counted"] == "true", leaving}, nil
+	return delegation{
+		int(attempts), sent, paid, time.Duration(paidAge) * time.Millisecond, version, time.Duration(elapsed) * time.Millisecond,
+		f["counted"] == "true", leaving,
+	}, nil
 }
 
 // parseReport parses the value of the header of an answer. Its origin is unknown if the
--- a/daemon/gateway/delegated_internal_test.go
+++ b/daemon/gateway/delegated_internal_test.go
@@ -13,7 +13,7 @@
 		"no version":   {elapsed: time.Hour},
 		"not counted":  {attempts: 1, version: 3},
 		"old and used": {attempts: 9, version: 1, elapsed: time.Millisecond, counted: true},
-		"paid":         {attempts: 1, sent: 2, paid: "a, service=%", version: 3},
+		"paid":         {attempts: 1, sent: 2, paid: "a, service=%", paidAge: 40 * time.Millisecond, version: 3},
 		"with servers": {version: 1, leaving: []string{"i-1@17", "odd, id=%"}},
 	} {
 		t.Run(name, func(t *testing.T) {
