gateway: the time that grants take counts as waiting for them

A call waits for the grants of servers with limits for a part of its objective. Of that, only the pauses between its requests for grants were taken off, not the requests themselves, each of which may wait 0.1 s for a host and as long for the next one. A call with an objective of 1 s, which may wait 0.4 s, was held for 3.7 s and then refused.

The end of the wait is now a fixed time.

--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -141,13 +141,12 @@
 // maxGrantRequests denials, the call waits for the next request that a limit allows, if that
 // is soon enough, and is refused otherwise.
 func (g *Gateway) placeWithGrant(ctx context.Context, c *call, s State, stage placeStage) (schedule.Placement, site.Service, *refusalResponse) {
-	patience := time.Duration(grantPatience * float64(c.route.Objective-time.Since(c.arrivedAt)))
+	end := time.Now().Add(time.Duration(grantPatience * float64(c.route.Objective-time.Since(c.arrivedAt))))
 	for {
 		p, service, refusal := g.tryGrants(ctx, c, s, stage)
-		if refusal == nil || refusal.available == 0 || refusal.available > patience || pause.For(ctx, refusal.available) != nil {
+		if refusal == nil || refusal.available == 0 || refusal.available > time.Until(end) || pause.For(ctx, refusal.available) != nil {
 			return p, service, refusal
 		}
-		patience -= refusal.available
 	}
 }
 
