dispatch: a request that is blocked while it waits is refused

Whether engines have ended under a request was looked at before it was placed. A request that then waited for an engine without suspects, for a more urgent group or for a group's memory, in which time other daemons report what ended under it, was sent to one more engine. Where no engine was free it waited until its deadline, to be told that it had taken too long.

It is now looked at in both loops that wait, and again before the request is sent.

Before: blocked_test.go:31: got context deadline exceeded, want a fault of kind ends_engines blocked_test.go:31: got too_large: the prompt and its answer need 0 tokens of memory, more than a group of 8 engines has (...), want a fault of kind ends_engines After: daemon/dispatch passes with -race, as do cmd/devel's tests of the deadly prompt, of graceful stops and of two of groups. The check right before the send has no test of its own.

--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -263,6 +263,11 @@
 		telemetry.End(span, err)
 		return err
 	}
+	if err := x.blockedError(x.stage()); err != nil { // it may have waited
+		x.reportFinished(attempt, o, 0, false)
+		telemetry.End(span, err)
+		return err
+	}
 	span.SetAttributes(attribute.String("engine", o.Addr))
 	if isolated {
 		defer x.suspects.trackRun(o.Addr)()
--- a/daemon/dispatch/large.go
+++ b/daemon/dispatch/large.go
@@ -137,6 +137,9 @@
 	defer wait.leave()
 	var awaited []string
 	for n := 0; ; n++ {
+		if err := x.blockedError(x.stage()); err != nil {
+			return nil, err
+		}
 		v := x.loop.View()
 		var ms []group.Member
 		var err error
--- a/daemon/dispatch/suspects.go
+++ b/daemon/dispatch/suspects.go
@@ -166,6 +166,9 @@
 // streams were lost when a third of the engines crashed.
 func (x *run) placeIsolated(ctx context.Context, attempt string) (route.Offer, error) {
 	for {
+		if err := x.blockedError(x.stage()); err != nil {
+			return route.Offer{}, err
+		}
 		v := x.loop.View()
 		addr, ok := x.engineWithoutSuspects(v)
 		switch {
