gateway: a lost path cuts no stream that can't be resumed

When this host takes the path to a service for lost, it ends the calls that have heard nothing for 0.3 s, so that another host serves them. A stream that had begun was ended too if the retry budget was used up or a planned stop left no time to resume it, and its caller lost the rest, though the path may be taken for lost while a server is only silent, and comes back from short cuts before the connections break.

A stream of which a part was sent is now ended only after its resume has been allowed and paid, as with a server that is silent, and only if nothing has arrived meanwhile.

Before (with the new case taken out of cancelIfMovable): lost_path_internal_test.go:46: canceled true, want false for a stream that can't be resumed and one that goes on meanwhile.

--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -38,6 +38,7 @@
 		bootDeadline time.Duration
 		movable      bool // the call may be sent to another server after it was sent to this one
 		cancel       context.CancelCauseFunc
+		mayResume    func() bool // reports whether a stream that has begun may be resumed elsewhere; it may wait
 
 		mu       sync.Mutex
 		sent     bool          // the request may have begun to leave this host
@@ -45,6 +46,7 @@
 		begun    bool          // the server has begun to answer
 		headSent bool          // the caller has the head of the answer
 		heard    time.Duration // when the server last sent something, or the exchange began
+		leaving  bool          // mayResume is being called
 		payment  payment       // for sending the call to another server, zero for none
 	}
 
@@ -58,13 +60,16 @@
 
 func newExchanges() *exchanges { return &exchanges{open: map[*exchange]bool{}} }
 
-// add registers a call.
-func (x *exchanges) add(s backend.Server, bootDeadline time.Duration, movable bool, now time.Duration, cancel context.CancelCauseFunc) *exchange {
-	e := &exchange{server: s, bootDeadline: bootDeadline, movable: movable, cancel: cancel, heard: now}
+// newExchange returns the exchange of a call that is about to be sent to a server.
+func newExchange(s backend.Server, bootDeadline time.Duration, movable bool, now time.Duration, cancel context.CancelCauseFunc) *exchange {
+	return &exchange{server: s, bootDeadline: bootDeadline, movable: movable, cancel: cancel, heard: now}
+}
+
+// add registers an exchange.
+func (x *exchanges) add(e *exchange) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.open[e] = true
-	return e
 }
 
 func (x *exchanges) remove(e *exchange) {
@@ -128,17 +133,34 @@
 }
 
 // cancelIfMovable cancels an exchange whose server has sent nothing since a time, unless
-// the call may have been sent and may run only once.
+// the call may have been sent and may run only once. A stream that has begun is canceled
+// later, and only if it may be resumed.
 func (e *exchange) cancelIfMovable(since time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.heard > since || e.sent && !e.movable {
+	if e.heard > since || e.sent && !e.movable || e.leaving {
+		return
+	}
+	if e.sent && e.headSent {
+		e.leaving = true
+		go e.cancelIfResumable(since)
 		return
 	}
 	e.canceled = !e.sent
 	e.cancel(errPathLost)
 }
 
+// cancelIfResumable cancels an exchange whose server has sent nothing since a time if it
+// may be resumed.
+func (e *exchange) cancelIfResumable(since time.Duration) {
+	resumable := e.mayResume()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving = false; resumable && e.heard <= since {
+		e.cancel(errPathLost)
+	}
+}
+
 // begunServices returns the services whose servers have begun to answer calls.
 func (x *exchanges) begunServices() []string {
 	x.mu.Lock()
--- a/daemon/gateway/silence.go
+++ b/daemon/gateway/silence.go
@@ -161,14 +161,18 @@
 
 // silenceMayExpire returns a function that reports whether a call may be taken from a silent
 // server. A caller that has a part of its answer would lose the rest unless the call can be
-// resumed elsewhere, so that this is paid for first.
-func (g *Gateway) silenceMayExpire(ctx context.Context, c *call) func() bool {
-	x, route, isLast := c.exchange, c.route, c.attempts+1 >= max(c.route.Attempts, 1)
+// resumed elsewhere.
+func (g *Gateway) silenceMayExpire(c *call) func() bool {
+	x, isLast := c.exchange, c.attempts+1 >= max(c.route.Attempts, 1)
+	return func() bool { return !x.isHeadSent() || !isLast && x.mayResume() }
+}
+
+// resumeCheck returns a function that reports whether a call may be sent to another server
+// now, and pays for that.
+func (g *Gateway) resumeCheck(ctx context.Context, c *call, x *exchange) func() bool {
+	route := c.route
 	return func() bool {
-		if !x.isHeadSent() {
-			return true
-		}
-		if isLast || !c.progress.allowed(g.mayServe) {
+		if !c.progress.allowed(g.mayServe) {
 			return false
 		}
 		if p, ok := x.paid(); ok && g.clock.Now()-p.at <= g.budget.MaxDelay() {
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -285,15 +285,16 @@
 func (g *Gateway) sendWatched(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement, server backend.Server) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x := g.exchanges.add(server, c.bootDeadline, c.route.Resumable(), g.clock.Now(), cancel)
-	c.exchange = x
+	x := newExchange(server, c.bootDeadline, c.route.Resumable(), g.clock.Now(), cancel)
+	x.mayResume, c.exchange = g.resumeCheck(ctx, c, x), x
+	g.exchanges.add(x)
 	defer g.exchanges.remove(x)
 	if c.headSent {
 		x.setHeadSent()
 	}
 	timer := &silenceTimer{
 		timeout: firstSilenceCheck(c, p), extension: g.silenceExtension(c, s, p, server),
-		mayExpire: g.silenceMayExpire(ctx, c), onExpire: func() { cancel(errServerSilent) },
+		mayExpire: g.silenceMayExpire(c), onExpire: func() { cancel(errServerSilent) },
 	}
 	timer.start()
 	defer timer.stop()
