--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -141,13 +141,12 @@
 // maxGrantRequests denials, the call waits for the next request that a limit allows, if that
 // is soon enough, and is refused otherwise.
 func (g *Gateway) placeWithGrant(ctx context.Context, c *call, s State, stage placeStage) (schedule.Placement, site.Service, *refusalResponse) {
-	patience := time.Duration(grantPatience * float64(c.route.Objective-time.Since(c.arrivedAt)))
+	end := time.Now().Add(time.Duration(grantPatience * float64(c.route.Objective-time.Since(c.arrivedAt))))
 	for {
 		p, service, refusal := g.tryGrants(ctx, c, s, stage)
-		if refusal == nil || refusal.available == 0 || refusal.available > patience || pause.For(ctx, refusal.available) != nil {
+		if refusal == nil || refusal.available == 0 || refusal.available > time.Until(end) || pause.For(ctx, refusal.available) != nil {
 			return p, service, refusal
 		}
-		patience -= refusal.available
 	}
 }
 
@@ -286,15 +285,16 @@
 func (g *Gateway) sendWatched(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement, server backend.Server) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x := g.exchanges.add(server, c.bootDeadline, c.route.Resumable(), g.clock.Now(), cancel)
-	c.exchange = x
+	x := newExchange(server, c.bootDeadline, c.route.Resumable(), g.clock.Now(), cancel)
+	x.mayResume, c.exchange = g.resumeCheck(ctx, c, x), x
+	g.exchanges.add(x)
 	defer g.exchanges.remove(x)
 	if c.headSent {
 		x.setHeadSent()
 	}
 	timer := &silenceTimer{
 		timeout: firstSilenceCheck(c, p), extension: g.silenceExtension(c, s, p, server),
-		mayExpire: g.silenceMayExpire(ctx, c), onExpire: func() { cancel(errServerSilent) },
+		mayExpire: g.silenceMayExpire(c), onExpire: func() { cancel(errServerSilent) },
 	}
 	timer.start()
 	defer timer.stop()
