slipcrankd entry: signals are watched before anything starts

Cause: SIGTERM, SIGINT and SIGHUP were watched only after Start had opened the ports. A signal just after the start ended the process at once, with the requests that it had accepted.

Change: signal.Notify comes first. A SIGTERM during the start leads to a stop in order as soon as Start has returned.

A second SIGTERM, SIGINT or SIGHUP doesn't shorten a stop; that held before, too.

--- a/cmd/slipcrankd/entry.go
+++ b/cmd/slipcrankd/entry.go
@@ -27,6 +27,8 @@
 // SIGINT, and returns the exit code. It reloads the settings on SIGHUP and when
 // their file changes.
 func runEntry() int {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	path := platform.SettingsPath()
 	s, err := settings.LoadEntry(path)
 	if err != nil {
@@ -54,8 +56,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go settings.Follow(ctx, path, settingsPollInterval, e.Reload)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for sig := range signals {
 		if sig != syscall.SIGHUP {
 			break
