slipcrankd entry: a stop doesn't wait for settings that hang

Cause: one loop took SIGTERM and read the settings on SIGHUP. While a read hung no stop began, and with four signals pending a SIGTERM was dropped.

Change: the settings are read by a goroutine of their own, and the two kinds of signals have a channel each.

Measured (-count=3): before, TestHangingReloadDoesNotDelayStop failed 3 of 3 ("the process has not ended within 6s"; the wait was cut from 60 s for that run only). After: 3 of 3 passed, with the other tests of signals.

--- a/cmd/slipcrankd/entry.go
+++ b/cmd/slipcrankd/entry.go
@@ -27,8 +27,11 @@
 // SIGINT, and returns the exit code. It reloads the settings on SIGHUP and when
 // their file changes.
 func runEntry() int {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// Separate channels: a stop must not wait for settings that can't be read, nor be lost
+	// behind other signals.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
 	path := platform.SettingsPath()
 	s, err := settings.LoadEntry(path)
 	if err != nil {
@@ -56,12 +59,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go settings.Follow(ctx, path, settingsPollInterval, e.Reload)
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	go func() {
+		for range reload {
+			e.Reload(settings.LoadEntry(path))
 		}
-		e.Reload(settings.LoadEntry(path))
-	}
+	}()
+	<-stop
 	e.Stop(context.Background())
 	return 0
 }
--- a/cmd/slipcrankd/stop_test.go
+++ b/cmd/slipcrankd/stop_test.go
@@ -129,3 +129,26 @@
 		t.Errorf("the stop took %v, want at least %v", d, noticeTime)
 	}
 }
+
+// TestHangingReloadDoesNotDelayStop guards against a stop that waits for settings which
+// can't be read: its answers would be cut when the process is killed.
+func TestHangingReloadDoesNotDelayStop(t *testing.T) {
+	t.Parallel()
+	p, path := startEntryHost(t, 3, time.Second)
+	p.waitForPort()
+	p.signal(syscall.SIGHUP)
+	if _, ok := p.log.waitFor(regexp.MustCompile(`("msg":"settings read again")`)); !ok {
+		t.Fatal("the settings were not reloaded")
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(path, 0o600); err != nil { // opening it to read blocks without a writer
+		t.Fatal(err)
+	}
+	for range 8 {
+		p.signal(syscall.SIGHUP)
+	}
+	p.signal(syscall.SIGTERM)
+	p.requireCleanExit()
+}
