slipcrankd: SIGHUP doesn't end the daemon

An operator who sends SIGHUP to a daemon expects settings to be read again, as `slipcrankd entry` does, not its end; so it doesn't begin a planned stop.

--- a/cmd/slipcrankd/main.go
+++ b/cmd/slipcrankd/main.go
@@ -52,9 +52,10 @@
 }
 
 // run serves until the first SIGTERM or SIGINT and then shuts down gracefully. A
-// second signal ends the daemon at once.
+// second signal ends the daemon at once. SIGHUP has no effect.
 func run(s settings.Settings) error {
 	defer klog.Flush()
+	signal.Ignore(syscall.SIGHUP) // would end the daemon without a shutdown
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	n, err := node.New(s)
--- a/cmd/slipcrankd/stop_test.go
+++ b/cmd/slipcrankd/stop_test.go
@@ -1,6 +1,7 @@
 package main_test
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"os"
@@ -152,3 +153,29 @@
 	p.signal(syscall.SIGTERM)
 	p.requireCleanExit()
 }
+
+// TestHangupKeepsDaemonServing guards against streams that are cut by a SIGHUP, which ends
+// a process that doesn't handle it.
+func TestHangupKeepsDaemonServing(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	const tokens = 100
+	resp, err := request(f.daemons[0].addr, "/v1/completions", completionBody(tokens), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b := bufio.NewReader(resp.Body)
+	readEvents(b, 5)
+	f.daemons[0].signal(syscall.SIGHUP)
+	if _, lastID, done := readEvents(b, -1); !done || lastID != fmt.Sprint(tokens) {
+		t.Errorf("the stream ended at event %s of %d, end marker %v", lastID, tokens, done)
+	}
+	if !f.serves(0) {
+		t.Error("the daemon does not serve after a SIGHUP")
+	}
+	f.daemons[0].signal(syscall.SIGTERM)
+	f.daemons[0].signal(syscall.SIGHUP)
+	if err := f.daemons[0].cmd.Wait(); err != nil {
+		t.Errorf("the daemon exited with %v", err)
+	}
+}
