entry: a stop waits for answers to be written, not for handlers

Cause: Stop ended once the gateway had no handler in progress. The library writes the end of an answer (all of it below 4 KB) after the handler has returned, so that Close cut it. The listeners were open until Close, so that a request could begin between the last look and Close.

Change: Stop counts the connections in StateActive of the servers of callers and of delegated requests. With none, it closes the listeners and idle connections (Shutdown with a context that has ended), looks once more, and closes the rest. A head that is read after that doesn't reach a handler: the library checks for its shutdown after it has reported StateActive.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -105,6 +105,7 @@
 		relayClient  *relay.Client
 		relayServer  *relay.Server
 		callerServer *http.Server
+		answering    *answering // connections of callerServer and delegated
 		// readinessServer and operatorServer serve until the process stops.
 		readinessServer, operatorServer *http.Server
 		cancel                          context.CancelFunc
@@ -137,6 +138,7 @@
 
 		sponsor:        newSponsor(),
 		paths:          newLostPaths(),
+		answering:      newAnswering(),
 		quarantine:     quarantine.NewRegistry(),
 		parts:          quarantine.NewPartRegistry(),
 		notices:        notice.NewRegistry(),
@@ -259,15 +261,8 @@
 	if err != nil {
 		return err
 	}
-	e.callerServer = &http.Server{
-		Handler:           e.gateway,
-		IdleTimeout:       idleTimeout,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       gateway.ConnContext,
-		// The library's own answer to "OPTIONS *" is a success of no server.
-		DisableGeneralOptionsHandler: true,
-	}
+	e.callerServer = e.newServer(e.gateway)
+	e.callerServer.ConnContext = gateway.ConnContext
 	ctx, e.cancel = context.WithCancel(ctx)
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}
 	e.operatorServer = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout}
@@ -276,10 +271,7 @@
 	go e.serve(e.operatorServer, listeners[2])
 	go e.serve(e.relayServer, listeners[3])
 	if len(listeners) > 4 {
-		e.delegated = &http.Server{
-			Handler: e.gateway.DelegatedHandler(), IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-			DisableGeneralOptionsHandler: true,
-		}
+		e.delegated = e.newServer(e.gateway.DelegatedHandler())
 		go e.serve(e.delegated, listeners[4])
 	}
 	e.startJoining()
@@ -294,6 +286,19 @@
 	return nil
 }
 
+// newServer returns a server whose requests a planned stop completes.
+func (e *Entry) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         e.answering.track,
+		// The library's own answer to "OPTIONS *" is a success of no server.
+		DisableGeneralOptionsHandler: true,
+	}
+}
+
 // listen opens TCP listeners on the addresses, in their order. If one can't be opened, it
 // closes the others.
 func listen(addrs ...string) ([]net.Listener, error) {
--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -25,25 +25,23 @@
 )
 
 // Stop performs a planned stop. New connections are accepted until the load balancer has
-// noticed the stop, and each connection is closed after its next answer. Stop waits for
-// the requests in progress until the grace period or ctx ends, then closes everything.
+// noticed the stop and no request is in progress, and each connection is closed after its
+// next answer. Stop waits for the requests in progress until the grace period or ctx ends,
+// then closes everything.
 func (e *Entry) Stop(ctx context.Context) {
 	begun := time.Now()
 	e.stopping.Store(true)
-	limit := e.settings.Load().Bounds.Grace - exitMargin
-	e.gateway.Drain(begun.Add(balancerNoticeTime), begun.Add(limit))
-	e.log.Write(event.DaemonDraining, slog.Int64("active", e.gateway.Active()))
-	for time.Since(begun) < limit {
-		if time.Since(begun) > balancerNoticeTime && e.gateway.Active() == 0 {
-			break
-		}
-		if err := pause.For(ctx, stopPollInterval); err != nil {
-			break
-		}
-	}
-	left := e.gateway.Active()
-	if left > 0 {
-		e.log.Write(event.DaemonStoppedWithRequests, slog.Int64("active", left))
+	end := begun.Add(e.settings.Load().Bounds.Grace - exitMargin)
+	e.gateway.Drain(begun.Add(balancerNoticeTime), end)
+	e.log.Write(event.DaemonDraining, slog.Int("active", e.answering.count()))
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	_ = pause.For(ctx, balancerNoticeTime) // if it ends early, so do the waits below
+	e.awaitAnswers(ctx)
+	e.stopAccepting()
+	e.awaitAnswers(ctx)
+	if left := e.answering.count(); left > 0 {
+		e.log.Write(event.DaemonStoppedWithRequests, slog.Int("active", left))
 	} else {
 		e.log.Write(event.DaemonStopped)
 	}
@@ -59,6 +57,27 @@
 	e.log.Close()
 }
 
+// awaitAnswers waits until no request is in progress or ctx ends.
+func (e *Entry) awaitAnswers(ctx context.Context) {
+	for e.answering.count() > 0 {
+		if pause.For(ctx, stopPollInterval) != nil {
+			return
+		}
+	}
+}
+
+// stopAccepting closes the listeners of requests and the idle connections. Only requests
+// that are in progress when it returns are handled.
+func (e *Entry) stopAccepting() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // Shutdown would wait for connections on which no request has come
+	for _, s := range []*http.Server{e.callerServer, e.delegated} {
+		if s != nil {
+			_ = s.Shutdown(ctx) // the error is that of ctx
+		}
+	}
+}
+
 // Reload applies changed settings, or logs the error with which they were read. Bounds take
 // effect at once; the host's name, its hall and all addresses only at the next start.
 func (e *Entry) Reload(s settings.Entry, err error) {
--- /dev/null
+++ b/daemon/entry/stop_test.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"slipcrank.example/core/pause"
+	"slipcrank.example/daemon/settings"
+	"slipcrank.example/daemon/watch"
+)
+
+type (
+	// heldListener accepts connections whose writes wait until release is closed. Each write
+	// is reported to writing first.
+	heldListener struct {
+		net.Listener
+		writing chan struct{}
+		release chan struct{}
+	}
+
+	heldConn struct {
+		net.Conn
+		l *heldListener
+	}
+)
+
+// Accept implements net.Listener.
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{c, l}, nil
+}
+
+// Write implements net.Conn.
+func (c *heldConn) Write(b []byte) (int, error) {
+	select {
+	case c.l.writing <- struct{}{}:
+	default:
+	}
+	<-c.l.release
+	return c.Conn.Write(b)
+}
+
+// newStoppableEntry returns an entry host without a configuration, which serves callers on l.
+func newStoppableEntry(t *testing.T, l net.Listener) *Entry {
+	t.Helper()
+	e, err := New(settings.Entry{
+		Host: "h", Listen: settings.EntryListen{News: "127.0.0.1:0"}, Bounds: settings.Bounds{Grace: 8 * time.Second},
+	}, Platform{Tables: watch.Tables{Hosts: "hosts"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, e.cancel = context.WithCancel(t.Context())
+	e.callerServer = e.newServer(e.gateway)
+	go e.serve(e.callerServer, l)
+	return e
+}
+
+// TestStopCompletesAnswerOfReturnedHandler guards against answers that a stop cuts since the
+// library writes their last bytes after the handler has returned.
+func TestStopCompletesAnswerOfReturnedHandler(t *testing.T) {
+	t.Parallel()
+	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &heldListener{tcp, make(chan struct{}, 1), make(chan struct{})}
+	e := newStoppableEntry(t, l)
+	answered := make(chan error, 1)
+	go func() {
+		a, err := http.Get("http://" + l.Addr().String() + "/")
+		if err == nil {
+			_, err = io.Copy(io.Discard, a.Body)
+			_ = a.Body.Close()
+		}
+		answered <- err
+	}()
+	<-l.writing
+	stopped := make(chan struct{})
+	go func() {
+		e.Stop(context.Background())
+		close(stopped)
+	}()
+	_ = pause.For(t.Context(), balancerNoticeTime+4*stopPollInterval)
+	close(l.release)
+	if err := <-answered; err != nil {
+		t.Errorf("the answer was cut: %v", err)
+	}
+	<-stopped
+}
+
+// TestStopDoesNotWaitForConnectionsWithoutRequest guards against restarts that take as long as
+// the grace period since callers keep connections open.
+func TestStopDoesNotWaitForConnectionsWithoutRequest(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		sent     string
+		answered bool
+	}{
+		"silent":                      {"", false},
+		"half a head":                 {"GET / HTTP/1.1\r\nHost: shop", false},
+		"idle":                        {"GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n", true},
+		"half a head after a request": {"GET / HTTP/1.1\r\nHost: shop.example\r\n\r\nGET / HTTP", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			e := newStoppableEntry(t, l)
+			c, err := net.Dial("tcp4", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if _, err := io.WriteString(c, tc.sent); err != nil {
+				t.Fatal(err)
+			}
+			if tc.answered {
+				a, err := http.ReadResponse(bufio.NewReader(c), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = a.Body.Close()
+			}
+			begun := time.Now()
+			e.Stop(context.Background())
+			d := time.Since(begun)
+			t.Logf("the stop took %v", d)
+			if d > balancerNoticeTime+time.Second {
+				t.Errorf("the stop took %v, want about %v", d, balancerNoticeTime)
+			}
+		})
+	}
+}
