entry: the time left for the exit follows from the grace period

Cause: a stop cut requests 0.7 s before the end of the grace period, whatever its length. Below 4.2 s that is before the last sixth, in which alone callers expect it.

Change: the margin is at most 0.7 s and at most an eighth of the grace period. A grace of 8 s has 0.7 s, as before.

--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -17,9 +17,11 @@
 	// stop has begun: the load balancer checks the readiness once per second, and
 	// removes a host after two failed checks.
 	balancerNoticeTime = 2800 * time.Millisecond
-	// exitMargin is the part of the grace period that is left for the exit of the
-	// process.
-	exitMargin = 700 * time.Millisecond
+	// maxExitMargin is the longest time that is left for the exit of the process, and
+	// exitFraction the largest fraction of the grace period: callers expect that requests
+	// are cut in its last sixth only.
+	maxExitMargin = 700 * time.Millisecond
+	exitFraction  = 1. / 8
 	// stopPollInterval is the interval at which Stop checks for requests in progress.
 	stopPollInterval = 50 * time.Millisecond
 )
@@ -31,7 +33,7 @@
 func (e *Entry) Stop(ctx context.Context) {
 	begun := time.Now()
 	e.stopping.Store(true)
-	end := begun.Add(e.settings.Load().Bounds.Grace - exitMargin)
+	end := begun.Add(stopLimit(e.settings.Load().Bounds.Grace))
 	e.gateway.Drain(begun.Add(balancerNoticeTime), end)
 	e.log.Write(event.DaemonDraining, slog.Int("active", e.answering.count()))
 	ctx, cancel := context.WithDeadline(ctx, end)
@@ -57,6 +59,11 @@
 	e.log.Close()
 }
 
+// stopLimit returns the longest time that a stop waits for requests in progress.
+func stopLimit(grace time.Duration) time.Duration {
+	return grace - min(maxExitMargin, time.Duration(exitFraction*float64(grace)))
+}
+
 // awaitAnswers waits until no request is in progress or ctx ends.
 func (e *Entry) awaitAnswers(ctx context.Context) {
 	for e.answering.count() > 0 {
--- a/daemon/entry/stop_test.go
+++ b/daemon/entry/stop_test.go
@@ -14,6 +14,9 @@
 	"slipcrank.example/daemon/watch"
 )
 
+// grace is the grace period of hosts whose stop is expected to end sooner.
+const grace = 8 * time.Second
+
 type (
 	// heldListener accepts connections whose writes wait until release is closed. Each write
 	// is reported to writing first.
@@ -48,11 +51,36 @@
 	return c.Conn.Write(b)
 }
 
+func listenHeld(t *testing.T) *heldListener {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &heldListener{l, make(chan struct{}, 1), make(chan struct{})}
+}
+
+// get sends a request, and returns once its answer is being written. The channel gets the
+// caller's error, nil for a whole answer.
+func (l *heldListener) get() <-chan error {
+	answered := make(chan error, 1)
+	go func() {
+		a, err := http.Get("http://" + l.Addr().String() + "/")
+		if err == nil {
+			_, err = io.Copy(io.Discard, a.Body)
+			_ = a.Body.Close()
+		}
+		answered <- err
+	}()
+	<-l.writing
+	return answered
+}
+
 // newStoppableEntry returns an entry host without a configuration, which serves callers on l.
-func newStoppableEntry(t *testing.T, l net.Listener) *Entry {
+func newStoppableEntry(t *testing.T, l net.Listener, grace time.Duration) *Entry {
 	t.Helper()
 	e, err := New(settings.Entry{
-		Host: "h", Listen: settings.EntryListen{News: "127.0.0.1:0"}, Bounds: settings.Bounds{Grace: 8 * time.Second},
+		Host: "h", Listen: settings.EntryListen{News: "127.0.0.1:0"}, Bounds: settings.Bounds{Grace: grace},
 	}, Platform{Tables: watch.Tables{Hosts: "hosts"}})
 	if err != nil {
 		t.Fatal(err)
@@ -67,22 +95,9 @@
 // library writes their last bytes after the handler has returned.
 func TestStopCompletesAnswerOfReturnedHandler(t *testing.T) {
 	t.Parallel()
-	tcp, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	l := &heldListener{tcp, make(chan struct{}, 1), make(chan struct{})}
-	e := newStoppableEntry(t, l)
-	answered := make(chan error, 1)
-	go func() {
-		a, err := http.Get("http://" + l.Addr().String() + "/")
-		if err == nil {
-			_, err = io.Copy(io.Discard, a.Body)
-			_ = a.Body.Close()
-		}
-		answered <- err
-	}()
-	<-l.writing
+	l := listenHeld(t)
+	e := newStoppableEntry(t, l, grace)
+	answered := l.get()
 	stopped := make(chan struct{})
 	go func() {
 		e.Stop(context.Background())
@@ -115,7 +130,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			e := newStoppableEntry(t, l)
+			e := newStoppableEntry(t, l, grace)
 			c, err := net.Dial("tcp4", l.Addr().String())
 			if err != nil {
 				t.Fatal(err)
@@ -141,3 +156,38 @@
 		})
 	}
 }
+
+// TestStopUsesItsGracePeriod guards against requests that a stop cuts although much of the grace
+// period is left. Its last sixth is where callers expect that.
+func TestStopUsesItsGracePeriod(t *testing.T) {
+	t.Parallel()
+	for name, grace := range map[string]time.Duration{"4 s": 4 * time.Second, "6 s": 6 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := listenHeld(t)
+			defer close(l.release)
+			e := newStoppableEntry(t, l, grace)
+			l.get()
+			begun := time.Now()
+			e.Stop(context.Background())
+			if d := time.Since(begun); d < grace*5/6 || d >= grace {
+				t.Errorf("the stop took %v, want %v to %v", d, grace*5/6, grace)
+			}
+		})
+	}
+}
+
+func TestStopLimit(t *testing.T) {
+	for name, tc := range map[string]struct{ grace, want time.Duration }{
+		"shortest": {time.Second, 875 * time.Millisecond},
+		"short":    {4 * time.Second, 3500 * time.Millisecond},
+		"long":     {8 * time.Second, 7300 * time.Millisecond},
+		"longest":  {time.Hour, time.Hour - 700*time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := stopLimit(tc.grace); got != tc.want {
+				t.Errorf("limit %v of %v, want %v", got, tc.grace, tc.want)
+			}
+		})
+	}
+}
