--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -17,31 +17,32 @@
 	// stop has begun: the load balancer checks the readiness once per second, and
 	// removes a host after two failed checks.
 	balancerNoticeTime = 2800 * time.Millisecond
-	// exitMargin is the part of the grace period that is left for the exit of the
-	// process.
-	exitMargin = 700 * time.Millisecond
+	// maxExitMargin is the longest time that is left for the exit of the process, and
+	// exitFraction the largest fraction of the grace period: callers expect that requests
+	// are cut in its last sixth only.
+	maxExitMargin = 700 * time.Millisecond
+	exitFraction  = 1. / 8
 	// stopPollInterval is the interval at which Stop checks for requests in progress.
 	stopPollInterval = 50 * time.Millisecond
 )
 
 // Stop performs a planned stop. New connections are accepted until the load balancer has
-// noticed the stop, and each connection is closed after its next answer. Stop waits for
-// the requests in progress until the grace period or ctx ends, then closes everything.
+// noticed the stop and no request is in progress, and each connection is closed after its
+// next answer. Stop waits for the requests in progress until the grace period or ctx ends,
+// then closes everything.
 func (e *Entry) Stop(ctx context.Context) {
 	begun := time.Now()
 	e.stopping.Store(true)
-	limit := e.settings.Load().Bounds.Grace - exitMargin
-	e.gateway.Drain(begun.Add(balancerNoticeTime), begun.Add(limit))
-	e.log.Write(event.DaemonDraining, slog.Int64("active", e.gateway.Active()))
-	for time.Since(begun) < limit {
-		if time.Since(begun) > balancerNoticeTime && e.gateway.Active() == 0 {
-			break
-		}
-		if err := pause.For(ctx, stopPollInterval); err != nil {
-			break
-		}
-	}
-	if left := e.gateway.LogCut(); left > 0 {
+	end := begun.Add(stopLimit(e.settings.Load().Bounds.Grace))
+	e.gateway.Drain(begun.Add(balancerNoticeTime), end)
+	e.log.Write(event.DaemonDraining, slog.Int("active", e.answering.count()))
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	_ = pause.For(ctx, balancerNoticeTime) // if it ends early, so do the waits below
+	e.awaitAnswers(ctx)
+	e.stopAccepting()
+	e.awaitAnswers(ctx)
+	if left := max(e.gateway.LogCut(), e.answering.count()); left > 0 {
 		e.log.WriteLast(event.DaemonStoppedWithRequests, slog.Int("active", left), slog.Duration("took", time.Since(begun)))
 	} else {
 		e.log.WriteLast(event.DaemonStopped, slog.Duration("took", time.Since(begun)))
@@ -58,6 +59,32 @@
 	e.log.Close()
 }
 
+// stopLimit returns the longest time that a stop waits for requests in progress.
+func stopLimit(grace time.Duration) time.Duration {
+	return grace - min(maxExitMargin, time.Duration(exitFraction*float64(grace)))
+}
+
+// awaitAnswers waits until no request is in progress or ctx ends.
+func (e *Entry) awaitAnswers(ctx context.Context) {
+	for e.answering.count() > 0 {
+		if pause.For(ctx, stopPollInterval) != nil {
+			return
+		}
+	}
+}
+
+// stopAccepting closes the listeners of requests and the idle connections. Only requests
+// that are in progress when it returns are handled.
+func (e *Entry) stopAccepting() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel() // Shutdown would wait for connections on which no request has come
+	for _, s := range []*http.Server{e.callerServer, e.delegated} {
+		if s != nil {
+			_ = s.Shutdown(ctx) // the error is that of ctx
+		}
+	}
+}
+
 // Reload applies changed settings, or logs the error with which they were read. Bounds take
 // effect at once; the host's name, its hall and all addresses only at the next start.
 func (e *Entry) Reload(s settings.Entry, err error) {
