entry: a stopping host refuses new streams after 2.2 s instead of 2.8 s

Cause: on a busy host time passes between the signal and the start of the stop, and between the last byte of a request and its send, which both move streams beyond 3 s after the SIGTERM, after which a cut isn't excused; 0.2 s were left for that. Change: new streams are refused from 2.2 s on; the balancer has asked twice by 2 s.

--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -17,6 +17,10 @@
 	// stop has begun: the load balancer checks the readiness once per second, and
 	// removes a host after two failed checks.
 	balancerNoticeTime = 2800 * time.Millisecond
+	// refusalDelay is how long new streams are still accepted: by then the balancer has
+	// usually noticed, and a delay between the signal and the stop, or between the caller and
+	// this host, moves no stream beyond the first three seconds, whose streams may be cut.
+	refusalDelay = 2200 * time.Millisecond
 	// maxExitMargin is the longest time that is left for the exit of the process, and
 	// exitFraction the largest fraction of the grace period: callers expect that requests
 	// are cut in its last sixth only.
@@ -34,7 +38,7 @@
 	begun := time.Now()
 	e.stopping.Store(true)
 	end := begun.Add(stopLimit(e.settings.Load().Bounds.Grace))
-	e.gateway.Drain(begun.Add(balancerNoticeTime), end)
+	e.gateway.Drain(begun.Add(refusalDelay), end)
 	e.log.Write(event.DaemonDraining, slog.Int("active", e.answering.count()))
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
