--- /dev/null
+++ b/daemon/gateway/progress.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"slipcrank.example/core/drain"
+	"slipcrank.example/core/site"
+	"slipcrank.example/daemon/event"
+)
+
+type (
+	// progresses are the requests in progress. It is safe for concurrent use.
+	progresses struct {
+		mu   sync.Mutex
+		open map[*progress]bool
+	}
+
+	// progress is how far a request has come: whether a planned stop may still refuse it, and
+	// what the log says of it if the process ends before it. It is safe for concurrent use.
+	progress struct {
+		id        string
+		delegated bool // by another host
+		arrivedAt time.Time
+
+		mu       sync.Mutex
+		readAt   time.Time // when its body was complete, zero before
+		route    site.Route
+		deadline time.Time
+		sentElse bool                    // by the host that delegates it
+		cancel   context.CancelCauseFunc // nil before it may be sent
+		waiting  bool                    // no server has it
+		canceled bool                    // while waiting
+		server   string                  // to which it was sent last, empty for none
+		sentAt   time.Time               // when it was sent last
+		sends    int
+	}
+)
+
+func newProgresses() *progresses { return &progresses{open: map[*progress]bool{}} }
+
+// add registers a request whose head has arrived.
+func (s *progresses) add(id string, delegated bool, now time.Time) *progress {
+	p := &progress{id: id, delegated: delegated, arrivedAt: now}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open[p] = true
+	return p
+}
+
+func (s *progresses) remove(p *progress) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, p)
+}
+
+// count returns the number of requests in progress.
+func (s *progresses) count() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return int64(len(s.open))
+}
+
+// all returns the requests in progress.
+func (s *progresses) all() []*progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*progress
+	for p := range s.open {
+		out = append(out, p)
+	}
+	return out
+}
+
+// setRead records that the call was read.
+func (p *progress) setRead(c *call, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readAt, p.route, p.deadline, p.sentElse = now, c.route, c.deadline, c.sent > 0
+}
+
+// setWaiting records that no server has the call, and how it can be canceled.
+func (p *progress) setWaiting(cancel context.CancelCauseFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.waiting, p.cancel = true, cancel
+}
+
+// beginSending records that the call is about to be sent to a server. It returns an error if
+// the call was canceled, or isn't allowed: then nothing may be sent.
+func (p *progress) beginSending(server string, allowed func(*progress, time.Time) bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if p.canceled || !allowed(p, now) {
+		return errStopping
+	}
+	p.waiting, p.server, p.sentAt = false, server, now
+	p.sends++
+	return nil
+}
+
+// cancelWaiting cancels the call if it waits and is no longer allowed.
+func (p *progress) cancelWaiting(allowed func(*progress, time.Time) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.waiting && !p.canceled && !allowed(p, time.Now()) {
+		p.canceled = true
+		p.cancel(errStopping)
+	}
+}
+
+// allowed reports whether the call is allowed now.
+func (p *progress) allowed(allowed func(*progress, time.Time) bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return allowed(p, time.Now())
+}
+
+// drainRequest returns what a planned stop decides by. The progress must be locked.
+func (p *progress) drainRequest(expected time.Duration, now time.Time) drain.Request {
+	return drain.Request{
+		Stream: p.route.Kind == site.Stream, Continued: p.sentElse || p.sends > 0,
+		Expected: expected, Left: p.deadline.Sub(now),
+	}
+}
+
+// attrs returns the attributes of the log line of a request. Times are relative to the
+// start of the planned stop, and missing for what has not happened.
+func (p *progress) attrs(begun, now time.Time) []slog.Attr {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	attrs := []slog.Attr{
+		slog.String("id", p.id), slog.String("route", p.route.Name), slog.String("server", p.server), slog.Int("sends", p.sends),
+		slog.Bool("delegated", p.delegated), slog.Duration("age", now.Sub(p.arrivedAt)),
+		slog.Duration("arrived", p.arrivedAt.Sub(begun)),
+	}
+	if !p.readAt.IsZero() {
+		attrs = append(attrs, slog.Duration("read", p.readAt.Sub(begun)))
+	}
+	if !p.sentAt.IsZero() {
+		attrs = append(attrs, slog.Duration("sent", p.sentAt.Sub(begun)), slog.Duration("sent_ago", now.Sub(p.sentAt)))
+	}
+	return attrs
+}
+
+// LogCut logs each request in progress, since the process is about to end. It returns their
+// number.
+func (g *Gateway) LogCut() int {
+	now, begun := time.Now(), time.Time{}
+	if s := g.stop.Load(); s != nil {
+		begun = s.begun
+	}
+	cut := g.progresses.all()
+	for _, p := range cut {
+		g.log.WriteLast(event.RequestCut, p.attrs(begun, now)...)
+	}
+	return len(cut)
+}
