slipcrankd: planned stops under callers that hardly wait

No kind of stops had refusals in numbers, which once pushed the lines about cut requests out of the log. In the new kind both hosts stop within 0.5 s of each other, and refused callers come back within 40 ms.

--- a/cmd/slipcrankd/stop_test.go
+++ b/cmd/slipcrankd/stop_test.go
@@ -25,6 +25,8 @@
 	// maxThink bounds the pause between two requests of a caller, longThink that of some.
 	maxThink, longThink = 400 * time.Millisecond, 5 * time.Second
 	longThinkInterval   = 8
+	// eagerThink bounds the pause after a refusal of callers that don't wait as told.
+	eagerThink = 40 * time.Millisecond
 	// exitTimeout is how long after the grace period a process is killed that hasn't exited.
 	exitTimeout    = 5 * time.Second
 	defaultCallers = 80
@@ -43,6 +45,7 @@
 	slow       bool          // callers read about as fast as events come
 	silent     bool          // a third of the servers' runs are silent at first
 	broken     bool          // a third of the servers' streams break off
+	eager      bool          // callers hardly wait after a refusal
 	signals    []syscall.Signal
 	env        []string
 	busy       int           // goroutines that keep the processor busy
@@ -88,6 +91,7 @@
 		"SIGHUP in the stop":              {seed: 11, grace: longGrace, longest: 4 * time.Second, lateBodies: true, signals: []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP}},
 		"second SIGTERM in the stop":      {seed: 12, grace: longGrace, longest: 4 * time.Second, lateBodies: true, signals: []syscall.Signal{syscall.SIGTERM}},
 		"neighbors stop with overlap":     {seed: 13, grace: longGrace, longest: 6 * time.Second, lateBodies: true, hosts: 3, overlap: 3 * time.Second},
+		"eager callers of stopping hosts": {seed: 15, grace: longGrace, longest: 7 * time.Second, lateBodies: true, eager: true, overlap: 500 * time.Millisecond},
 		"calls beside stopping neighbors": {seed: 14, grace: longGrace, hosts: 3, overlap: 2 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -114,7 +118,7 @@
 	var callers sync.WaitGroup
 	for n := range max(k.callers, defaultCallers) {
 		r := rand.New(rand.NewPCG(seed, uint64(n)+1))
-		callers.Go(func() { w.call(r, fmt.Sprint("caller-", n), k.work) })
+		callers.Go(func() { k.call(w, r, fmt.Sprint("caller-", n)) })
 	}
 	total := map[string]int{}
 	for total["stops"] < *stopCount {
@@ -185,7 +189,7 @@
 
 // call sends requests until the end of the test: on the kept connection as long as its host
 // leaves it open, and to another host after a refusal.
-func (w *stopWorld) call(r *rand.Rand, name string, work func(*rand.Rand) stopWork) {
+func (k stopKind) call(w *stopWorld, r *rand.Rand, name string) {
 	c := &stopCaller{w: w, name: name}
 	defer c.close()
 	var refusing *stopHost
@@ -195,12 +199,15 @@
 			h = w.pick(r, refusing)
 		}
 		refusing = nil
-		if r := c.send(h, work(r)); r.refused() || r.firstByte.IsZero() {
+		if r := c.send(h, k.work(r)); r.refused() || r.firstByte.IsZero() {
 			refusing = h
 			c.close()
 		}
 		think := maxThink
-		if r.IntN(longThinkInterval) == 0 {
+		switch {
+		case k.eager && refusing != nil:
+			think = eagerThink
+		case r.IntN(longThinkInterval) == 0:
 			think = longThink
 		}
 		_ = pause.For(w.ctx, between(r, 0, think))
