callers: a stop that ends requests tells their callers

A stop waits for the requests in progress until drain.limit, and for their connections 5 s more. Nothing ended the requests themselves: those that ran, or still waited for an engine or a group's memory, went on with the context of before the stop, until the process ended and cut their connections without an answer. The number in SC1105 was read after those 5 s.

At drain.limit the context of all requests now ends with a cause of its own. Generations that may be repeated, or have not been sent, are answered with draining (503, or an error event within a stream); of others the outcome stays unknown. Calls to plain services still run on. The number is read before.

Before, with a limit of 1 s and requests of 20 s (the test's process lives on, so that the requests ended by their engine and their deadline): stop_test.go:46: got status 504 and "{"error":{"kind":"deadline_expired",... and the stream went on to its end After: passes with -race, as do cmd/devel's tests of graceful stops, of calls that run once, of bad requests and of callers that disconnect.

--- a/daemon/callers/server.go
+++ b/daemon/callers/server.go
@@ -8,6 +8,7 @@
 //	s.Serve(listener)
 //	s.Unready()    // a planned stop: the load balancer sends no more requests
 //	s.Refuse()
+//	s.EndRequests()
 //	err = s.Close(ctx)
 package callers
 
@@ -68,6 +69,8 @@
 		inProgress atomic.Int64
 		unready    atomic.Bool
 		refusing   atomic.Bool
+		ctx        context.Context // of all requests
+		end        context.CancelCauseFunc
 	}
 
 	// Option configures a server in [New].
@@ -105,6 +108,7 @@
 		metrics:  telemetry.NewMetrics(),
 		limits:   settings.Default().Limits,
 	}
+	s.ctx, s.end = context.WithCancelCause(context.Background())
 	for _, o := range os {
 		o(s)
 	}
@@ -146,6 +150,9 @@
 // Refuse makes the server refuse new requests. Requests in progress are completed.
 func (s *Server) Refuse() { s.refusing.Store(true) }
 
+// EndRequests ends the generations in progress with a fault.
+func (s *Server) EndRequests() { s.end(dispatch.ErrStopping) }
+
 func (s *Server) handle(c *fasthttp.RequestCtx) {
 	s.inProgress.Add(1)
 	streamed := false
@@ -206,7 +213,7 @@
 	if !requestIDPattern.MatchString(r.id) {
 		r.id = uuid.NewString()
 	}
-	r.ctx = otel.GetTextMapPropagator().Extract(context.Background(), web.HeaderCarrier{Header: h})
+	r.ctx = otel.GetTextMapPropagator().Extract(s.ctx, web.HeaderCarrier{Header: h})
 	credential, ok := strings.CutPrefix(string(h.Peek(fasthttp.HeaderAuthorization)), "Bearer ")
 	if !ok {
 		return r, fault.New(fault.Unauthorized, "the request has no credential",
--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -40,8 +40,13 @@
 	maxRetryDelay = 50 * time.Millisecond
 )
 
-// ErrCallerGone marks the error of a request whose caller no longer reads the answer.
-var ErrCallerGone = errors.New("the caller disconnected")
+var (
+	// ErrCallerGone marks the error of a request whose caller no longer reads the answer.
+	ErrCallerGone = errors.New("the caller disconnected")
+	// ErrStopping is the cause with which the context of a request is canceled if the daemon
+	// stops before the request has ended.
+	ErrStopping = errors.New("the daemon is stopping")
+)
 
 type (
 	// Request is an admitted generation request.
@@ -209,6 +214,8 @@
 	switch {
 	case errors.Is(err, ErrCallerGone):
 		return err
+	case errors.Is(context.Cause(ctx), ErrStopping) && (x.request.Repeatable() || notExecuted(err)):
+		return stopping()
 	case deadline.Err(ctx) != nil:
 		return deadlineExpired()
 	case errors.As(err, &f):
@@ -325,6 +332,11 @@
 		"ask again with more time, or at a quieter moment").WithRetryAfter(time.Second)
 }
 
+func stopping() error {
+	return fault.New(fault.Draining, "this entry host stopped before the request ended",
+		"ask again; the balancer will pick another").WithRetryAfter(time.Second)
+}
+
 func engineFailed(message string, cause error) error {
 	return fault.New(fault.EngineFailed, message, "ask again").WithRetryAfter(time.Second).WithCause(cause)
 }
--- a/daemon/node/stop.go
+++ b/daemon/node/stop.go
@@ -38,9 +38,11 @@
 	_ = pause.For(ctx, n.settings.Drain.Notice)
 	n.callers.Refuse()
 	err := n.awaitDrained(ctx)
+	left := n.callers.InProgress()
+	n.callers.EndRequests()
 	n.Close()
 	if err != nil {
-		event.DaemonStoppedWithRequests.Error(err, "in_progress", n.callers.InProgress())
+		event.DaemonStoppedWithRequests.Error(err, "in_progress", left)
 		return err
 	}
 	event.DaemonStopped.Info()
