gateway: a quiet host doesn't cut the stream that it serves

A host that has delegated a call ended it when the other host had sent nothing on it for 2 s and no datagram had come from that host lately. A stream that had begun isn't resumed after that, since the other host may use all attempts, so its caller lost the rest, also if the server was only silent and the datagrams were lost.

A stream that has begun is now left to its connection, which breaks 2.5 s after its peer has gone.

Before: quiet_host_internal_test.go:50: got "id: 1\ndata: a\n\n", stream_broken read tcp ...: use of closed network connection, want all events After: passes with -race, as do the tests of delegated calls.

--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -143,8 +144,12 @@
 func (g *Gateway) sendToPeer(parent context.Context, w http.ResponseWriter, c *call, s State, to reach.Peer) outcome {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
+	var begun atomic.Bool // the caller has a part of the answer
+	begun.Store(c.headSent)
 	timer := &silenceTimer{
 		timeout: silentHostTimeout, onExpire: func() { cancel(errHostGone) },
+		// A stream isn't resumed after that; if the host is gone, the connection breaks.
+		mayExpire: func() bool { return !begun.Load() },
 		extension: func(silent time.Duration) time.Duration {
 			if g.delegation.Alive(to.Number) {
 				return silent - silentHostTimeout + hostCheckInterval
@@ -179,7 +184,7 @@
 		g.applyNotices(c, server, a) // what this host passes on binds it, too
 	}
 	c.attempts, c.mayHaveRun = spent, true
-	return g.forward(w, c, a, timer, relayHooks{}, g.collectFromPeer)
+	return g.forward(w, c, a, timer, relayHooks{first: func() { begun.Store(true) }}, g.collectFromPeer)
 }
 
 // collectFromPeer reads an answer that another host has received from a server, and
