entry: the grace period counts from the signal, also during the start

Cause: Stop took the time at which it began for that of the SIGTERM. A signal that comes while the host starts waits until Start has returned, and the stop then ends after the grace period by as much.

Change: slipcrankd notes when the signal arrives, and StopSince counts the grace period from there.

What passes between the kernel's signal and the goroutine that notes it isn't measured.

--- a/cmd/slipcrankd/entry.go
+++ b/cmd/slipcrankd/entry.go
@@ -32,6 +32,11 @@
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(reload, syscall.SIGHUP)
+	stopRequested := make(chan time.Time, 1)
+	go func() {
+		<-stop
+		stopRequested <- time.Now() // the grace period counts from here, also during the start
+	}()
 	path := platform.SettingsPath()
 	s, err := settings.LoadEntry(path)
 	if err != nil {
@@ -64,7 +69,6 @@
 			e.Reload(settings.LoadEntry(path))
 		}
 	}()
-	<-stop
-	e.Stop(context.Background())
+	e.StopSince(context.Background(), <-stopRequested)
 	return 0
 }
--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -30,8 +30,10 @@
 // noticed the stop and no request is in progress, and each connection is closed after its
 // next answer. Stop waits for the requests in progress until the grace period or ctx ends,
 // then closes everything.
-func (e *Entry) Stop(ctx context.Context) {
-	begun := time.Now()
+func (e *Entry) Stop(ctx context.Context) { e.StopSince(ctx, time.Now()) }
+
+// StopSince does what [Entry.Stop] does, for a stop that was requested at begun.
+func (e *Entry) StopSince(ctx context.Context, begun time.Time) {
 	e.stopping.Store(true)
 	end := begun.Add(stopLimit(e.settings.Load().Bounds.Grace))
 	e.gateway.Drain(begun.Add(balancerNoticeTime), end)
--- a/daemon/entry/stop_test.go
+++ b/daemon/entry/stop_test.go
@@ -191,3 +191,19 @@
 		})
 	}
 }
+
+// TestStopRequestedDuringStartEndsInTime guards against a stop that is requested while the host
+// starts, and ends after the grace period.
+func TestStopRequestedDuringStartEndsInTime(t *testing.T) {
+	t.Parallel()
+	const grace, start = 4 * time.Second, time.Second
+	l := listenHeld(t)
+	defer close(l.release)
+	e := newStoppableEntry(t, l, grace)
+	l.get()
+	requested := time.Now().Add(-start)
+	e.StopSince(context.Background(), requested)
+	if d := time.Since(requested); d >= grace {
+		t.Errorf("the stop ended %v after it was requested, want less than %v", d, grace)
+	}
+}
