soak: odd seeds of planned stops have servers that limit requests

Cause: with notices at an eighth of their rate few requests wait at a host, which is one way into a stop.

Change: with odd seeds servers send notices as often as in other runs.

--- a/cmd/soak/notices.go
+++ b/cmd/soak/notices.go
@@ -47,7 +47,7 @@
 		s := w.slots[rnd.IntN(len(w.slots))]
 		duration := maxNoticeTime/4 + time.Duration(rnd.Int64N(int64(maxNoticeTime*3/4)))
 		notices[rnd.IntN(len(notices))](ctx, rnd, s, duration)
-		if pause.UpTo(ctx, 2*w.interval(meanNoticeInterval)) != nil {
+		if pause.UpTo(ctx, 2*w.noticeInterval) != nil {
 			return
 		}
 	}
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -100,7 +100,8 @@
 		slots    []*serverSlot
 		cuts     *cuts
 		// plannedStops says that hosts are stopped as planned all the time.
-		plannedStops bool
+		plannedStops   bool
+		noticeInterval time.Duration // mean time between two notices of servers
 
 		mu           sync.Mutex
 		version      int64
@@ -142,10 +143,15 @@
 		ipPrefix:     nextIPPrefix(),
 		store:        standin.NewStore(),
 		plannedStops: opts.Stops,
-		cuts:         newCuts(),
-		validKeys:    map[string]string{"key-0": "workspace-0"},
-		revokedAt:    map[string]time.Time{},
-		leavingSince: map[string]time.Time{},
+
+		noticeInterval: meanNoticeInterval,
+		cuts:           newCuts(),
+		validKeys:      map[string]string{"key-0": "workspace-0"},
+		revokedAt:      map[string]time.Time{},
+		leavingSince:   map[string]time.Time{},
+	}
+	if opts.Stops && opts.Seed%2 == 0 {
+		w.noticeInterval = calmFactor * meanNoticeInterval
 	}
 	if err := w.start(opts); err != nil {
 		return nil, err
--- a/cmd/soak/stops.go
+++ b/cmd/soak/stops.go
@@ -27,6 +27,8 @@
 	stopGrace = 8 * time.Second
 	// meanStopInterval is the mean time between the begins of two planned stops. Other faults,
 	// which excuse what they disturb, are calmFactor times as rare in runs of planned stops.
+	// Servers limit the rate of requests as often as in other runs if the seed is odd, so that
+	// requests wait at hosts.
 	meanStopInterval = time.Second
 	calmFactor       = 8
 	// maxStartDelay is the longest time from a start to a signal right after it.
