node: a stop waits for answers to be written, up to drain.limit

Cause: answers that aren't streamed are written after their handler has returned. Stop counted handlers, then gave the library closeTimeout, 5 s, for the rest, and reported a stop that cut nothing: a caller that takes longer to read a large answer was cut, with exit code 0.

Change: the server of callers is closed within drain.limit, and a stop that cuts such an answer returns ErrDrainTimeout. Idle connections are closed at once, as before; the library closes a silent one, or half a head, 5 s after it was accepted.

--- a/daemon/node/stop.go
+++ b/daemon/node/stop.go
@@ -26,8 +26,9 @@
 
 // Stop performs a planned stop. The daemon fails its readiness check and hands
 // over its duties, but keeps serving for drain.notice so that the load balancer
-// notices. Then it refuses new requests and waits for those in progress. Stop
-// returns [ErrDrainTimeout] if it had to cut off requests.
+// notices. Then it refuses new requests and waits until the answers to those in
+// progress have been written. Stop returns [ErrDrainTimeout] if it had to cut off
+// requests.
 func (n *Node) Stop(ctx context.Context) error {
 	event.DaemonDraining.Info("in_progress", n.callers.InProgress())
 	n.callers.Unready()
@@ -37,7 +38,7 @@
 	}
 	_ = pause.For(ctx, n.settings.Drain.Notice)
 	n.callers.Refuse()
-	err := n.awaitDrained(ctx)
+	err := n.drain(ctx)
 	n.Close()
 	if err != nil {
 		event.DaemonStoppedWithRequests.Error(err, "in_progress", n.callers.InProgress())
@@ -47,19 +48,33 @@
 	return nil
 }
 
-// awaitDrained waits until no request is in progress, up to drain.limit.
-func (n *Node) awaitDrained(ctx context.Context) error {
-	limit := time.Now().Add(n.settings.Drain.Limit)
+// drain waits until all answers have been written, up to drain.limit.
+func (n *Node) drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Drain.Limit)
+	defer cancel()
+	if err := n.awaitHandlers(ctx); err != nil {
+		return err
+	}
+	// Handlers of answers that aren't streamed return before the answer is written.
+	if err := n.callers.Close(ctx); err != nil && ctx.Err() != nil {
+		return ErrDrainTimeout
+	}
+	return nil
+}
+
+// awaitHandlers waits until no request is in progress. It returns [ErrDrainTimeout] if ctx
+// ends first.
+func (n *Node) awaitHandlers(ctx context.Context) error {
+	limit, _ := ctx.Deadline()
 	lastLog := time.Time{}
 	for n.callers.InProgress() > 0 {
 		if time.Since(lastLog) > drainLogPeriod {
 			event.DaemonWaiting.Info("in_progress", n.callers.InProgress(), "until", limit)
 			lastLog = time.Now()
 		}
-		if ctx.Err() != nil || time.Now().After(limit) {
+		if pause.For(ctx, drainPollPeriod) != nil {
 			return ErrDrainTimeout
 		}
-		_ = pause.For(ctx, drainPollPeriod)
 	}
 	return nil
 }
