entry: the test of unwritten answers covers other hosts' requests, too

Cause: only the server of callers was in the test; requests that other hosts delegate come to a server of their own.

--- a/daemon/entry/stop_test.go
+++ b/daemon/entry/stop_test.go
@@ -76,8 +76,8 @@
 	return answered
 }
 
-// newStoppableEntry returns an entry host without a configuration, which serves callers on l.
-func newStoppableEntry(t *testing.T, l net.Listener, grace time.Duration) *Entry {
+// newStoppableEntry returns an entry host without a configuration, whose servers don't serve yet.
+func newStoppableEntry(t *testing.T, grace time.Duration) *Entry {
 	t.Helper()
 	e, err := New(settings.Entry{
 		Host: "h", Listen: settings.EntryListen{News: "127.0.0.1:0"}, Bounds: settings.Bounds{Grace: grace},
@@ -86,8 +86,7 @@
 		t.Fatal(err)
 	}
 	_, e.cancel = context.WithCancel(t.Context())
-	e.callerServer = e.newServer(e.gateway)
-	go e.serve(e.callerServer, l)
+	e.callerServer, e.delegated = e.newServer(e.gateway), e.newServer(e.gateway.DelegatedHandler())
 	return e
 }
 
@@ -95,20 +94,29 @@
 // library writes their last bytes after the handler has returned.
 func TestStopCompletesAnswerOfReturnedHandler(t *testing.T) {
 	t.Parallel()
-	l := listenHeld(t)
-	e := newStoppableEntry(t, l, grace)
-	answered := l.get()
-	stopped := make(chan struct{})
-	go func() {
-		e.Stop(context.Background())
-		close(stopped)
-	}()
-	_ = pause.For(t.Context(), balancerNoticeTime+4*stopPollInterval)
-	close(l.release)
-	if err := <-answered; err != nil {
-		t.Errorf("the answer was cut: %v", err)
+	for name, server := range map[string]func(e *Entry) *http.Server{
+		"of a caller":     func(e *Entry) *http.Server { return e.callerServer },
+		"of another host": func(e *Entry) *http.Server { return e.delegated },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := listenHeld(t)
+			e := newStoppableEntry(t, grace)
+			go e.serve(server(e), l)
+			answered := l.get()
+			stopped := make(chan struct{})
+			go func() {
+				e.Stop(context.Background())
+				close(stopped)
+			}()
+			_ = pause.For(t.Context(), balancerNoticeTime+4*stopPollInterval)
+			close(l.release)
+			if err := <-answered; err != nil {
+				t.Errorf("the answer was cut: %v", err)
+			}
+			<-stopped
+		})
 	}
-	<-stopped
 }
 
 // TestStopDoesNotWaitForConnectionsWithoutRequest guards against restarts that take as long as
@@ -130,7 +138,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			e := newStoppableEntry(t, l, grace)
+			e := newStoppableEntry(t, grace)
+			go e.serve(e.callerServer, l)
 			c, err := net.Dial("tcp4", l.Addr().String())
 			if err != nil {
 				t.Fatal(err)
@@ -166,7 +175,8 @@
 			t.Parallel()
 			l := listenHeld(t)
 			defer close(l.release)
-			e := newStoppableEntry(t, l, grace)
+			e := newStoppableEntry(t, grace)
+			go e.serve(e.callerServer, l)
 			l.get()
 			begun := time.Now()
 			e.Stop(context.Background())
@@ -199,7 +209,8 @@
 	const grace, start = 4 * time.Second, time.Second
 	l := listenHeld(t)
 	defer close(l.release)
-	e := newStoppableEntry(t, l, grace)
+	e := newStoppableEntry(t, grace)
+	go e.serve(e.callerServer, l)
 	l.get()
 	requested := time.Now().Add(-start)
 	e.StopSince(context.Background(), requested)
