soak: a reused port no longer ascribes requests to another host

Cause: a proxy knows the host behind a connection by the local port of its own connection to the server, and kept the last one for each port. Once a port is used again, earlier requests count as those of the later host.

Change: the proxy keeps all hosts of a port, with the times from which on they had it, and checks ask for the time of the request.

--- a/cmd/soak/notices.go
+++ b/cmd/soak/notices.go
@@ -169,7 +169,7 @@
 			panic(err) // the value is formatted by this package
 		}
 		from, to := refused.At.Add(noticeDelay), refused.At.Add(time.Duration(seconds*float64(time.Second)))
-		sender := func(a arrival) *host { return cmp.Or(w.hostAt(p.clientOf(a.From)), a.request.host) }
+		sender := func(a arrival) *host { return cmp.Or(w.hostAt(p.clientOf(a.From, a.At)), a.request.host) }
 		h, n := sender(refused), 0
 		for _, a := range arrivals {
 			if sender(a) == h && a.At.After(from) && a.At.Before(to) {
--- a/cmd/soak/proxy.go
+++ b/cmd/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -35,10 +36,16 @@
 		mu           sync.Mutex
 		mode         mode
 		conns        map[net.Conn]bool
-		blackholed   map[net.Conn]bool // permanently blocked connections
-		clients      map[string]string // IP address of the client, by address of the connection to the server
+		blackholed   map[net.Conn]bool        // permanently blocked connections
+		clients      map[string][]proxyClient // by address of the connection to the server, in order
 		disturbances disturbances
 	}
+
+	// proxyClient is the IP address of a client, and when it was connected to the server.
+	proxyClient struct {
+		ip    string
+		since time.Time
+	}
 )
 
 // newProxy listens on addr and forwards connections to target.
@@ -49,7 +56,7 @@
 	}
 	p := &proxy{
 		listener: l, target: target, cuts: c,
-		conns: map[net.Conn]bool{}, blackholed: map[net.Conn]bool{}, clients: map[string]string{},
+		conns: map[net.Conn]bool{}, blackholed: map[net.Conn]bool{}, clients: map[string][]proxyClient{},
 	}
 	go p.accept()
 	return p, nil
@@ -72,7 +79,7 @@
 		}
 		p.mu.Lock()
 		p.conns[client], p.conns[server] = true, true
-		p.clients[server.LocalAddr().String()] = ipOf(client)
+		p.addClient(server.LocalAddr().String(), ipOf(client), time.Now())
 		p.mu.Unlock()
 		go p.copyBytes(server, client, client, false)
 		go p.copyBytes(client, server, client, true)
@@ -110,11 +117,23 @@
 	return err == nil && code != 0
 }
 
-// clientOf returns the IP address of the client whose bytes arrive at the server from addr.
-func (p *proxy) clientOf(addr string) string {
+// addClient records the client whose bytes arrive at the server from addr from now on. The caller
+// holds p.mu.
+func (p *proxy) addClient(addr, ip string, now time.Time) {
+	p.clients[addr] = append(p.clients[addr], proxyClient{ip, now})
+}
+
+// clientOf returns the IP address of the client whose bytes arrived at the server from addr at a
+// time. Connections that follow each other may have the same address.
+func (p *proxy) clientOf(addr string, at time.Time) string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.clients[addr]
+	for _, c := range slices.Backward(p.clients[addr]) {
+		if !c.since.After(at) {
+			return c.ip
+		}
+	}
+	return ""
 }
 
 // waitUntilForwarded blocks until bytes from c may be forwarded. reply says that
--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -435,7 +435,7 @@
 // undisturbedTime before a run. The caller holds w.mu.
 func (w *world) disturbedBefore(req *request, run standin.Run, p *proxy) bool {
 	from := run.At.Add(-undisturbedTime)
-	sender := w.hostAt(p.clientOf(run.From))
+	sender := w.hostAt(p.clientOf(run.From, run.At))
 	return w.disturbances.overlap(from, run.At) || req.host.disturbedDuring(from, run.At) || p.disturbedDuring(from, run.At) ||
 		sender != nil && sender != req.host && sender.disturbedDuring(from, run.At)
 }
--- a/cmd/soak/stops.go
+++ b/cmd/soak/stops.go
@@ -262,7 +262,7 @@
 // stopped, and that stop may cut it.
 func (w *world) delegateMayCut(r *request, runs []standin.Run, slots map[string]*serverSlot) bool {
 	return slices.ContainsFunc(runs, func(run standin.Run) bool {
-		h := w.hostAt(slots[run.Server].proxy.clientOf(run.From))
+		h := w.hostAt(slots[run.Server].proxy.clientOf(run.From, run.At))
 		if h == nil || h == r.host {
 			return false
 		}
@@ -303,7 +303,7 @@
 		for _, run := range runs {
 			s := slots[run.Server]
 			involved = append(involved, s)
-			if h := w.hostAt(s.proxy.clientOf(run.From)); h != nil {
+			if h := w.hostAt(s.proxy.clientOf(run.From, run.At)); h != nil {
 				hosts = append(hosts, h)
 			}
 		}
@@ -332,7 +332,7 @@
 func (w *world) describe(r *request, runs []standin.Run, slots map[string]*serverSlot) string {
 	out, at := "", r.lastByte()
 	for _, run := range runs {
-		out += fmt.Sprintf("[%s from %s, %v to %v]", run.Server, slots[run.Server].proxy.clientOf(run.From), run.At.Sub(at), run.Ended.Sub(at))
+		out += fmt.Sprintf("[%s from %s, %v to %v]", run.Server, slots[run.Server].proxy.clientOf(run.From, run.At), run.At.Sub(at), run.Ended.Sub(at))
 	}
 	return out
 }
