soak: a host that stops as planned is no way out for hosts that are cut off

Cause: hosts that are cut off from all servers are compared with the others as long as one of those is undisturbed.

Change: in runs of planned stops a host that stops does not count as such a way out. TestSoak is unchanged.

--- a/cmd/soak/cuts.go
+++ b/cmd/soak/cuts.go
@@ -203,9 +203,12 @@
 	return slices.ContainsFunc(ps, func(p period) bool { return p.from.Before(to) && p.to.After(from) })
 }
 
-// pathLeft reports whether a host that was not cut off was undisturbed during a request.
+// pathLeft reports whether a host that was not cut off was undisturbed during a request, and not
+// stopped.
 func (w *world) pathLeft(c pastCut, r *request, end time.Time) bool {
-	return slices.ContainsFunc(w.hosts, func(h *host) bool { return !c.hosts[h.ip] && !h.disturbedDuring(r.sentAt.Add(-restTime), end) })
+	return slices.ContainsFunc(w.hosts, func(h *host) bool {
+		return !c.hosts[h.ip] && !h.disturbedDuring(r.sentAt.Add(-restTime), end) && !(w.plannedStops && h.stoppedDuring(r.sentAt, end))
+	})
 }
 
 // excused reports whether a request doesn't count: its key was revoked, its host was disturbed
