gateway: an answer closes its connection if a stop has begun meanwhile

Whether the host is stopping was looked at when a request arrived. An answer to a request from before the stop kept its connection open, so that the caller sent its next request there, to be refused, or to cross the end of the process.

The check on arrival in handle, which this leaves as it was, can go.

--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,6 +35,14 @@
 	go g.refuseWaiting(end)
 }
 
+// closeIfStopping has the connection of an answer closed after it during a planned stop,
+// which may have begun after the request arrived.
+func (g *Gateway) closeIfStopping(w http.ResponseWriter) {
+	if g.stop.Load() != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int64 { return g.progresses.count() }
 
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -88,6 +88,7 @@
 	if c != nil && c.id != "" {
 		w.Header().Set(g.dialect.AttemptID, c.id)
 	}
+	g.closeIfStopping(w)
 	g.setReport(w, c, refusal.origin())
 	w.WriteHeader(refusal.status)
 	_, err = w.Write(b)
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -442,6 +442,7 @@
 
 // forwardAnswer sends a server's answer to the caller unchanged.
 func (g *Gateway) forwardAnswer(w http.ResponseWriter, c *call, out outcome) {
+	g.closeIfStopping(w)
 	copyHeaders(w, out.answer.header)
 	g.setReport(w, c, originServer)
 	w.Header().Set("Content-Length", strconv.Itoa(len(out.answer.body)))
