--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -25,7 +25,7 @@
 		Stream bool
 		// Continued reports that the request may have reached a server before.
 		Continued bool
-		// Expected is the time within which most requests of its kind are answered, and Left
+		// Expected is the time within which almost all requests of its kind are answered, and Left
 		// the time until its deadline.
 		Expected, Left time.Duration
 	}
--- a/daemon/gateway/answertimes.go
+++ b/daemon/gateway/answertimes.go
@@ -16,7 +16,7 @@
 	minAnswerSamples = 10
 	// answerPercentile is the part of the answers that end within the expected time. A stream
 	// that is cut costs its caller several times as much as one that is refused at once.
-	answerPercentile = 0.85
+	answerPercentile = 0.95
 	// maxAnswerRoutes bounds the routes that are tracked.
 	maxAnswerRoutes = 1024
 )
@@ -45,7 +45,7 @@
 	s.Update(took.Microseconds())
 }
 
-// expected returns the time within which most answers of a route ended, and false if too few
+// expected returns the time within which almost all answers of a route ended, and false if too few
 // were recorded.
 func (t *answerTimes) expected(route string) (time.Duration, bool) {
 	t.mu.Lock()
--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -48,7 +48,7 @@
 	return s == nil || s.plan.Allows(now, p.drainRequest(g.expectedTime(p.route), now))
 }
 
-// expectedTime returns the time within which most calls of a route are answered.
+// expectedTime returns the time within which almost all calls of a route are answered.
 func (g *Gateway) expectedTime(r site.Route) time.Duration {
 	if d, ok := g.answerTimes.expected(r.Name); ok {
 		return d
