--- a/cmd/slipcrankd/stop_test.go
+++ b/cmd/slipcrankd/stop_test.go
@@ -74,8 +74,7 @@
 	return work
 }
 
-// TestPlannedStops stops hosts by signals while callers have requests in progress. No request
-// may be lost, and each that the end of a process cuts has a line in its log.
+// TestPlannedStops stops hosts by signals: none loses a request, and the log names those it cuts.
 func TestPlannedStops(t *testing.T) {
 	for name, k := range map[string]stopKind{
 		"late bodies":                     {seed: 1, grace: longGrace, longest: 6 * time.Second, lateBodies: true},
@@ -273,8 +272,7 @@
 	}
 }
 
-// TestLateBodyInPlannedStopIsNotCut sends the heads of streams before a stopping host refuses
-// them, and the bodies when it does.
+// TestLateBodyInPlannedStopIsNotCut sends heads before streams are refused, and bodies after.
 func TestLateBodyInPlannedStopIsNotCut(t *testing.T) {
 	w := startStopWorld(t, 1, longGrace)
 	h := w.hosts[0]
