--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -101,6 +101,9 @@
 		cuts     *cuts
 		// plannedStops says that hosts are stopped as planned all the time.
 		plannedStops bool
+		// faultInterval is the mean time between two faults, noticeInterval between two notices
+		// of servers.
+		faultInterval, noticeInterval time.Duration
 
 		mu           sync.Mutex
 		version      int64
@@ -142,10 +145,19 @@
 		ipPrefix:     nextIPPrefix(),
 		store:        standin.NewStore(),
 		plannedStops: opts.Stops,
-		cuts:         newCuts(),
-		validKeys:    map[string]string{"key-0": "workspace-0"},
-		revokedAt:    map[string]time.Time{},
-		leavingSince: map[string]time.Time{},
+
+		faultInterval:  meanFaultInterval,
+		noticeInterval: meanNoticeInterval,
+		cuts:           newCuts(),
+		validKeys:      map[string]string{"key-0": "workspace-0"},
+		revokedAt:      map[string]time.Time{},
+		leavingSince:   map[string]time.Time{},
+	}
+	if opts.Stops {
+		w.faultInterval = calmFactor * meanFaultInterval
+	}
+	if opts.Stops && opts.Seed%2 == 0 {
+		w.noticeInterval = calmFactor * meanNoticeInterval
 	}
 	if err := w.start(opts); err != nil {
 		return nil, err
@@ -429,7 +441,7 @@
 // undisturbedTime before a run. The caller holds w.mu.
 func (w *world) disturbedBefore(req *request, run standin.Run, p *proxy) bool {
 	from := run.At.Add(-undisturbedTime)
-	sender := w.hostAt(p.clientOf(run.From))
+	sender := w.hostAt(p.clientOf(run.From, run.At))
 	return w.disturbances.overlap(from, run.At) || req.host.disturbedDuring(from, run.At) || p.disturbedDuring(from, run.At) ||
 		sender != nil && sender != req.host && sender.disturbedDuring(from, run.At)
 }
