settings: a change during the start is noticed

The file of the settings may change without a signal. A host read it first, then took its listeners and started, and only then took down which version of the file it had, to compare later ones with. A change in between was missed until the next one.

TestFollow worked around this: it changed the file again and again until a change was reported. It now wants the file's content at the start and each single change after it, which is stricter.

--- a/daemon/settings/follow.go
+++ b/daemon/settings/follow.go
@@ -8,11 +8,12 @@
 	"slipcrank.example/core/pause"
 )
 
-// Follow calls f with the settings of an entry host, or the error of LoadEntry, each
-// time that their file has changed, until ctx ends. It compares the file's
+// Follow calls f with the settings of an entry host, or the error of LoadEntry, at once
+// and each time that their file has changed, until ctx ends. It compares the file's
 // modification time and size once per period.
 func Follow(ctx context.Context, path string, period time.Duration, f func(Entry, error)) {
 	last := stamp(path)
+	f(LoadEntry(path)) // the file may have changed since the caller read it
 	for pause.For(ctx, period) == nil {
 		if now := stamp(path); now != last {
 			last = now
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -180,21 +180,27 @@
 		case <-ctx.Done():
 		}
 	})
-	// Follow may read the file for the first time after a change, which it then does
-	// not report; so change the file until it reports one.
-	got := update{}
-	for n := 0; got.settings.Host == ""; n++ {
-		write(strings.Replace(entryText, "host: h", "host: h"+strings.Repeat("x", n%20), 1))
+	next := func() update {
+		t.Helper()
 		select {
-		case got = <-updates:
-		case <-time.After(20 * time.Millisecond):
+		case u := <-updates:
+			return u
+		case <-time.After(5 * time.Second):
+			t.Fatal("the settings are not reported")
 		}
+		return update{}
+	}
+	// The file may have changed after it was read for the start.
+	got := next()
+	if got.err != nil || got.settings.Host != "h" {
+		t.Errorf("got the host %q, %v, want h", got.settings.Host, got.err)
 	}
-	if got.err != nil {
-		t.Errorf("got %v", got.err)
+	write(strings.Replace(entryText, "host: h", "host: hx", 1))
+	if got = next(); got.err != nil || got.settings.Host != "hx" {
+		t.Errorf("got the host %q, %v, want hx", got.settings.Host, got.err)
 	}
 	write("host: [")
 	for got.err == nil {
-		got = <-updates
+		got = next()
 	}
 }
