--- a/cmd/slipcrankd/stop_test.go
+++ b/cmd/slipcrankd/stop_test.go
@@ -85,8 +85,7 @@
 	}
 }
 
-// TestSignalRightAfterStartDoesNotKill guards against requests that are cut since a signal
-// arrives after the ports have been opened and before it is handled.
+// TestSignalRightAfterStartDoesNotKill guards against signals that are watched after the ports open.
 func TestSignalRightAfterStartDoesNotKill(t *testing.T) {
 	for name, tc := range map[string]struct {
 		number int
@@ -131,8 +130,7 @@
 	}
 }
 
-// TestHangingReloadDoesNotDelayStop guards against a stop that waits for settings which
-// can't be read: its answers would be cut when the process is killed.
+// TestHangingReloadDoesNotDelayStop guards against a stop that waits until settings have been read.
 func TestHangingReloadDoesNotDelayStop(t *testing.T) {
 	t.Parallel()
 	p, path := startEntryHost(t, 3, time.Second)
@@ -154,8 +152,7 @@
 	p.requireCleanExit()
 }
 
-// TestHangupKeepsDaemonServing guards against streams that are cut by a SIGHUP, which ends
-// a process that doesn't handle it.
+// TestHangupKeepsDaemonServing guards against a SIGHUP that ends the process with its streams.
 func TestHangupKeepsDaemonServing(t *testing.T) {
 	f := startFleet(t, 1, 1)
 	const tokens = 100
--- a/daemon/entry/stop_test.go
+++ b/daemon/entry/stop_test.go
@@ -90,8 +90,7 @@
 	return e
 }
 
-// TestStopCompletesAnswerOfReturnedHandler guards against answers that a stop cuts since the
-// library writes their last bytes after the handler has returned.
+// TestStopCompletesAnswerOfReturnedHandler guards against a stop that waits for handlers only.
 func TestStopCompletesAnswerOfReturnedHandler(t *testing.T) {
 	t.Parallel()
 	for name, server := range map[string]func(e *Entry) *http.Server{
@@ -119,8 +118,7 @@
 	}
 }
 
-// TestStopDoesNotWaitForConnectionsWithoutRequest guards against restarts that take as long as
-// the grace period since callers keep connections open.
+// TestStopDoesNotWaitForConnectionsWithoutRequest guards against restarts that take the whole grace.
 func TestStopDoesNotWaitForConnectionsWithoutRequest(t *testing.T) {
 	t.Parallel()
 	for name, tc := range map[string]struct {
@@ -166,8 +164,7 @@
 	}
 }
 
-// TestStopUsesItsGracePeriod guards against requests that a stop cuts although much of the grace
-// period is left. Its last sixth is where callers expect that.
+// TestStopUsesItsGracePeriod guards against requests cut before the last sixth of the grace period.
 func TestStopUsesItsGracePeriod(t *testing.T) {
 	t.Parallel()
 	for name, grace := range map[string]time.Duration{"4 s": 4 * time.Second, "6 s": 6 * time.Second} {
@@ -202,8 +199,7 @@
 	}
 }
 
-// TestStopRequestedDuringStartEndsInTime guards against a stop that is requested while the host
-// starts, and ends after the grace period.
+// TestStopRequestedDuringStartEndsInTime guards against a grace period that counts from the start's end.
 func TestStopRequestedDuringStartEndsInTime(t *testing.T) {
 	t.Parallel()
 	const grace, start = 4 * time.Second, time.Second
--- a/daemon/node/stop_test.go
+++ b/daemon/node/stop_test.go
@@ -45,8 +45,7 @@
 	return c.Conn.Write(b)
 }
 
-// TestStopCompletesAnswerOfSlowReader guards against answers that a stop cuts since fasthttp
-// writes them after the handler has returned.
+// TestStopCompletesAnswerOfSlowReader guards against a stop that waits for handlers only.
 func TestStopCompletesAnswerOfSlowReader(t *testing.T) {
 	s := settings.Default()
 	s.Hall, s.Platform, s.OperatorTokenSHA256 = "leon", "127.0.0.1:1", strings.Repeat("0", 64)
