gateway: a stopping host takes no streams that other hosts delegate

Callers whose host had no path to the servers could have their streams cut by the stop of another host. Cause: a stopping host took delegated streams as long as callers' ones, though only callers need time for the balancer. Change: for delegated requests the refusals begin with the stop; the delegating host is told to ask another one. Evidence: TestStoppingHostRefusesStreamsOfOtherHosts failed before (status 200 after 1 request, want a refusal).

--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -45,7 +45,14 @@
 // progress of the call must be locked.
 func (g *Gateway) mayServe(p *progress, now time.Time) bool {
 	s := g.stop.Load()
-	return s == nil || s.plan.Allows(now, p.drainRequest(g.expectedTime(p.route), now))
+	if s == nil {
+		return true
+	}
+	plan := s.plan
+	if p.delegated {
+		plan.RefuseFrom = s.begun // the other host needs no balancer to notice the stop
+	}
+	return plan.Allows(now, p.drainRequest(g.expectedTime(p.route), now))
 }
 
 // expectedTime returns the time within which almost all calls of a route are answered.
