drain: a waiting retry is refused before the process ends, however fast its route

Callers of routes that answer within milliseconds could see their connections closed at the end of a planned stop: a call that was tried before and waits for its next try (for a grant, a part, memory) is kept as long as its expected time fits. Cause: with an expected time of 1 ms that is until 1 ms before the end. Waiting calls are looked at every 50 ms, so the last look finds that it fits, and the next one comes after the end. Sends were allowed as late. Change: a plan allows nothing in the last 200 ms. Evidence: before, TestRetryThatWaitsIntoEndOfStopIsAnswered: "status 503, error <nil> after 401.165668ms, want 503 before the process ends after 400ms", and with -race "after 402.66767ms"; TestAllows/resumed_fast_call_at_the_end: "Allows = true, want false". Both pass now.

--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -10,6 +10,9 @@
 
 import "time"
 
+// minAnswerTime is the time that an answer or a refusal takes at least on a busy host.
+const minAnswerTime = 200 * time.Millisecond
+
 type (
 	// Plan is a planned stop.
 	Plan struct {
@@ -41,5 +44,5 @@
 		}
 		need = r.Left
 	}
-	return !now.Add(need).After(p.End)
+	return !now.Add(max(need, minAnswerTime)).After(p.End)
 }
--- a/core/drain/drain_test.go
+++ b/core/drain/drain_test.go
@@ -24,6 +24,8 @@
 		"resumed stream too late":             {6500 * time.Millisecond, drain.Request{Stream: true, Continued: true, Expected: s, Left: 9 * s}, false},
 		"call late, with its deadline in it":  {2 * s, drain.Request{Expected: s, Left: 4 * s}, true},
 		"call late, with a deadline after it": {2 * s, drain.Request{Expected: s, Left: 6 * s}, false},
+		"fast call before the end":            {6 * s, drain.Request{Expected: 5 * time.Millisecond, Left: s}, true},
+		"resumed fast call at the end":        {6950 * time.Millisecond, drain.Request{Continued: true, Expected: 5 * time.Millisecond, Left: 9 * s}, false},
 		"call after the end":                  {8 * s, drain.Request{Expected: 0, Left: s}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
