gateway: silence cuts no stream for which there is no other server

Callers saw a resumable stream break about a second after its server had fallen silent, although the server would have gone on. Cause: before a silent stream is taken from its server, it is checked that a stop, the attempts and the retry budget allow another send, but not that there is another server to send it to, or that the configuration in force still has its route and key. The try that follows finds neither, and the stream ends. Change: the check asks for these, too, by the state at its time. Another host that has a path counts as a way on. Evidence: before, TestSilenceDoesNotCutStreamThatNoOtherServerCanResume: "error unexpected EOF, got "id: 1\ndata: piece 1\n\nid: 2\n data: piece 2\n\n", want all events"; it passes now. The cases of a route or key that is gone and of a path that is lost have no test.

--- a/daemon/gateway/silence.go
+++ b/daemon/gateway/silence.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -170,9 +172,9 @@
 // resumeCheck returns a function that reports whether a call may be sent to another server
 // now, and pays for that.
 func (g *Gateway) resumeCheck(ctx context.Context, c *call, x *exchange) func() bool {
-	route := c.route
+	route, hasOther := c.route, g.otherServerCheck(c, x)
 	return func() bool {
-		if !c.progress.allowed(g.mayServe) {
+		if !c.progress.allowed(g.mayServe) || !hasOther() {
 			return false
 		}
 		if p, ok := x.paid(); ok && g.clock.Now()-p.at <= g.budget.MaxDelay() {
@@ -186,5 +188,27 @@
 	}
 }
 
+// otherServerCheck returns a function that reports whether there may be another server for a call,
+// here or at another host.
+func (g *Gateway) otherServerCheck(c *call, x *exchange) func() bool {
+	host, path, key := c.host, c.path, c.key // the call may be changed meanwhile
+	failed := maps.Clone(c.failedServers)
+	failed[x.server.ID] = true
+	return func() bool {
+		s, now := g.state(), &call{host: host, path: path, key: key}
+		if g.authorize(now, s) != nil {
+			return false
+		}
+		if g.delegation != nil && len(g.delegation.Peers(now.services())) > 0 {
+			return true
+		}
+		return slices.ContainsFunc(now.services(), func(service string) bool {
+			others := excludeFailed(g.homeServers(now, s, service), failed)
+			available, _ := g.notices.Available(g.withinReach(service, others), g.clock.Now())
+			return len(available) > 0
+		})
+	}
+}
+
 // reachable reports whether a server accepts connections.
 func (g *Gateway) reachable(s backend.Server) bool { return g.probe(s) == nil }
