gateway: a stop answers the calls that no server has answered by its end

Callers of calls that a server still had at the end of a planned stop saw their connections closed, also where no server was at work on the call: one that is delegated may wait at the other host, and one whose path is lost may wait for a server that is done. Cause: only calls that no server and no host has are refused; all others wait for the end of the process. Change: 150 ms before the end, all calls whose callers have no part of an answer are canceled. Those that may have run get a 502, which promises nothing, as a closed connection does. Streams that have begun go on to the end. An answer that would have come in these 150 ms is lost. Evidence: before, TestCallInProgressAtEndOfStopIsAnswered: "call: status 502, error <nil> after 1.247026842s, want 502 shortly before the process ends after 400ms", "stream before its head: ... after 1.22351924s"; it passes now, also with -race.

--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -11,8 +11,12 @@
 	"slipcrank.example/core/site"
 )
 
-// drainPollInterval is the interval at which waiting calls are checked during a stop.
-const drainPollInterval = 50 * time.Millisecond
+const (
+	// drainPollInterval is the interval at which waiting calls are checked during a stop.
+	drainPollInterval = 50 * time.Millisecond
+	// lastAnswerTime is the time before the end of the process that its last answers take.
+	lastAnswerTime = 150 * time.Millisecond
+)
 
 // errStopping cancels a call that can't be served before the process ends.
 var errStopping = errors.New("host is stopping")
@@ -65,13 +69,18 @@
 }
 
 // refuseWaiting cancels the calls that wait to be sent until there is no time left for them,
-// so that their callers are answered.
+// and shortly before end all whose callers have no part of an answer, so that their callers
+// are answered.
 func (g *Gateway) refuseWaiting(end time.Time) {
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
 	for now := range tick.C {
+		isLast := now.After(end.Add(-lastAnswerTime))
 		for _, p := range g.progresses.all() {
 			p.cancelWaiting(g.mayServe)
+			if isLast {
+				p.cancelUnanswered()
+			}
 		}
 		if now.After(end) {
 			return
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -32,7 +32,8 @@
 		sentElse bool                    // by the host that delegates it
 		cancel   context.CancelCauseFunc // nil before it may be sent
 		waiting  bool                    // no server has it
-		canceled bool                    // while waiting
+		canceled bool                    // while waiting, or before its head was sent
+		headSent bool                    // to the caller
 		server   string                  // to which it was sent last, empty for none
 		sentAt   time.Time               // when it was sent last
 		sends    int
@@ -119,6 +120,23 @@
 	}
 }
 
+// cancelUnanswered cancels the call if its caller has no part of an answer.
+func (p *progress) cancelUnanswered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil && !p.headSent && !p.canceled {
+		p.canceled = true
+		p.cancel(errStopping)
+	}
+}
+
+// setHeadSent records that the caller has the head of a stream.
+func (p *progress) setHeadSent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.headSent = true
+}
+
 // allowed reports whether the call is allowed now.
 func (p *progress) allowed(allowed func(*progress, time.Time) bool) bool {
 	p.mu.Lock()
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -73,6 +73,7 @@
 	if c.headSent {
 		return
 	}
+	c.progress.setHeadSent()
 	g.closeIfStopping(w)
 	copyHeaders(w, a.Header)
 	w.Header().Del("Content-Length") // the stream may be resumed at another server
