gateway: a stop expects the time of all tries of a call, not of the last one

Callers of routes whose calls are often tried again or resumed were passed on in a stop that left no time for their first try. Cause: the times by which a stop decides were taken from the last try's send, although they are to be those from the first send to the end of the answer. A call that ran out of time after a send that was denied counted, too. Change: the first send counts, and only if there was one. Evidence: before, TestStopExpectsTimeOfAllTries: "status 502 although the host ends before the first try, want 503"; it passes now.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -285,8 +285,8 @@
 	for {
 		out := g.try(ctx, w, c)
 		c.progress.setWaiting(cancel)
-		if c.sentAt > 0 && (out.result == answered || out.reason == "out_of_time") {
-			g.answerTimes.record(c.route.Name, g.clock.Now()-c.sentAt)
+		if took, sent := c.progress.sinceFirstSend(); sent && (out.result == answered || out.reason == "out_of_time") {
+			g.answerTimes.record(c.route.Name, took)
 		}
 		if out.result == answered {
 			g.logAnswered(c, out)
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -35,6 +35,7 @@
 		canceled bool                    // while waiting, or before its head was sent
 		headSent bool                    // to the caller
 		server   string                  // to which it was sent last, empty for none
+		firstAt  time.Time               // when it was sent first, zero before
 		sentAt   time.Time               // when it was sent last
 		sends    int
 	}
@@ -98,11 +99,21 @@
 	if p.canceled || !allowed(p, now) {
 		return errStopping
 	}
+	if p.sends == 0 {
+		p.firstAt = now
+	}
 	p.waiting, p.server, p.sentAt = false, server, now
 	p.sends++
 	return nil
 }
 
+// sinceFirstSend returns the time since the call was sent first, and false if it wasn't.
+func (p *progress) sinceFirstSend() (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.firstAt), p.sends > 0
+}
+
 // setServer records the server to which another host has sent the call.
 func (p *progress) setServer(server string) {
 	p.mu.Lock()
