--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -32,8 +32,10 @@
 		sentElse bool                    // by the host that delegates it
 		cancel   context.CancelCauseFunc // nil before it may be sent
 		waiting  bool                    // no server has it
-		canceled bool                    // while waiting
+		canceled bool                    // while waiting, or before its head was sent
+		headSent bool                    // to the caller
 		server   string                  // to which it was sent last, empty for none
+		firstAt  time.Time               // when it was sent first, zero before
 		sentAt   time.Time               // when it was sent last
 		sends    int
 	}
@@ -97,11 +99,21 @@
 	if p.canceled || !allowed(p, now) {
 		return errStopping
 	}
+	if p.sends == 0 {
+		p.firstAt = now
+	}
 	p.waiting, p.server, p.sentAt = false, server, now
 	p.sends++
 	return nil
 }
 
+// sinceFirstSend returns the time since the call was sent first, and false if it wasn't.
+func (p *progress) sinceFirstSend() (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.firstAt), p.sends > 0
+}
+
 // setServer records the server to which another host has sent the call.
 func (p *progress) setServer(server string) {
 	p.mu.Lock()
@@ -119,6 +131,23 @@
 	}
 }
 
+// cancelUnanswered cancels the call if its caller has no part of an answer.
+func (p *progress) cancelUnanswered() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil && !p.headSent && !p.canceled {
+		p.canceled = true
+		p.cancel(errStopping)
+	}
+}
+
+// setHeadSent records that the caller has the head of a stream.
+func (p *progress) setHeadSent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.headSent = true
+}
+
 // allowed reports whether the call is allowed now.
 func (p *progress) allowed(allowed func(*progress, time.Time) bool) bool {
 	p.mu.Lock()
