--- a/daemon/decision/decision.go
+++ b/daemon/decision/decision.go
@@ -3,9 +3,9 @@
 //
 // Writing never blocks. Lines are written by a goroutine from a bounded queue. Lines
 // above the rate limit, and those that find the queue full, are dropped and counted,
-// and the next line that is written contains the count. Each event has a rate and a part
-// of the queue that no other event can use up. The lines of [Log.WriteLast] are always
-// written.
+// and the next line that is written contains the count. Each event has a rate that no other
+// event can use up, and half of the queue takes only lines within these rates. The lines of
+// [Log.WriteLast] are always written.
 //
 // # Usage
 //
--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -69,7 +69,7 @@
 
 // refuseStopping refuses a call that a planned stop leaves no time for.
 func (g *Gateway) refuseStopping(c *call) *refusalResponse {
-	if c.progress.allowed(g.mayServe) {
+	if c.progress.isAllowed(g.mayServe) {
 		return nil
 	}
 	return refuseHere("stopping")
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -314,7 +314,7 @@
 	if c.mayHaveRun && !c.route.Resumable() || c.headSent && !(c.route.Kind == site.Stream && c.route.Resume) {
 		return false
 	}
-	if !c.progress.allowed(g.mayServe) {
+	if !c.progress.isAllowed(g.mayServe) {
 		c.lastFailure += ",stopping"
 		return false
 	}
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -156,7 +156,8 @@
 	resumable := e.mayResume()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.leaving = false; resumable && e.heard <= since {
+	e.leaving = false
+	if resumable && e.heard <= since {
 		e.cancel(errPathLost)
 	}
 }
--- a/daemon/gateway/silence.go
+++ b/daemon/gateway/silence.go
@@ -177,7 +177,7 @@
 func (g *Gateway) resumeCheck(ctx context.Context, c *call, x *exchange) func() bool {
 	route, hasOther := c.route, g.otherServerCheck(c, x)
 	return func() bool {
-		if !c.progress.allowed(g.mayServe) || !hasOther() {
+		if !c.progress.isAllowed(g.mayServe) || !hasOther() {
 			return false
 		}
 		if p, ok := x.paid(); ok && g.clock.Now()-p.at <= g.budget.MaxDelay() {
