gateway: only successes tell a stop how long answers take

Cause: answers such as a 404 of a server are made at once, so a route with many of them was expected to answer sooner than it does. Change: successes and calls that ran out of time count.

--- a/daemon/gateway/answertimes.go
+++ b/daemon/gateway/answertimes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
@@ -56,3 +57,12 @@
 	}
 	return time.Duration(s.Percentile(answerPercentile)) * time.Microsecond, true
 }
+
+// recordAnswerTime records how long a call took that has its answer or ran out of time. Answers
+// that aren't successes are often made without any work.
+func (g *Gateway) recordAnswerTime(c *call, out outcome) {
+	success := out.result == answered && out.answer.status < http.StatusBadRequest
+	if took, sent := c.progress.sinceFirstSend(); sent && (success || out.reason == "out_of_time") {
+		g.answerTimes.record(c.route.Name, took)
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -285,9 +285,7 @@
 	for {
 		out := g.try(ctx, w, c)
 		c.progress.setWaiting(cancel)
-		if took, sent := c.progress.sinceFirstSend(); sent && (out.result == answered || out.reason == "out_of_time") {
-			g.answerTimes.record(c.route.Name, took)
-		}
+		g.recordAnswerTime(c, out)
 		if out.result == answered {
 			g.logAnswered(c, out)
 			return
