gateway: only another server reached after a refusal shows that there is a path

Cause: a server counted as down if its port refused two probes and another server had been heard since before the first one. On a busy host that probe's result comes up to 180 ms after its start. So what a server had sent before the path was lost counted as a path, and both refusals came from one cut. In a traced run of TestHallPartitionSuspectsNoParts (load 40) 17 of 19 servers that were found down were such cases; the port was probed again within 0.5 ms of that, but for one (13 ms).

Change: after the first refusal another server has to accept a connection. What others send is no longer counted, since it may have been sent before the cut. The order of the probes is in core/reach.

The new test of the gateway fails without the change.

--- /dev/null
+++ b/daemon/gateway/down_internal_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/limit"
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/daemon/decision"
+	"slipcrank.example/daemon/telemetry"
+	"slipcrank.example/daemon/upstream"
+)
+
+// startCheck returns a gateway with two servers of one service, to which it connects with dial.
+func startCheck(t *testing.T, dial func(ctx context.Context, addr string) (net.Conn, error)) *Gateway {
+	t.Helper()
+	l := decision.New(t.Output())
+	t.Cleanup(l.Close)
+	servers := backend.NewRegistry()
+	for n, id := range []string{"server", "other"} {
+		servers.Put(backend.Server{ID: id, Service: "engine", Addr: id, Slots: 1}, int64(n+1))
+	}
+	v := servers.View(0)
+	return New(Dialect{}, func() State { return State{Servers: v} }, upstream.New(upstream.WithDial(dial)), schedule.New(1),
+		limit.NewRetryWindow(time.Second, 0, nil), l, telemetry.NewMetrics())
+}
+
+// TestAnswerBeforeRefusalIsNoPath loses the path while a probe runs, after another server was heard.
+func TestAnswerBeforeRefusalIsNoPath(t *testing.T) {
+	var g *Gateway
+	other := backend.Server{ID: "other", Service: "engine"}
+	probes := 0
+	g = startCheck(t, func(context.Context, string) (net.Conn, error) {
+		if probes++; probes == 1 {
+			g.recordHeard(other)
+		}
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	})
+	if server, _ := g.state().Servers.Get("server"); g.foundDown(server) {
+		t.Error("a server is found down, of which no other was reached after the path was lost")
+	}
+}
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -132,13 +132,14 @@
 	return true
 }
 
-// foundDown reports whether a server's port is closed, and this host reaches other servers:
-// one of the same service and hall has sent something meanwhile, or accepts a connection.
-// Without a path to them, all ports may look closed. The port is probed once more after that,
-// since the path may have come back meanwhile.
+// foundDown reports whether a server's port is closed, and this host reaches other servers.
+// What others have sent doesn't count: it may have been on its way before the path was lost.
 func (g *Gateway) foundDown(s backend.Server) bool {
-	began := g.clock.Now()
-	return g.portClosed(s) && (g.reach.HeardSince(pathGroup(s), began) || g.reachesOthers(s)) && g.portClosed(s)
+	return reach.DownCheck{
+		Now:          g.clock.Now,
+		Refused:      func(time.Duration) bool { return g.portClosed(s) },
+		ReachesOther: func(time.Duration) bool { return g.reachesOthers(s) },
+	}.Down()
 }
 
 // reachesOthers reports whether this host reaches one of some other servers that must be
