gateway: a check of whether a server is down uses no probe begun before it

Cause: concurrent checks share their probes, also one of the other servers that began before the path was lost and ends, successful, after the first refusal. Then both refusals come from one cut. In the same way a first probe that began before a server crashed shows it as up.

Change: a shared probe counts only if it began after the one before it had ended; otherwise another is made, which all callers share.

--- a/daemon/gateway/down_internal_test.go
+++ b/daemon/gateway/down_internal_test.go
@@ -44,3 +44,31 @@
 		t.Error("a server is found down, of which no other was reached after the path was lost")
 	}
 }
+
+// TestSharedProbeIsNotOlderThanItsUse loses the path while a goroutine probes other servers, and has another one check a server.
+func TestSharedProbeIsNotOlderThanItsUse(t *testing.T) {
+	reached, lost := make(chan struct{}), make(chan struct{})
+	g := startCheck(t, func(context.Context, string) (net.Conn, error) {
+		select {
+		case <-lost:
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+		default:
+		}
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		close(reached)
+		<-lost
+		return near, nil
+	})
+	server, _ := g.state().Servers.Get("server")
+	earlier := make(chan bool)
+	go func() { earlier <- g.reachesOthers(server, 0) }()
+	<-reached
+	close(lost)
+	if g.foundDown(server) {
+		t.Error("a server is found down, of which no other was reached after the path was lost")
+	}
+	if !<-earlier {
+		t.Error("the other server was not reached before the path was lost")
+	}
+}
--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -137,20 +137,19 @@
 func (g *Gateway) foundDown(s backend.Server) bool {
 	return reach.DownCheck{
 		Now:          g.clock.Now,
-		Refused:      func(time.Duration) bool { return g.portClosed(s) },
-		ReachesOther: func(time.Duration) bool { return g.reachesOthers(s) },
+		Refused:      func(since time.Duration) bool { return upstream.PortClosed(g.probeSince(s, since)) },
+		ReachesOther: func(since time.Duration) bool { return g.reachesOthers(s, since) },
 	}.Down()
 }
 
 // reachesOthers reports whether this host reaches one of some other servers that must be
 // reachable if the path to a server is sound: a request may crash most of them, but hardly
-// all at once. It is true if there are no other servers.
-func (g *Gateway) reachesOthers(server backend.Server) bool {
-	reached, _, _ := g.probes.Do("others than "+server.ID, func() (any, error) {
+// all at once. It is true if there are no other servers. No probe begins before since.
+func (g *Gateway) reachesOthers(server backend.Server, since time.Duration) bool {
+	return shareProbe(g, "others than "+server.ID, since, func(began time.Duration) bool {
 		start := func(f func()) { go f() }
-		return reach.AnyReached(g.controlServers(server), start, g.reachable), nil
+		return reach.AnyReached(g.controlServers(server), start, func(s backend.Server) bool { return g.probeSince(s, began) == nil })
 	})
-	return reached.(bool)
 }
 
 // controlServers returns a few other servers, those of which a crash is recorded left out:
@@ -180,18 +179,35 @@
 	return reach.Controls(near, far, others)
 }
 
-// portClosed reports whether a server's port refuses connections.
-func (g *Gateway) portClosed(s backend.Server) bool { return upstream.PortClosed(g.probe(s)) }
+// probe returns nil if a server accepts connections.
+func (g *Gateway) probe(s backend.Server) error { return g.probeSince(s, 0) }
 
-// probe returns nil if a server accepts connections. Concurrent probes of one server
-// share a single connection attempt.
-func (g *Gateway) probe(s backend.Server) error {
-	_, err, _ := g.probes.Do(s.Addr, func() (any, error) {
+// probeSince returns nil if a server accepts connections, by a probe that begins at since or
+// later. Concurrent probes of one server share a single connection attempt.
+func (g *Gateway) probeSince(s backend.Server, since time.Duration) error {
+	return shareProbe(g, s.Addr, since, func(time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		return nil, g.pool.Probe(ctx, s.Addr)
+		return g.pool.Probe(ctx, s.Addr)
 	})
-	return err
+}
+
+// shareProbe returns the result of a probe, or of one with the same key that another goroutine
+// has begun at since or later. One begun before may have ended on a path that has changed.
+func shareProbe[T any](g *Gateway, key string, since time.Duration, probe func(began time.Duration) T) T {
+	type result struct {
+		began time.Duration
+		value T
+	}
+	for {
+		shared, _, _ := g.probes.Do(key, func() (any, error) {
+			began := g.clock.Now()
+			return result{began, probe(began)}, nil
+		})
+		if r := shared.(result); r.began >= since {
+			return r.value
+		}
+	}
 }
 
 // clearSuspect clears a suspected request that was answered: it doesn't crash servers.
