reach: slow probes find a server down only if repeated

Cause: a path may be lost, come back and be lost again while a host that has no processor probes a server, another one and the first again.

Change: probes that take longer together than their timeouts allow are made again, from the second refusal on. The server is down after one round within that time, or after three slow ones with the same result.

--- a/daemon/gateway/suspects.go
+++ b/daemon/gateway/suspects.go
@@ -139,6 +139,7 @@
 		Now:          g.clock.Now,
 		Refused:      func(since time.Duration) bool { return upstream.PortClosed(g.probeSince(s, since)) },
 		ReachesOther: func(since time.Duration) bool { return g.reachesOthers(s, since) },
+		RoundTime:    3 * probeTimeout,
 	}.Down()
 }
 
