slipcrankd: a server at work at the cut excuses it, whichever run began last

Two of three failures of a whole run with -race at load 43 were the judge's. It looked at the run that began last, but on a busy machine a server may begin an abandoned run after the one that replaced it, and a run that ended 10 ms after the cut by itself didn't count as at work. Both servers were at work in the last sixth of the grace period, on requests sent before the SIGTERM, which the rule allows. Now any run counts that was at work in that part and had not ended when the caller's connection did, so an answer whose server was done is judged as before. The last run alone still says whether the server broke off.

--- a/cmd/slipcrankd/stop_judge_test.go
+++ b/cmd/slipcrankd/stop_judge_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -84,9 +85,15 @@
 	if late := r.end.Sub(r.firstByte) >= stopDeadline; late || len(runs) == 0 {
 		return late
 	}
-	last := runs[len(runs)-1]
-	working := last.ended.IsZero() || last.cut && !last.ended.Before(s.signalled.Add(w.grace-w.grace/lastGracePart))
-	return last.brokeOff || working && !r.lastByte.IsZero() && r.lastByte.Sub(s.signalled) <= lateSend
+	if runs[len(runs)-1].brokeOff {
+		return true
+	}
+	// Any run counts: a busy server may begin one that was given up after the one that replaced it.
+	working := slices.ContainsFunc(runs, func(run stopRun) bool {
+		inLastPart := !run.ended.Before(s.signalled.Add(w.grace - w.grace/lastGracePart))
+		return run.ended.IsZero() || inLastPart && (run.cut || !run.ended.Before(r.end))
+	})
+	return working && !r.lastByte.IsZero() && r.lastByte.Sub(s.signalled) <= lateSend
 }
 
 // describe describes a request with times since SIGTERM.
