--- a/cmd/slipcrankd/entry.go
+++ b/cmd/slipcrankd/entry.go
@@ -27,6 +27,16 @@
 // SIGINT, and returns the exit code. It reloads the settings on SIGHUP and when
 // their file changes.
 func runEntry() int {
+	// Separate channels: a stop must not wait for settings that can't be read, nor be lost
+	// behind other signals.
+	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reload, syscall.SIGHUP)
+	stopRequested := make(chan time.Time, 1)
+	go func() {
+		<-stop
+		stopRequested <- time.Now() // the grace period counts from here, also during the start
+	}()
 	path := platform.SettingsPath()
 	s, err := settings.LoadEntry(path)
 	if err != nil {
@@ -54,14 +64,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go settings.Follow(ctx, path, settingsPollInterval, e.Reload)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
+	go func() {
+		for range reload {
+			e.Reload(settings.LoadEntry(path))
 		}
-		e.Reload(settings.LoadEntry(path))
-	}
-	e.Stop(context.Background())
+	}()
+	e.StopSince(context.Background(), <-stopRequested)
 	return 0
 }
