--- a/cmd/soak/soak.go
+++ b/cmd/soak/soak.go
@@ -100,8 +100,10 @@
 		slots    []*serverSlot
 		cuts     *cuts
 		// plannedStops says that hosts are stopped as planned all the time.
-		plannedStops   bool
-		noticeInterval time.Duration // mean time between two notices of servers
+		plannedStops bool
+		// faultInterval is the mean time between two faults, noticeInterval between two notices
+		// of servers.
+		faultInterval, noticeInterval time.Duration
 
 		mu           sync.Mutex
 		version      int64
@@ -144,12 +146,16 @@
 		store:        standin.NewStore(),
 		plannedStops: opts.Stops,
 
+		faultInterval:  meanFaultInterval,
 		noticeInterval: meanNoticeInterval,
 		cuts:           newCuts(),
 		validKeys:      map[string]string{"key-0": "workspace-0"},
 		revokedAt:      map[string]time.Time{},
 		leavingSince:   map[string]time.Time{},
 	}
+	if opts.Stops {
+		w.faultInterval = calmFactor * meanFaultInterval
+	}
 	if opts.Stops && opts.Seed%2 == 0 {
 		w.noticeInterval = calmFactor * meanNoticeInterval
 	}
@@ -435,7 +441,7 @@
 // undisturbedTime before a run. The caller holds w.mu.
 func (w *world) disturbedBefore(req *request, run standin.Run, p *proxy) bool {
 	from := run.At.Add(-undisturbedTime)
-	sender := w.hostAt(p.clientOf(run.From))
+	sender := w.hostAt(p.clientOf(run.From, run.At))
 	return w.disturbances.overlap(from, run.At) || req.host.disturbedDuring(from, run.At) || p.disturbedDuring(from, run.At) ||
 		sender != nil && sender != req.host && sender.disturbedDuring(from, run.At)
 }
--- a/core/drain/drain.go
+++ b/core/drain/drain.go
@@ -10,6 +10,9 @@
 
 import "time"
 
+// minAnswerTime is the time that an answer or a refusal takes at least on a busy host.
+const minAnswerTime = 200 * time.Millisecond
+
 type (
 	// Plan is a planned stop.
 	Plan struct {
@@ -25,7 +28,7 @@
 		Stream bool
 		// Continued reports that the request may have reached a server before.
 		Continued bool
-		// Expected is the time within which most requests of its kind are answered, and Left
+		// Expected is the time within which almost all requests of its kind are answered, and Left
 		// the time until its deadline.
 		Expected, Left time.Duration
 	}
@@ -41,5 +44,5 @@
 		}
 		need = r.Left
 	}
-	return !now.Add(need).After(p.End)
+	return !now.Add(max(need, minAnswerTime)).After(p.End)
 }
--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,14 @@
 	go g.refuseWaiting(end)
 }
 
+// closeIfStopping has the connection of an answer closed after it during a planned stop,
+// which may have begun after the request arrived.
+func (g *Gateway) closeIfStopping(w http.ResponseWriter) {
+	if g.stop.Load() != nil {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int64 { return g.progresses.count() }
 
@@ -36,10 +45,17 @@
 // progress of the call must be locked.
 func (g *Gateway) mayServe(p *progress, now time.Time) bool {
 	s := g.stop.Load()
-	return s == nil || s.plan.Allows(now, p.drainRequest(g.expectedTime(p.route), now))
+	if s == nil {
+		return true
+	}
+	plan := s.plan
+	if p.delegated {
+		plan.RefuseFrom = s.begun // the other host needs no balancer to notice the stop
+	}
+	return plan.Allows(now, p.drainRequest(g.expectedTime(p.route), now))
 }
 
-// expectedTime returns the time within which most calls of a route are answered.
+// expectedTime returns the time within which almost all calls of a route are answered.
 func (g *Gateway) expectedTime(r site.Route) time.Duration {
 	if d, ok := g.answerTimes.expected(r.Name); ok {
 		return d
