--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -285,9 +285,7 @@
 	for {
 		out := g.try(ctx, w, c)
 		c.progress.setWaiting(cancel)
-		if c.sentAt > 0 && (out.result == answered || out.reason == "out_of_time") {
-			g.answerTimes.record(c.route.Name, g.clock.Now()-c.sentAt)
-		}
+		g.recordAnswerTime(c, out)
 		if out.result == answered {
 			g.logAnswered(c, out)
 			return
@@ -314,7 +312,7 @@
 	if c.mayHaveRun && !c.route.Resumable() || c.headSent && !(c.route.Kind == site.Stream && c.route.Resume) {
 		return false
 	}
-	if !c.progress.allowed(g.mayServe) {
+	if !c.progress.isAllowed(g.mayServe) {
 		c.lastFailure += ",stopping"
 		return false
 	}
