gateway: a host that refused a call since it stops is asked last

Cause: a call is delegated to three hosts at most. A host that stops refuses streams of others at once since, and was asked again for each call. Change: a start of a host that has answered "stopping" comes after the others; it doesn't return. Evidence: TestStoppingHostIsAskedLast failed before ("host 1 is asked, want 2").

--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -63,7 +63,7 @@
 	if !g.needsPeer(c, s) {
 		return reach.Peer{}, false
 	}
-	for _, p := range g.delegation.Peers(c.services()) {
+	for _, p := range g.stoppingPeers.last(g.delegation.Peers(c.services())) {
 		if !c.delegations[p.Number] {
 			return p, true
 		}
@@ -178,7 +178,11 @@
 	a.Header.Del(delegationHeader)
 	g.raiseServedVersion(r.version)
 	if r.origin != originServer {
-		return g.refusedByPeer(c, a, r)
+		out := g.refusedByPeer(c, a, r)
+		if out.reason == "host_"+stoppingReason {
+			g.stoppingPeers.add(to.Number)
+		}
+		return out
 	}
 	c.progress.setServer(r.server)
 	if server, ok := s.Servers.Get(r.server); ok {
--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -16,6 +16,8 @@
 	drainPollInterval = 50 * time.Millisecond
 	// lastAnswerTime is the time before the end of the process that its last answers take.
 	lastAnswerTime = 150 * time.Millisecond
+	// stoppingReason is the reason of refusals during a planned stop.
+	stoppingReason = "stopping"
 )
 
 // errStopping cancels a call that can't be served before the process ends.
@@ -72,7 +74,7 @@
 	if c.progress.isAllowed(g.mayServe) {
 		return nil
 	}
-	return refuseHere("stopping")
+	return refuseHere(stoppingReason)
 }
 
 // refuseWaiting cancels the calls that wait to be sent until there is no time left for them,
@@ -97,7 +99,7 @@
 
 // stopped returns out as the outcome of a try that a planned stop has prevented.
 func stopped(out outcome) outcome {
-	out.result, out.reason, out.refusal = final, "stopping", refuseHere("stopping")
+	out.result, out.reason, out.refusal = final, stoppingReason, refuseHere(stoppingReason)
 	return out
 }
 
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -81,6 +81,7 @@
 		stop               atomic.Pointer[stop]
 		answerTimes        *answerTimes
 		progresses         *progresses
+		stoppingPeers      *stoppingPeers
 		memory             *memory.Reserver // nil: no memory can be reserved
 		buffers            *buffers
 		shareRefusals      *shareRefusals
@@ -200,6 +201,7 @@
 
 		exchanges:       newExchanges(),
 		progresses:      newProgresses(),
+		stoppingPeers:   newStoppingPeers(),
 		answerTimes:     newAnswerTimes(),
 		reach:           reach.New(),
 		quarantine:      quarantine.NewRegistry(),
@@ -313,7 +315,7 @@
 		return false
 	}
 	if !c.progress.isAllowed(g.mayServe) {
-		c.lastFailure += ",stopping"
+		c.lastFailure += "," + stoppingReason
 		return false
 	}
 	if out.result == unsent {
