limit: the borrower tells how long it has waited

Cause: Spend read the wall clock to know how long borrowing took. Change: borrow returns how long it waited; daemon/loans measures that. core/limit reads no clock.

--- a/core/limit/window.go
+++ b/core/limit/window.go
@@ -83,17 +83,16 @@
 }
 
 // Spend pays one retry to a service. What this host's part lacks it asks of borrow, which
-// returns what other hosts have lent; borrow may be nil. Spend returns what this host knew
-// before, and whether the retry is paid.
-func (w *RetryWindow) Spend(service string, now time.Time, borrow func(amount float64) float64) (Balance, bool) {
+// returns what other hosts have lent and how long it has waited for them; borrow may be nil.
+// Spend returns what this host knew before, and whether the retry is paid.
+func (w *RetryWindow) Spend(service string, now time.Time, borrow func(amount float64) (lent float64, waited time.Duration)) (Balance, bool) {
 	b, ok := w.take(service, 1, now)
 	if ok || borrow == nil || !w.mayBorrow(service, now) {
 		return b, ok
 	}
 	own := min(max(b.Allowed-b.Spent, 0), 1)
-	asked := time.Now()
-	lent := borrow(1 - own)
-	now = now.Add(time.Since(asked)) // borrowing waits for other hosts
+	lent, waited := borrow(1 - own)
+	now = now.Add(waited)
 	if lent < 1-own {
 		w.pauseBorrowing(service, now)
 		return b, false
--- a/core/limit/window_test.go
+++ b/core/limit/window_test.go
@@ -70,7 +70,7 @@
 		return false
 	}
 	first := n / f.cell * f.cell
-	_, ok := f.hosts[n].window.Spend("s", f.begin.Add(f.now), func(amount float64) float64 {
+	_, ok := f.hosts[n].window.Spend("s", f.begin.Add(f.now), func(amount float64) (float64, time.Duration) {
 		lent, asked := 0.0, 0
 		for _, i := range f.random.Perm(min(f.cell, len(f.hosts)-first)) {
 			if lender := first + i; lender != n && lent < amount && asked < maxAsked {
@@ -80,7 +80,7 @@
 				}
 			}
 		}
-		return lent
+		return lent, 0
 	})
 	if ok {
 		f.retries = append(f.retries, f.now)
--- a/daemon/loans/loans.go
+++ b/daemon/loans/loans.go
@@ -47,7 +47,10 @@
 // Spend pays one retry to a service. It returns what this host knew before, and whether the
 // retry is paid.
 func (b *Borrower) Spend(ctx context.Context, service string, now time.Time) (limit.Balance, bool) {
-	return b.window.Spend(service, now, func(amount float64) float64 { return b.borrow(ctx, service, amount) })
+	return b.window.Spend(service, now, func(amount float64) (float64, time.Duration) {
+		asked := time.Now()
+		return b.borrow(ctx, service, amount), time.Since(asked)
+	})
 }
 
 // borrow asks hosts in random order, until they have lent the amount together, and returns what
