gateway: lines of refusals tell whether another host has delegated a stream

In the users' record hosts refuse streams of others, and no line tells that these were delegated, had run before, or had a part of their answer. SC1513 and SC1514 now have delegated, sent and last_event, which tell a stream that continues from a new one. Not measured: attributes only.

--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -34,7 +34,8 @@
 	g.log.Write(event.RequestEnded, slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("route", c.route.Name),
 		slog.String("workspace", c.workspace.Name), slog.String("result", resultLabel), slog.Int("status", status),
 		slog.String("server", out.server),
-		slog.String("why", c.lastFailure), slog.Int("attempts", c.attempts), slog.String("last_event", c.lastEventID),
+		slog.String("why", c.lastFailure), slog.Int("attempts", c.attempts), slog.Bool("delegated", c.delegated != nil),
+		slog.Int("sent", c.sent), slog.String("last_event", c.lastEventID),
 		slog.String("framing", string(out.framing)), slog.Int("partial", out.partial),
 		slog.Duration("first", out.firstEvent), slog.Duration("pause", c.maxPause), slog.Duration("held", time.Since(c.arrivedAt)))
 }
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -98,6 +98,7 @@
 		attrs = append(attrs, slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("route", c.route.Name),
 			slog.String("workspace", c.workspace.Name),
 			slog.Int("attempts", c.attempts), slog.Any("ports", c.sends.Ports()), slog.Bool("may_have_run", c.mayHaveRun),
+			slog.Bool("delegated", c.delegated != nil), slog.Int("sent", c.sent), slog.String("last_event", c.lastEventID),
 			slog.Duration("held", time.Since(c.arrivedAt)))
 	}
 	if err != nil {
