gateway: only events continue a stream that was resumed

Callers saw streams that look complete, with the body of a failure behind their first events: a stream that broke off was sent to a second server, whose 404 was forwarded like that of a first one. A caller that has a part of a stream now gets nothing but events; another answer is a failed try. The new test got "gone" behind one event and no error before, and a truncated answer after.

--- a/daemon/gateway/stream_test.go
+++ b/daemon/gateway/stream_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 )
 
@@ -99,3 +100,20 @@
 		t.Errorf("got %v %q", a.err, a.body)
 	}
 }
+
+// TestResumedStreamGetsNoBytesOfOtherAnswers has a stream break off, and the next server answer it with a failure.
+func TestResumedStreamGetsNoBytesOfOtherAnswers(t *testing.T) {
+	const begin = "id: 1\ndata: piece 1\n\n"
+	var runs atomic.Int64
+	answer := func(r *http.Request, w io.Writer) bool {
+		if runs.Add(1) > 1 {
+			return plainReply(404, "gone")(r, w)
+		}
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTry: t1\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(begin), begin)
+		return false
+	}
+	f := start(t, answer, answer)
+	if a := f.do("POST", "/resume/", "b"); a.err == nil || a.body != begin || runs.Load() != 2 {
+		t.Errorf("error %v, got %q after %d runs, want a truncated answer with one event after 2", a.err, a.body, runs.Load())
+	}
+}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -349,9 +349,12 @@
 	collect func(http.ResponseWriter, *call, *upstream.Answer) outcome,
 ) outcome {
 	var out outcome
-	if c.route.Kind == site.Stream && hasEvents(a) {
+	switch {
+	case c.route.Kind == site.Stream && hasEvents(a):
 		out = g.relay(w, c, a, timer, hooks)
-	} else {
+	case c.headSent: // only events continue a stream
+		out = outcome{result: failed, reason: "no_stream"}
+	default:
 		out = collect(w, c, a)
 	}
 	out.framing = a.Framing
