gateway: a silent stream is kept until another server has sent its next event

Callers saw streams cut that their servers would have finished. A host ended a stream after 1.2 s of silence, or when the path to its server seemed lost, as soon as there might be another server: attempts, time, retry budget and any server or host at all. The other one then refused it (queue_too_long, refused_503, no_server), broke off or was silent, and the caller's connection was closed. A check of that kind can't know what the other server will do.

The stream now stays with its server while a copy of the call is sent to others (handover.go). Whichever sends the next event has the stream; the other one is canceled, and an event of the present server ends the handover. What the tries used (attempts, payments, servers that failed) is kept. SC1528 tells how each handover ended. A server that goes on no longer counts as failed.

--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -84,6 +84,7 @@
 	PartSuspected           = Event{1524, "part of prompts suspected of crashing servers"}
 	PartRefused             = Event{1525, "request refused since a part of its prompt crashes servers"}
 	RequestCut              = Event{1527, "request cut by the end of the process"}
+	StreamHandover          = Event{1528, "stream offered to other backend servers"}
 	AnswerInvalid           = Event{1526, "answer of a backend server is invalid"}
 	EngineTimeScarce        = Event{1523, "engines' time has become scarce, or is enough again"}
 	PathChanged             = Event{1322, "path to the backend servers of a service has changed"}
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -60,6 +60,7 @@
 	firstEventAt  time.Time           // of the current stream
 	partsCleared  bool                // the current stream has cleared its parts
 	exchange      *exchange           // of the current try
+	handover      *handover           // in which this copy of the call is sent, nil for none
 	progress      *progress
 	mayHaveRun    bool          // it may have run, or may still be running
 	copiesFailed  bool          // several copies of it have failed together
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -145,7 +145,7 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	var begun atomic.Bool // the caller has a part of the answer
-	begun.Store(c.headSent)
+	begun.Store(c.headSent && !c.handover.isPending())
 	timer := &silenceTimer{
 		timeout: silentHostTimeout, onExpire: func() { cancel(errHostGone) },
 		// A stream isn't resumed after that; if the host is gone, the connection breaks.
@@ -246,15 +246,18 @@
 	}
 }
 
-// relayHooks are called for the events of a stream. They may be nil.
+// relayHooks are called for the events of a stream. They may be nil, as may the exchange, from
+// which other servers may get the stream.
 type relayHooks struct {
-	first func()                    // the first event has arrived
-	event func(pause time.Duration) // an event has arrived, so long after the one before it or the head
+	exchange *exchange
+	first    func()                    // the first event has arrived
+	event    func(pause time.Duration) // an event has arrived, so long after the one before it or the head
 }
 
 // serverHooks returns hooks that record the events of a server's stream.
 func (g *Gateway) serverHooks(c *call, p schedule.Placement, x *exchange) relayHooks {
 	return relayHooks{
+		exchange: x,
 		first: func() {
 			c.firstEventAt, c.partsCleared = time.Now(), false
 			g.scheduler.RecordStart(p.ID, g.clock.Now())
@@ -263,6 +266,9 @@
 		event: func(pause time.Duration) {
 			x.setHeard(g.clock.Now())
 			g.recordHeard(x.server)
+			if x.absolve() {
+				g.scheduler.ForgetFailures(x.server.ID)
+			}
 			if !c.partsCleared && !c.firstEventAt.IsZero() && time.Since(c.firstEventAt) > partProofTime {
 				c.partsCleared = true
 				g.clearParts(c)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -285,7 +285,7 @@
 func (g *Gateway) serve(ctx context.Context, cancel context.CancelCauseFunc, w http.ResponseWriter, c *call) {
 	c.progress.setWaiting(cancel)
 	for {
-		out := g.try(ctx, w, c)
+		out := g.follow(ctx, w, c)
 		c.progress.setWaiting(cancel)
 		g.recordAnswerTime(c, out)
 		if out.result == answered {
--- /dev/null
+++ b/daemon/gateway/handover.go
@@ -0,0 +1,229 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"slipcrank.example/core/backend"
+	"slipcrank.example/core/schedule"
+	"slipcrank.example/daemon/event"
+)
+
+var (
+	// errHandedOver cancels an exchange whose stream goes on at another server.
+	errHandedOver = errors.New("another server goes on with the stream")
+	// errGoesOn cancels a handover whose stream goes on at its present server, or has ended.
+	errGoesOn = errors.New("the present server of the stream goes on")
+)
+
+type (
+	// handover is the attempt to resume a stream at another server while its present one keeps
+	// it: neither silence nor a path that seems lost proves that the present server won't go
+	// on, and nothing but an event proves that another one will. Whichever sends the next event
+	// has the stream, and the other one is canceled.
+	handover struct {
+		from     *exchange
+		attempts int   // of call when the handover began
+		call     *call // the copy of the call that is sent to other servers
+		cancel   context.CancelCauseFunc
+		done     chan struct{}
+		out      outcome // set when done is closed
+
+		// These are protected by the lock of from.
+		claimed bool // another server has sent an event
+		revoked bool // the present server has sent an event, or the call has ended
+	}
+
+	// handoverFunc begins a handover because of what the present server has done.
+	handoverFunc func(why outcome)
+)
+
+// claim reports whether the events of another server may be forwarded, and if so ends the exchange
+// with the present one.
+func (h *handover) claim() bool {
+	h.from.work.Lock()
+	defer h.from.work.Unlock()
+	if !h.claimed && !h.revoked {
+		h.claimed = true
+		h.from.cancel(errHandedOver)
+	}
+	return h.claimed
+}
+
+// revoke cancels the handover unless another server has the stream. The lock of from must be held.
+func (h *handover) revoke() {
+	if h != nil && !h.claimed {
+		h.revoked = true
+		h.cancel(errGoesOn)
+	}
+}
+
+// isRunning reports whether the handover hasn't ended.
+func (h *handover) isRunning() bool {
+	if h == nil {
+		return false
+	}
+	select {
+	case <-h.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// isPending reports whether the present server still has the stream.
+func (h *handover) isPending() bool {
+	if h == nil {
+		return false
+	}
+	h.from.work.Lock()
+	defer h.from.work.Unlock()
+	return !h.claimed
+}
+
+// mayForward reports whether a part of the answer of the present try may be sent to the caller.
+func (c *call) mayForward() bool { return c.handover == nil || c.handover.claim() }
+
+// forHandover returns a copy of the call that is independent of it.
+func (c *call) forHandover(h *handover) *call {
+	next := *c
+	next.failedServers, next.delegations = maps.Clone(c.failedServers), maps.Clone(c.delegations)
+	next.buffer = &bodyBuffer{buffers: c.buffer.buffers}
+	next.handover = h
+	return &next
+}
+
+// learn takes over what a handover that has ended without the stream has used and found out.
+func (c *call) learn(h *handover) {
+	next := h.call
+	c.attempts += next.attempts - h.attempts
+	c.sent, c.sends, c.unsentTries, c.unreached = next.sent, next.sends, next.unsentTries, next.unreached
+	c.paidService, c.paidAt, c.balance = next.paidService, next.paidAt, next.balance
+	c.failedServers, c.delegations = next.failedServers, next.delegations
+	c.freshConn, c.copiesFailed = next.freshConn, next.copiesFailed
+}
+
+// follow makes a try, and waits for the end of the stream if another server has it or may get it.
+func (g *Gateway) follow(ctx context.Context, w http.ResponseWriter, c *call) outcome {
+	c.exchange = nil
+	out := g.try(ctx, w, c)
+	if c.exchange == nil {
+		return out
+	}
+	h := c.exchange.end(out.result == failed || out.result == handedOver)
+	if h == nil {
+		return out
+	}
+	<-h.done
+	if !h.claimed {
+		c.learn(h)
+		return out
+	}
+	next := *h.call
+	next.handover, next.buffer = c.handover, c.buffer
+	*c = next
+	return h.out
+}
+
+// end ends an exchange, and returns its handover if that has the stream, or may get it. A handover
+// may get the stream if the server of the exchange has failed.
+func (e *exchange) end(mayContinue bool) *handover {
+	e.work.Lock()
+	defer e.work.Unlock()
+	e.ended = true
+	if !mayContinue {
+		e.handover.revoke()
+		return nil
+	}
+	return e.handover
+}
+
+// handoverOf returns the function that begins a handover of a stream, unless one is running.
+func (g *Gateway) handoverOf(ctx context.Context, w http.ResponseWriter, c *call, p schedule.Placement, server backend.Server) handoverFunc {
+	x := c.exchange
+	return func(why outcome) {
+		x.work.Lock()
+		defer x.work.Unlock()
+		if x.ended || x.handover.isRunning() || x.handover != nil && x.handover.claimed {
+			return
+		}
+		if x.handover != nil {
+			c.learn(x.handover)
+		}
+		hctx, cancel := context.WithCancelCause(ctx)
+		h := &handover{from: x, cancel: cancel, done: make(chan struct{})}
+		h.call = c.forHandover(h)
+		h.call.leave(why)
+		h.attempts, x.handover = h.call.attempts, h
+		why.server, why.service, why.took = server.ID, server.Service, g.clock.Now()-x.lastHeard()
+		go func() {
+			defer close(h.done)
+			defer cancel(nil)
+			g.handOver(hctx, w, h, p, server, why)
+		}()
+	}
+}
+
+// leave records on a copy of a call how its present server has failed.
+func (c *call) leave(why outcome) {
+	c.mayHaveRun = true
+	if !c.exchange.isBegun() {
+		c.attempts++
+		c.recordSent()
+	}
+	if why.reason == reasonPathLost {
+		c.attempts-- // a server that is cut off doesn't count
+	} else {
+		c.freshConn = true
+	}
+}
+
+// handOver tries other servers until one has sent an event or no further try is allowed.
+func (g *Gateway) handOver(ctx context.Context, w http.ResponseWriter, h *handover, p schedule.Placement, server backend.Server, why outcome) {
+	began, c, tries := time.Now(), h.call, 0
+	defer c.buffer.release()
+	if h.from.blame() {
+		if why.reason == reasonSilent {
+			g.pool.CloseIdle(server.Addr)
+		}
+		g.recordResult(c, p, server, why)
+	}
+	h.out, c.lastFailure = why, why.reason
+	for h.isPending() && g.hasOtherServer(c) && g.mayRetry(ctx, c, h.out) {
+		g.logRetried(c, h.out)
+		h.out = g.follow(ctx, w, c)
+		c.lastFailure = h.out.reason
+		tries++
+	}
+	result := "handed_over"
+	if h.isPending() {
+		result = "kept"
+		c.progress.setServer(server.ID)
+	}
+	g.metrics.Count("gateway_handovers", 1, "why", why.reason, "result", result)
+	g.log.Write(event.StreamHandover, slog.String("id", c.id), slog.String("route", c.route.Name), slog.String("why", why.reason),
+		slog.String("from", server.ID), slog.String("to", h.out.server), slog.String("result", result), slog.Int("tries", tries),
+		slog.String("last", c.lastFailure), slog.Int("attempts", c.attempts), slog.Duration("silent", why.took), slog.Duration("took", time.Since(began)))
+}
+
+// hasOtherServer reports whether there may be another server for a call, here or at another host.
+func (g *Gateway) hasOtherServer(c *call) bool {
+	s := g.state()
+	if g.authorize(c, s) != nil {
+		return false
+	}
+	if _, ok := g.pickPeer(c, s); ok {
+		return true
+	}
+	return slices.ContainsFunc(c.services(), func(service string) bool {
+		others := excludeFailed(g.homeServers(c, s, service), c.failedServers)
+		available, _ := g.notices.Available(g.withinReach(service, others), g.clock.Now())
+		return len(available) > 0
+	})
+}
--- a/daemon/gateway/request.go
+++ b/daemon/gateway/request.go
@@ -50,6 +50,8 @@
 		NewConnection: c.freshConn || g.provesPath(c),
 		OpenOnly:      g.usesOpenConnections(c, p.Service),
 		BeforeSend: func() error {
+			c.exchange.work.Lock()
+			defer c.exchange.work.Unlock()
 			if err := g.checkBeforeSend(c, p); err != nil {
 				return err
 			}
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -38,7 +38,14 @@
 		bootDeadline time.Duration
 		movable      bool // the call may be sent to another server after it was sent to this one
 		cancel       context.CancelCauseFunc
-		mayResume    func() bool // reports whether a stream that has begun may be resumed elsewhere; it may wait
+		handOver     handoverFunc // for a stream that has begun
+		pending      *handover    // in which the call was sent to this server, nil for none
+
+		// work is held while this host works on the call, rather than waits for the server. It
+		// protects the call, ended and handover.
+		work     sync.Mutex
+		ended    bool
+		handover *handover // the last one; nil if there was none
 
 		mu       sync.Mutex
 		sent     bool          // the request may have begun to leave this host
@@ -46,8 +53,7 @@
 		begun    bool          // the server has begun to answer
 		headSent bool          // the caller has the head of the answer
 		heard    time.Duration // when the server last sent something, or the exchange began
-		leaving  bool          // mayResume is being called
-		payment  payment       // for sending the call to another server, zero for none
+		blamed   bool          // the server has failed, and sent nothing since
 	}
 
 	// payment is a payment from the retry budget for one send to a service.
@@ -97,6 +103,51 @@
 	e.begun, e.heard = true, now
 }
 
+// isBegun reports whether the server has begun to answer.
+func (e *exchange) isBegun() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.begun
+}
+
+// blame records that the server has failed, and reports whether that is new.
+func (e *exchange) blame() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	isNew := !e.blamed
+	e.blamed = true
+	return isNew
+}
+
+// absolve records that the server goes on, and reports whether it had failed.
+func (e *exchange) absolve() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	had := e.blamed
+	e.blamed = false
+	return had
+}
+
+// goOn records that the server has sent a part of the stream, which ends its handover.
+func (e *exchange) goOn() {
+	if e != nil {
+		e.handover.revoke()
+	}
+}
+
+// await waits for the server by f, during which other servers may get the stream. It reports
+// whether the exchange still has it. The exchange may be nil: nobody else gets the stream.
+func (e *exchange) await(f func()) bool {
+	if e == nil {
+		f()
+		return true
+	}
+	e.work.Unlock()
+	f()
+	e.work.Lock()
+	return e.handover == nil || !e.handover.claimed
+}
+
 // lastHeard returns when the server last sent something, or the exchange began.
 func (e *exchange) lastHeard() time.Duration {
 	e.mu.Lock()
@@ -118,50 +169,23 @@
 	return e.headSent
 }
 
-// setPayment records a payment for sending the call to another server.
-func (e *exchange) setPayment(p payment) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.payment = p
-}
-
-// paid returns the payment for sending the call to another server, if there is one.
-func (e *exchange) paid() (payment, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.payment, e.payment.service != ""
-}
-
 // cancelIfMovable cancels an exchange whose server has sent nothing since a time, unless
-// the call may have been sent and may run only once. A stream that has begun is canceled
-// later, and only if it may be resumed.
+// the call may have been sent and may run only once. A stream that has begun is handed over
+// instead.
 func (e *exchange) cancelIfMovable(since time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.heard > since || e.sent && !e.movable || e.leaving {
+	if e.heard > since || e.sent && !e.movable {
 		return
 	}
-	if e.sent && e.headSent {
-		e.leaving = true
-		go e.cancelIfResumable(since)
+	if e.sent && e.headSent && !e.pending.isPending() {
+		go e.handOver(outcome{result: failed, reason: reasonPathLost})
 		return
 	}
 	e.canceled = !e.sent
 	e.cancel(errPathLost)
 }
 
-// cancelIfResumable cancels an exchange whose server has sent nothing since a time if it
-// may be resumed.
-func (e *exchange) cancelIfResumable(since time.Duration) {
-	resumable := e.mayResume()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.leaving = false
-	if resumable && e.heard <= since {
-		e.cancel(errPathLost)
-	}
-}
-
 // begunServices returns the services whose servers have begun to answer calls.
 func (x *exchanges) begunServices() []string {
 	x.mu.Lock()
--- a/daemon/gateway/silence.go
+++ b/daemon/gateway/silence.go
@@ -1,9 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,8 +34,8 @@
 	// single probe may fail although the server is alive.
 	sharedCheckInterval = 500 * time.Millisecond
 	maxProbeFailures    = 2
-	// silenceRecheckInterval is the time until it is checked again whether a silent stream can
-	// be resumed elsewhere.
+	// silenceRecheckInterval is the time until it is tried again to resume a silent stream
+	// elsewhere.
 	silenceRecheckInterval = time.Second
 )
 
@@ -165,51 +162,16 @@
 }
 
 // silenceMayExpire returns a function that reports whether a call may be taken from a silent
-// server. A caller that has a part of its answer would lose the rest unless the call can be
-// resumed elsewhere.
-func (g *Gateway) silenceMayExpire(c *call) func() bool {
-	x, isLast := c.exchange, c.attempts+1 >= max(c.route.Attempts, 1)
-	return func() bool { return !x.isHeadSent() || !isLast && x.mayResume() }
-}
-
-// resumeCheck returns a function that reports whether a call may be sent to another server
-// now, and pays for that.
-func (g *Gateway) resumeCheck(ctx context.Context, c *call, x *exchange) func() bool {
-	route, hasOther := c.route, g.otherServerCheck(c, x)
+// server. A caller that has a part of its answer would lose the rest unless the call is resumed
+// elsewhere, so another server has to go on with it first.
+func silenceMayExpire(c *call) func() bool {
+	x := c.exchange
 	return func() bool {
-		if !c.progress.isAllowed(g.mayServe) || !hasOther() {
-			return false
-		}
-		if p, ok := x.paid(); ok && g.clock.Now()-p.at <= g.budget.MaxDelay() {
-			return true
-		}
-		p, ok := g.payFor(ctx, route)
-		if ok {
-			x.setPayment(p)
-		}
-		return ok
-	}
-}
-
-// otherServerCheck returns a function that reports whether there may be another server for a call,
-// here or at another host.
-func (g *Gateway) otherServerCheck(c *call, x *exchange) func() bool {
-	host, path, key := c.host, c.path, c.key // the call may be changed meanwhile
-	failed := maps.Clone(c.failedServers)
-	failed[x.server.ID] = true
-	return func() bool {
-		s, now := g.state(), &call{host: host, path: path, key: key}
-		if g.authorize(now, s) != nil {
-			return false
-		}
-		if g.delegation != nil && len(g.delegation.Peers(now.services())) > 0 {
+		if !x.isHeadSent() || x.pending.isPending() {
 			return true
 		}
-		return slices.ContainsFunc(now.services(), func(service string) bool {
-			others := excludeFailed(g.homeServers(now, s, service), failed)
-			available, _ := g.notices.Available(g.withinReach(service, others), g.clock.Now())
-			return len(available) > 0
-		})
+		x.handOver(outcome{result: failed, reason: reasonSilent})
+		return false
 	}
 }
 
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -19,21 +19,29 @@
 	out := outcome{}
 	last := time.Now()
 	for {
-		e, err := events.next()
+		var e []byte
+		var err error
+		if !hooks.exchange.await(func() { e, err = events.next() }) {
+			return outcome{result: handedOver}
+		}
 		timer.reset()
 		now := time.Now()
-		if c.headSent {
-			c.maxPause = max(c.maxPause, now.Sub(last))
-		}
-		if errors.Is(err, io.EOF) {
-			break
-		}
-		if err != nil {
+		if err != nil && !errors.Is(err, io.EOF) {
 			failure := g.failure(c, err, "stream")
 			out.result, out.reason, out.connBroken, out.err = failure.result, "stream_broken", failure.connBroken, err
 			out.partial = events.partial
 			return out
 		}
+		hooks.exchange.goOn()
+		if !c.mayForward() {
+			return outcome{result: final, reason: reasonGoesOn}
+		}
+		if c.headSent {
+			c.maxPause = max(c.maxPause, now.Sub(last))
+		}
+		if err != nil {
+			break
+		}
 		if hooks.event != nil {
 			hooks.event(now.Sub(last))
 		}
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -32,6 +32,14 @@
 	failed                   // the request may have run
 	final                    // no other server may be tried
 	callerGone               // the caller has disconnected
+	handedOver               // another server goes on with the stream
+)
+
+// Reasons of the ends of tries around the handover of a stream.
+const (
+	reasonSilent   = "server_silent"
+	reasonPathLost = "path_lost"
+	reasonGoesOn   = "server_goes_on"
 )
 
 const (
@@ -231,7 +239,7 @@
 		g.clearSuspect(c)
 		g.clearParts(c)
 		return
-	case out.result == callerGone, out.result == final:
+	case out.result == callerGone, out.result == final, out.result == handedOver:
 		return
 	}
 	blamed := p.Lead
@@ -282,11 +290,14 @@
 
 // sendWatched sends the call and forwards the answer, and cancels both if the server is
 // silent or was restarted, or if the deadline passed during a suspension.
-func (g *Gateway) sendWatched(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement, server backend.Server) outcome {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (g *Gateway) sendWatched(parent context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement, server backend.Server) outcome {
+	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	x := newExchange(server, c.bootDeadline, c.route.Resumable(), g.clock.Now(), cancel)
-	x.mayResume, c.exchange = g.resumeCheck(ctx, c, x), x
+	c.exchange = x
+	x.handOver, x.pending = g.handoverOf(parent, w, c, p, server), c.handover
+	x.work.Lock()
+	defer x.work.Unlock()
 	g.exchanges.add(x)
 	defer g.exchanges.remove(x)
 	if c.headSent {
@@ -294,7 +305,7 @@
 	}
 	timer := &silenceTimer{
 		timeout: firstSilenceCheck(c, p), extension: g.silenceExtension(c, s, p, server),
-		mayExpire: g.silenceMayExpire(c), onExpire: func() { cancel(errServerSilent) },
+		mayExpire: silenceMayExpire(c), onExpire: func() { cancel(errServerSilent) },
 	}
 	timer.start()
 	defer timer.stop()
@@ -308,17 +319,14 @@
 		out.reason, out.connBroken = "server_restarted", true
 	}
 	if out.result == failed && errors.Is(context.Cause(ctx), errPathLost) {
-		out.reason, out.connBroken = "path_lost", false
+		out.reason, out.connBroken = reasonPathLost, false
 		c.attempts-- // a server that is cut off doesn't count
 	}
 	if out.result == failed && errors.Is(context.Cause(ctx), errServerSilent) {
-		out.reason, out.connBroken = "server_silent", false
+		out.reason, out.connBroken = reasonSilent, false
 		c.freshConn = true
 		g.pool.CloseIdle(server.Addr)
 	}
-	if paid, ok := x.paid(); ok && out.result == failed {
-		c.paidService, c.paidAt, c.balance = paid.service, paid.at, paid.balance
-	}
 	return out
 }
 
@@ -326,7 +334,15 @@
 func (g *Gateway) sendAndForward(ctx context.Context, w http.ResponseWriter, c *call, s State, p schedule.Placement,
 	server backend.Server, timer *silenceTimer,
 ) outcome {
-	a, err := g.pool.Send(ctx, server.Addr, g.buildRequest(c, s, p))
+	var a *upstream.Answer
+	var err error
+	r := g.buildRequest(c, s, p)
+	if !c.exchange.await(func() { a, err = g.pool.Send(ctx, server.Addr, r) }) {
+		if err == nil {
+			a.Close()
+		}
+		return outcome{result: handedOver}
+	}
 	if err != nil {
 		return g.sendFailure(c, server, err)
 	}
