--- a/daemon/gateway/silence.go
+++ b/daemon/gateway/silence.go
@@ -34,6 +34,11 @@
 	// single probe may fail although the server is alive.
 	sharedCheckInterval = 500 * time.Millisecond
 	maxProbeFailures    = 2
+	// maxTimerDelay is how late a timer runs at most, unless this host has stood still: it was
+	// stopped, or had no processor. What servers have sent meanwhile is read within
+	// standstillWait then.
+	maxTimerDelay  = 100 * time.Millisecond
+	standstillWait = 50 * time.Millisecond
 	// silenceRecheckInterval is the time until it is tried again to resume a silent stream
 	// elsewhere.
 	silenceRecheckInterval = time.Second
@@ -48,6 +53,8 @@
 
 	mu           sync.Mutex
 	timer        *time.Timer
+	due          time.Time // when the timer should run
+	stoodStill   bool      // the last check came late
 	lastActivity time.Time
 	stopped      bool
 }
@@ -56,9 +63,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lastActivity = time.Now()
+	t.due = t.lastActivity.Add(t.timeout)
 	t.timer = time.AfterFunc(t.timeout, t.check)
 }
 
+// resetTimer sets the time until the next check. The timer must be locked.
+func (t *silenceTimer) resetTimer(d time.Duration) {
+	t.due = time.Now().Add(d)
+	t.timer.Reset(d)
+}
+
+// awaitsReaders reports whether the check comes so late that this host stood still. The next check
+// then follows as soon as what has arrived meanwhile is read.
+func (t *silenceTimer) awaitsReaders() bool {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stoodStill = !t.stoodStill && now.Sub(t.due) > maxTimerDelay
+	if t.stoodStill && !t.stopped {
+		t.resetTimer(standstillWait)
+	}
+	return t.stoodStill
+}
+
 // reset records that the server has sent something.
 func (t *silenceTimer) reset() {
 	t.mu.Lock()
@@ -76,6 +103,9 @@
 // check calls onExpire if the silence has lasted too long and may expire, and otherwise
 // schedules the next check.
 func (t *silenceTimer) check() {
+	if t.awaitsReaders() {
+		return
+	}
 	bound := t.timeout
 	t.mu.Lock()
 	silent := time.Since(t.lastActivity)
@@ -95,9 +125,9 @@
 	silent = time.Since(t.lastActivity)
 	switch {
 	case !due || silent < bound:
-		t.timer.Reset(max(bound-silent, 0))
+		t.resetTimer(max(bound-silent, 0))
 	case !expires:
-		t.timer.Reset(silenceRecheckInterval)
+		t.resetTimer(silenceRecheckInterval)
 	default:
 		t.stopped = true
 		go t.onExpire()
