gateway: probes that end late lose no path

A probe has 0.3 s. If the host has no processor for that long, all of its probes end with a timeout, whatever the servers do, the path counts as lost and every call is delegated. A probe that ends more than 100 ms after its timeout now counts for nothing. The new case had the path lost before, and sound after.

--- a/daemon/gateway/down_internal_test.go
+++ b/daemon/gateway/down_internal_test.go
@@ -9,6 +9,7 @@
 
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/limit"
+	"slipcrank.example/core/reach"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/telemetry"
@@ -72,3 +73,29 @@
 		t.Error("the other server was not reached before the path was lost")
 	}
 }
+
+// TestStandstillOfHostLosesNoPath guards against paths that count as lost since a host had no processor.
+func TestStandstillOfHostLosesNoPath(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after time.Duration // the timeout of the probes
+		want  reach.State
+	}{
+		"in time":    {0, reach.Lost},
+		"standstill": {maxTimerDelay + 50*time.Millisecond, reach.Sound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := startCheck(t, func(ctx context.Context, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				<-time.After(tc.after)
+				return nil, ctx.Err()
+			})
+			for _, s := range g.state().Servers.Ready("engine") {
+				g.probePathTo(s)
+			}
+			if got := g.pathState("engine"); got != tc.want {
+				t.Errorf("the path is %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -347,11 +347,18 @@
 	wg.Wait()
 }
 
-// probePathTo probes a server, records the result and reports whether it succeeded.
+// probePathTo probes a server, records the result and reports whether it succeeded. A probe that
+// ends too late shows that this host stood still, and nothing about the path.
 func (g *Gateway) probePathTo(s backend.Server) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), pathProbeTimeout)
 	defer cancel()
-	if err := g.pool.Probe(ctx, s.Addr); err != nil {
+	began := time.Now()
+	err := g.pool.Probe(ctx, s.Addr)
+	if err != nil && time.Since(began) > pathProbeTimeout+maxTimerDelay {
+		g.metrics.Count("gateway_path_probes", 1, "result", "standstill")
+		return false
+	}
+	if err != nil {
 		g.metrics.Count("gateway_path_probes", 1, "result", errorKind(err))
 		g.reach.NotOpened(pathGroup(s), s.ID, g.listedServers(s), g.clock.Now())
 		g.pathFailed(s, "probe_failed")
