--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -123,6 +123,9 @@
 	<-h.done
 	if !h.claimed {
 		c.learn(h)
+		if errors.Is(ctx.Err(), context.Canceled) && !isStopping(ctx) {
+			out.result, out.reason = callerGone, "caller_gone"
+		}
 		return out
 	}
 	next := *h.call
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -1,11 +1,13 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,3 +88,36 @@
 		t.Error("no stream was delegated")
 	}
 }
+
+// TestLogTellsThatCallerHasGoneDuringHandover has a server break off while its silent stream is offered to another one, and the caller leave then.
+func TestLogTellsThatCallerHasGoneDuringHandover(t *testing.T) {
+	var runs atomic.Int64
+	answer := func(r *http.Request, w io.Writer) bool {
+		if runs.Add(1) > 1 {
+			<-time.After(time.Second)
+			return false
+		}
+		const begin = "id: 1\ndata: piece 1\n\n"
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTry: t1\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(begin), begin)
+		<-time.After(1500 * time.Millisecond)
+		return false
+	}
+	f := start(t, answer, answer)
+	ctx, cancel := context.WithTimeout(t.Context(), 1800*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, f.httpServer.URL+"/wait/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "shop.example"
+	r.Header.Set("Try", "t1")
+	r.Header.Set("Authorization", "Key k1")
+	if a, err := transport.RoundTrip(r); err == nil {
+		_, _ = io.Copy(io.Discard, a.Body) // ends with ctx
+		_ = a.Body.Close()
+	}
+	f.httpServer.Close() // waits for the handler
+	if text := f.metrics.Text(); !strings.Contains(text, "caller_gone") || strings.Contains(text, "stream_broken") {
+		t.Errorf("the metrics have no caller that has gone, or a broken stream:\n%s", text)
+	}
+}
