gateway: a path that seems lost takes back one attempt of a stream at most

A stream over a path that seems lost stays with its server, so that server may count after all. Now a call gets one attempt back, once.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -61,15 +61,18 @@
 	partsCleared  bool                // the current stream has cleared its parts
 	exchange      *exchange           // of the current try
 	handover      *handover           // in which this copy of the call is sent, nil for none
-	progress      *progress
-	mayHaveRun    bool          // it may have run, or may still be running
-	copiesFailed  bool          // several copies of it have failed together
-	connBroken    bool          // the connection of its last try broke
-	freshConn     bool          // send it on a new connection: a server was silent, so pooled ones may be dead
-	headSent      bool          // the head of an answer was sent to the caller
-	closeFramed   net.Conn      // the connection whose close ends a stream; nil if the stream has chunks
-	maxPause      time.Duration // the longest time between two events
-	lastFailure   string        // reason of the last failure, for the log
+	// attemptReturned reports that the attempt of a server counts no longer, since the path to it
+	// seemed lost while it had the stream.
+	attemptReturned bool
+	progress        *progress
+	mayHaveRun      bool          // it may have run, or may still be running
+	copiesFailed    bool          // several copies of it have failed together
+	connBroken      bool          // the connection of its last try broke
+	freshConn       bool          // send it on a new connection: a server was silent, so pooled ones may be dead
+	headSent        bool          // the head of an answer was sent to the caller
+	closeFramed     net.Conn      // the connection whose close ends a stream; nil if the stream has chunks
+	maxPause        time.Duration // the longest time between two events
+	lastFailure     string        // reason of the last failure, for the log
 }
 
 // defaultTimeout is the maximum timeout of a call whose route sets none.
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -106,7 +106,7 @@
 	c.sent, c.sends, c.unsentTries, c.unreached = next.sent, next.sends, next.unsentTries, next.unreached
 	c.paidService, c.paidAt, c.balance = next.paidService, next.paidAt, next.balance
 	c.failedServers, c.delegations = next.failedServers, next.delegations
-	c.freshConn, c.copiesFailed = next.freshConn, next.copiesFailed
+	c.freshConn, c.copiesFailed, c.attemptReturned = next.freshConn, next.copiesFailed, next.attemptReturned
 }
 
 // follow makes a try, and waits for the end of the stream if another server has it or may get it.
@@ -180,10 +180,11 @@
 		c.attempts++
 		c.recordSent()
 	}
-	if why.reason == reasonPathLost {
-		c.attempts-- // a server that is cut off doesn't count
-	} else {
+	if why.reason != reasonPathLost {
 		c.freshConn = true
+	} else if !c.attemptReturned {
+		c.attempts-- // a server that is cut off doesn't count, but this one may go on
+		c.attemptReturned = true
 	}
 }
 
