gateway: servers that are silent lose no path; probes tell

Real processes with two busy servers had their path count as lost from silences alone, so that all streams of a host were delegated to one that stopped, and cut there. A server may be silent for many reasons. A silence now has the path probed, which also happens once no server was heard for 0.3 s, and only probes and broken connections count. TestSilentServersLoseNoPath had a doubtful path before any probe had ended, and has a sound one now; a path over which no probe gets through is lost 0.3 s later.

--- a/daemon/gateway/down_internal_test.go
+++ b/daemon/gateway/down_internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -99,3 +100,43 @@
 		})
 	}
 }
+
+// TestSilentServersLoseNoPath guards against paths that count as lost since servers are busy.
+func TestSilentServersLoseNoPath(t *testing.T) {
+	for name, tc := range map[string]struct {
+		reached bool
+		want    reach.State
+	}{"servers reached": {true, reach.Sound}, "no server reached": {false, reach.Lost}} {
+		t.Run(name, func(t *testing.T) {
+			var probes sync.WaitGroup
+			probes.Add(1)
+			once := sync.OnceFunc(probes.Done)
+			g := startCheck(t, func(ctx context.Context, _ string) (net.Conn, error) {
+				defer once()
+				if !tc.reached {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				c, _ := net.Pipe()
+				return c, nil
+			})
+			WithDelegation(Delegation{
+				Peers: func([]string) []reach.Peer { return nil }, PathChanged: func() {},
+			})(g)
+			for _, s := range g.state().Servers.Ready("engine") {
+				g.recordPathFailure(&call{}, s, outcome{result: failed, reason: reasonSilent})
+				if got := g.pathState("engine"); got != reach.Sound {
+					t.Errorf("the path is %v before any probe has ended", got)
+				}
+			}
+			probes.Wait()
+			end := time.Now().Add(time.Second)
+			for g.pathState("engine") != tc.want && time.Now().Before(end) {
+				<-time.After(10 * time.Millisecond)
+			}
+			if got := g.pathState("engine"); got != tc.want {
+				t.Errorf("the path is %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -79,6 +79,10 @@
 			answers[n] <- f.do("POST", fmt.Sprint("/wait/", n), "b", "Size", "1000,10", "Try", fmt.Sprint("t", n))
 		}()
 	}
+	<-time.After(600 * time.Millisecond) // the streams have begun
+	for _, s := range f.servers {
+		_ = s.listener.Close() // no further connection is opened
+	}
 	for n := range answers {
 		if a := <-answers[n]; a.err != nil || a.body != allEvents() {
 			t.Errorf("error %v, got %q, want all events", a.err, a.body)
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -194,6 +194,10 @@
 		return
 	}
 	c.unreached++
+	if out.reason == reasonSilent {
+		g.checkPath(server.Service) // a server may be silent, so only probes tell
+		return
+	}
 	record := g.reach.Failed
 	if out.result == unsent {
 		record = g.reach.NotOpened
