gateway: a delegated stream that continues is admitted

Cause: admit passed only calls with an attempt that counts or that this host knows to have run. A lost path takes the attempt back, so a stream that was sent before, and of whose answer the caller may have a part, came to the other host with attempts=0, sent=1 and was refused there like a new one (queue_too_long). That refusal is final.

Change: what was sent before at any host, or resumes after an event, continues. Other uses of attempts were read: CountPlacement goes by sent, the drain plan by sent, mayRetry by the limit of the route; none has the same fault.

Whether a call may have run isn't passed on: a host's refusal speaks of itself, and the host that delegates combines it with what it knows.

--- a/daemon/gateway/admit.go
+++ b/daemon/gateway/admit.go
@@ -9,10 +9,18 @@
 	"slipcrank.example/core/site"
 )
 
+// continues reports whether a call may have reached a server before, here or at another host, or
+// its caller has a part of its stream. A server to which the path was lost counts, too, although
+// the attempt there doesn't.
+func (c *call) continues() bool {
+	return c.attempts > 0 || c.sent > 0 || c.mayHaveRun ||
+		c.route.Kind == site.Stream && c.route.Resume && c.lastEventID != ""
+}
+
 // admit applies the admission policy to a placed call, before any of it is sent. A call
 // that has already reached a server is always continued.
 func (g *Gateway) admit(c *call, p schedule.Placement) *refusalResponse {
-	if c.attempts > 0 || c.mayHaveRun {
+	if c.continues() {
 		return nil
 	}
 	decision, refused := g.scarcity.Policy().Decide(admission.Request{
--- a/daemon/gateway/delegated_test.go
+++ b/daemon/gateway/delegated_test.go
@@ -11,12 +11,13 @@
 	"time"
 
 	"slipcrank.example/core/limit"
+	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/gateway"
 )
 
 // delegated sends a request as another host would delegate it, and returns the answer and the
-// report of where it is from.
-func (f *fixture) delegated(path, key, report string) (answer, string) {
+// report of where it is from; headers are pairs of name and value.
+func (f *fixture) delegated(path, key, report string, headers ...string) (answer, string) {
 	f.t.Helper()
 	s := httptest.NewServer(f.gateway.DelegatedHandler())
 	f.t.Cleanup(s.Close)
@@ -28,6 +29,9 @@
 	r.Header.Set("Try", "t1")
 	r.Header.Set("Authorization", "Key "+key)
 	r.Header.Set("Slipcrank-Delegation", report)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
 	a, err := http.DefaultTransport.RoundTrip(r)
 	if err != nil {
 		f.t.Fatal(err)
@@ -130,3 +134,32 @@
 		t.Errorf("got %d, and the server that leaves received %d requests; want 503 and one", a.status, f.requestCount())
 	}
 }
+
+// TestDelegatedStreamThatContinuesIsAdmitted guards against streams whose callers have a part, and which another host refuses like new ones.
+func TestDelegatedStreamThatContinuesIsAdmitted(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path, header, lastEvent string
+		status, runs            int
+	}{
+		"new":                                    {"/wait/", "attempts=0, sent=0", "", 503, 0},
+		"sent before, the attempt doesn't count": {"/wait/", "attempts=0, sent=1, paid=engine, paid_ms=0", "2", 200, 1},
+		"sent before, without an event":          {"/wait/", "attempts=0, sent=1, paid=engine, paid_ms=0", "", 200, 1},
+		"resumed by its caller":                  {"/wait/", "attempts=0, sent=0", "2", 200, 1},
+		"event of a stream that isn't resumed":   {"/late/", "attempts=0, sent=0", "2", 503, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, streamFrom(eventCount))
+			for n := range 2 {
+				f.scheduler.AddRemote(schedule.Placement{
+					ID: schedule.ID{Host: 2, Number: uint32(n)}, Service: "engine", Lead: "e0",
+					Work: schedule.Work{Prompt: 130_000, Answer: 10}, FirstToken: time.Minute,
+					MemoryShares: []schedule.MemoryShare{{Server: "elsewhere", Tokens: 130_000}},
+				})
+			}
+			a, _ := f.delegated(tc.path, "k1", tc.header+", version=1, elapsed=10, counted=true", "Size", "1000,10", "After-Event", tc.lastEvent)
+			if a.err != nil || a.status != tc.status || f.requestCount() != tc.runs {
+				t.Errorf("status %d, error %v after %d runs, want %d after %d: %s", a.status, a.err, f.requestCount(), tc.status, tc.runs, a.body)
+			}
+		})
+	}
+}
--- a/daemon/gateway/quiet_host_internal_test.go
+++ b/daemon/gateway/quiet_host_internal_test.go
@@ -31,22 +31,64 @@
 		_, _ = fmt.Fprint(w, events[len(events)/2:])
 	}))
 	defer other.Close()
+	g, c, s := newDelegating(t)
+	c.route = site.Route{Kind: site.Stream, Resume: true}
+	addr := other.Listener.Addr().(*net.TCPAddr).String()
+	w := httptest.NewRecorder()
+	if out := g.sendToPeer(t.Context(), w, c, s, reach.Peer{Addr: addr}); out.result != answered || w.Body.String() != events {
+		t.Errorf("got %q, %s %v, want all events", w.Body, out.reason, out.err)
+	}
+}
+
+// newDelegating returns a gateway that delegates to hosts that aren't alive, and a call of it.
+func newDelegating(t *testing.T) (*Gateway, *call, State) {
+	t.Helper()
 	l := decision.New(t.Output())
-	defer l.Close()
-	g := New(Dialect{Deadline: "Wait-Ms"}, func() State { return State{} }, upstream.New(), schedule.New(1), limit.NewRetryWindow(time.Second, 0, nil), l, telemetry.NewMetrics(),
+	t.Cleanup(l.Close)
+	s := State{Config: site.New(1, nil, nil, site.KeysOf(nil), site.Limits{}), Servers: backend.NewRegistry().View(0)}
+	g := New(Dialect{Deadline: "Wait-Ms"}, func() State { return s }, upstream.New(), schedule.New(1), limit.NewRetryWindow(time.Second, 0, nil), l, telemetry.NewMetrics(),
 		WithDelegation(Delegation{
 			Pool: upstream.New(), Alive: func(uint32) bool { return false },
 			Peers: func([]string) []reach.Peer { return nil }, Lost: func(uint32, string) bool { return false }, PathChanged: func() {},
 		}))
 	now := time.Now()
-	c := &call{
-		method: http.MethodPost, target: "/", host: "a", header: http.Header{}, route: site.Route{Kind: site.Stream, Resume: true},
-		arrivedAt: now, deadline: now.Add(time.Minute), bootDeadline: time.Minute, progress: g.progresses.add("a", false, now),
-	}
-	addr := other.Listener.Addr().(*net.TCPAddr).String()
-	s := State{Config: site.New(1, nil, nil, site.KeysOf(nil), site.Limits{}), Servers: backend.NewRegistry().View(0)}
-	w := httptest.NewRecorder()
-	if out := g.sendToPeer(t.Context(), w, c, s, reach.Peer{Addr: addr}); out.result != answered || w.Body.String() != events {
-		t.Errorf("got %q, %s %v, want all events", w.Body, out.reason, out.err)
+	return g, &call{
+		method: http.MethodPost, target: "/", host: "a", header: http.Header{}, buffer: &bodyBuffer{buffers: g.buffers},
+		arrivedAt: now, deadline: now.Add(time.Minute), bootDeadline: g.clock.Now() + time.Minute, progress: g.progresses.add("a", false, now),
+	}, s
+}
+
+// TestRefusalOfOtherHostClaimsNothingOfEarlierRuns: a host knows only whether it has sent a call itself.
+func TestRefusalOfOtherHostClaimsNothingOfEarlierRuns(t *testing.T) {
+	for name, tc := range map[string]struct {
+		origin  origin
+		status  int
+		ran     bool
+		want    int
+		wantRan bool
+	}{
+		"not run":                     {originFleet, 503, false, 503, false},
+		"not run, for other reasons":  {originHost, 503, false, 503, false},
+		"ran before":                  {originFleet, 503, true, 502, true},
+		"ran before, too many":        {originFleet, 429, true, 502, true},
+		"ran before, for other hosts": {originHost, 503, true, 502, true},
+		"ran at the other host":       {originFleet, 502, false, 502, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(delegationHeader, report{origin: tc.origin, sent: 1, version: 1}.String())
+				w.WriteHeader(tc.status)
+				_, _ = fmt.Fprint(w, `{"error":{"kind":"queue_too_long"}}`)
+			}))
+			defer other.Close()
+			g, c, s := newDelegating(t)
+			c.mayHaveRun, c.sent = tc.ran, 1
+			out := g.sendToPeer(t.Context(), httptest.NewRecorder(), c, s, reach.Peer{Addr: other.Listener.Addr().(*net.TCPAddr).String()})
+			w := httptest.NewRecorder()
+			g.finishFailed(w, c, out)
+			if w.Code != tc.want || c.mayHaveRun != tc.wantRan {
+				t.Errorf("the caller got %d, may have run %t, want %d, %t", w.Code, c.mayHaveRun, tc.want, tc.wantRan)
+			}
+		})
 	}
 }
