gateway: a handover that has the stream is awaited

Cause: when a call ended for another reason than a failed server (its caller left, or the host stops), end returned no handover even if another server had the stream by then. The handler returned while that server's events were still written to its caller by the other goroutine.

Change: the end of a call waits for its handover, which is canceled unless it has the stream, and takes over what it has used. Only a stream that its server has ended as a whole isn't waited for.

The race itself was found by reading; no run shows it.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -117,10 +117,10 @@
 		return out
 	}
 	h := c.exchange.end(out.result == failed || out.result == handedOver)
-	if h == nil {
+	if h == nil || out.result == answered {
 		return out
 	}
-	<-h.done
+	<-h.done // it may still write to the caller, and its sends count
 	if !h.claimed {
 		c.learn(h)
 		return out
@@ -131,15 +131,14 @@
 	return h.out
 }
 
-// end ends an exchange, and returns its handover if that has the stream, or may get it. A handover
-// may get the stream if the server of the exchange has failed.
+// end ends an exchange, and returns its handover, nil if there was none. That may still get the
+// stream if the server of the exchange has failed.
 func (e *exchange) end(mayContinue bool) *handover {
 	e.work.Lock()
 	defer e.work.Unlock()
 	e.ended = true
 	if !mayContinue {
 		e.handover.revoke()
-		return nil
 	}
 	return e.handover
 }
