entry: the exit waits for the log for a bounded time, and lines of cut requests go first

Cause: Log.Close waited for the output without a bound, and wrote the lines of WriteLast (SC1527, SC1104, SC1105) behind all queued ones, only when it was called. With an output that takes no lines (a full pipe) the process never exited, and was killed at the end of the grace period; with a slow one up to 512 queued lines came before those of the cut requests.

Change: WriteLast writes at once, ahead of the queue. The exit waits for the log until three quarters of its margin are used, and, if the stop comes to its end late, for a quarter of it. The grace of a stop is read once, at its start.

--- a/cmd/slipcrankd/signals_test.go
+++ b/cmd/slipcrankd/signals_test.go
@@ -28,10 +28,9 @@
   retries: {share: 0.2, extra: 100, span: 10s}
 `
 
-// startEntryHost starts an entry host, and returns it with the path of its settings. The
-// process may not have opened its ports yet. Each process of the tests has addresses of its
-// own.
-func startEntryHost(t *testing.T, number int, grace time.Duration) (p *process, path string) {
+// newEntryHost returns an entry host that isn't started, and the path of its settings. Each
+// process of the tests has addresses of its own.
+func newEntryHost(t *testing.T, number int, grace time.Duration) (p *process, path string) {
 	t.Helper()
 	pid := os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.%d", 60+pid%50, pid/50%250, 1+number)
@@ -42,6 +41,14 @@
 	p = &process{t: t, cmd: exec.Command(filepath.Join(binDir, "slipcrankd"), "entry"), addr: ip + ":7200"}
 	p.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	return p, path
+}
+
+// startEntryHost starts an entry host, and returns it with the path of its settings. The
+// process may not have opened its ports yet.
+func startEntryHost(t *testing.T, number int, grace time.Duration) (p *process, path string) {
+	t.Helper()
+	p, path = newEntryHost(t, number, grace)
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/decision/decision.go
+++ b/daemon/decision/decision.go
@@ -4,15 +4,17 @@
 // Writing never blocks. Lines are written by a goroutine from a bounded queue. Lines
 // above the rate limit, and those that find the queue full, are dropped and counted,
 // and the next line that is written contains the count. Each event has a rate that no other
-// event can use up, and half of the queue takes only lines within these rates. The lines of
-// [Log.WriteLast] are always written.
+// event can use up, and half of the queue takes only lines within these rates.
+//
+// The lines of [Log.WriteLast] are always written, ahead of the queue, so that a slow output still
+// gets them before the process is killed.
 //
 // # Usage
 //
 //	l := decision.New(os.Stdout)
-//	defer l.Close()
 //	l.Write(event.RequestEnded, slog.String("id", id))
 //	l.WriteLast(event.RequestCut, slog.String("id", id)) // the process is about to end
+//	err := l.Shutdown(ctx)                               // waits for the output until ctx ends
 package decision
 
 import (
@@ -49,8 +51,9 @@
 	byEvent sync.Map // *rate.Limiter by event number
 	dropped atomic.Int64
 
-	mu   sync.Mutex
-	last []slog.Record // written after the queue when the log is closed
+	mu    sync.Mutex
+	first []slog.Record // written ahead of the queue
+	added chan struct{} // has an entry after first has grown
 
 	closing chan struct{} // closed by Close; records stays open, since Write may be called concurrently
 	done    chan struct{}
@@ -64,6 +67,7 @@
 		handler: slog.NewJSONHandler(w, nil).WithAttrs(attrs),
 		records: make(chan slog.Record, queueLines),
 		limiter: rate.NewLimiter(linesPerSecond, burstLines),
+		added:   make(chan struct{}, 1),
 		closing: make(chan struct{}),
 		done:    make(chan struct{}),
 	}
@@ -85,12 +89,16 @@
 	}
 }
 
-// WriteLast has a line written when the log is closed, after all others. It is for the few
-// lines at the end of the process that must not be lost.
+// WriteLast writes a line ahead of the queue, and is never dropped. It is for the few lines at
+// the end of the process that must not be lost.
 func (l *Log) WriteLast(e event.Event, attrs ...slog.Attr) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.last = append(l.last, record(e, attrs))
+	l.first = append(l.first, record(e, attrs))
+	select {
+	case l.added <- struct{}{}:
+	default:
+	}
 }
 
 // allow reports whether the rates allow a line. An event that is logged very often takes
@@ -113,18 +121,28 @@
 // Dropped returns the number of dropped lines that no written line has reported yet.
 func (l *Log) Dropped() int64 { return l.dropped.Load() }
 
-// Close writes the queued lines and those of [Log.WriteLast], and stops the log. Lines that
-// are queued later are lost.
-func (l *Log) Close() {
+// Close writes all lines that wait, and stops the log. Lines that are written later are lost.
+func (l *Log) Close() { _ = l.Shutdown(context.Background()) }
+
+// Shutdown does what [Log.Close] does. If ctx ends before the output has taken all lines, it
+// returns the context's error.
+func (l *Log) Shutdown(ctx context.Context) error {
 	l.once.Do(func() { close(l.closing) })
-	<-l.done
+	select {
+	case <-l.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
-// run writes lines from the queue until the log is closed.
+// run writes lines until the log is closed.
 func (l *Log) run() {
 	defer close(l.done)
 	for {
+		l.handleFirst()
 		select {
+		case <-l.added:
 		case r := <-l.records:
 			l.handle(r)
 		case <-l.closing:
@@ -134,20 +152,31 @@
 	}
 }
 
-// drain writes the queued lines and the last ones.
+// drain writes the lines that wait.
 func (l *Log) drain() {
 	for {
+		l.handleFirst()
 		select {
 		case r := <-l.records:
 			l.handle(r)
-			continue
 		default:
+			return
 		}
-		break
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, r := range l.last {
+}
+
+// handleFirst writes the lines that go ahead of the queue.
+func (l *Log) handleFirst() {
+	for {
+		l.mu.Lock()
+		if len(l.first) == 0 {
+			l.first = nil // the slice may have been large
+			l.mu.Unlock()
+			return
+		}
+		r := l.first[0]
+		l.first = l.first[1:]
+		l.mu.Unlock()
 		l.handle(r)
 	}
 }
--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -26,6 +26,9 @@
 	// are cut in its last sixth only.
 	maxExitMargin = 700 * time.Millisecond
 	exitFraction  = 1. / 8
+	// exitReserve is the fraction of that time for the end of the process itself, and the least
+	// that a late exit waits for the log.
+	exitReserve = 0.25
 	// stopPollInterval is the interval at which Stop checks for requests in progress.
 	stopPollInterval = 50 * time.Millisecond
 )
@@ -39,7 +42,8 @@
 // StopSince does what [Entry.Stop] does, for a stop that was requested at begun.
 func (e *Entry) StopSince(ctx context.Context, begun time.Time) {
 	e.stopping.Store(true)
-	end := begun.Add(stopLimit(e.settings.Load().Bounds.Grace))
+	grace := e.settings.Load().Bounds.Grace
+	end := begun.Add(stopLimit(grace))
 	e.gateway.Drain(begun.Add(refusalDelay), end)
 	e.log.Write(event.DaemonDraining, slog.Int("active", e.answering.count()))
 	ctx, cancel := context.WithDeadline(ctx, end)
@@ -53,6 +57,13 @@
 	} else {
 		e.log.WriteLast(event.DaemonStopped, slog.Duration("took", time.Since(begun)))
 	}
+	e.exit(exitTimeout(grace, time.Since(begun)))
+}
+
+// exit closes everything, and waits at most timeout until the log is written.
+func (e *Entry) exit(timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
 	for _, s := range []*http.Server{e.callerServer, e.delegated, e.readinessServer, e.operatorServer} {
 		if s != nil {
 			_ = s.Close() // remaining connections are cut
@@ -62,12 +73,24 @@
 	e.relayServer.Stop()
 	e.cancel()
 	_ = e.exchange.Close()
-	e.log.Close()
+	_ = e.log.Shutdown(ctx) // an output that takes no lines can't be told of it
+}
+
+// exitMargin returns the time that is left for the exit of the process.
+func exitMargin(grace time.Duration) time.Duration {
+	return min(maxExitMargin, time.Duration(exitFraction*float64(grace)))
 }
 
 // stopLimit returns the longest time that a stop waits for requests in progress.
-func stopLimit(grace time.Duration) time.Duration {
-	return grace - min(maxExitMargin, time.Duration(exitFraction*float64(grace)))
+func stopLimit(grace time.Duration) time.Duration { return grace - exitMargin(grace) }
+
+// exitTimeout returns how long the exit may take if the stop has taken a time before it. The
+// process has ended by the end of the grace period, unless the stop came to its end late: then
+// the log gets some time all the same.
+func exitTimeout(grace, took time.Duration) time.Duration {
+	margin := exitMargin(grace)
+	least := time.Duration(exitReserve * float64(margin))
+	return min(max(grace-took-least, least), margin)
 }
 
 // awaitAnswers waits until no request is in progress or ctx ends.
--- a/daemon/entry/stop_test.go
+++ b/daemon/entry/stop_test.go
@@ -199,6 +199,23 @@
 	}
 }
 
+func TestExitTimeout(t *testing.T) {
+	const grace = 8 * time.Second // margin 700 ms
+	for name, tc := range map[string]struct{ took, want time.Duration }{
+		"early":           {3 * time.Second, 700 * time.Millisecond},
+		"on time":         {7300 * time.Millisecond, 525 * time.Millisecond},
+		"a little late":   {7400 * time.Millisecond, 425 * time.Millisecond},
+		"almost too late": {7980 * time.Millisecond, 175 * time.Millisecond},
+		"after the kill":  {9 * time.Second, 175 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := exitTimeout(grace, tc.took); got != tc.want {
+				t.Errorf("got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
 // TestStopRequestedDuringStartEndsInTime guards against a grace period that counts from the start's end.
 func TestStopRequestedDuringStartEndsInTime(t *testing.T) {
 	t.Parallel()
