entry: connections that say nothing to the relay server no longer delay the exit

Cause: the exit stopped the relay server before it wrote the end of the log. grpc's Stop waits for each accepted connection that has sent no HTTP/2 preface, up to its time-out of 120 s.

Change: the exit gives the closing of listeners and connections half of its time, the relay server comes last, and the log is written in any case.

Result: TestSilentConnectionToRelayDoesNotDelayExit hangs for more than 30 s with a grace of 1 s before the change; the stop takes 0.98 s with it.

--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -60,20 +60,35 @@
 	e.exit(exitTimeout(grace, time.Since(begun)))
 }
 
-// exit closes everything, and waits at most timeout until the log is written.
+// exit closes everything, the connections of callers first, and waits until the log is written,
+// both together at most for timeout.
 func (e *Entry) exit(timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		e.closeAll()
+	}()
+	select {
+	case <-closed:
+	case <-time.After(timeout / 2): // the end of the process closes the rest
+	}
+	_ = e.log.Shutdown(ctx) // an output that takes no lines can't be told of it
+}
+
+// closeAll closes all listeners and connections. It may take long: the relay server waits for
+// hosts that have connected and say nothing.
+func (e *Entry) closeAll() {
 	for _, s := range []*http.Server{e.callerServer, e.delegated, e.readinessServer, e.operatorServer} {
 		if s != nil {
 			_ = s.Close() // remaining connections are cut
 		}
 	}
 	e.relayClient.SetServers(nil)
-	e.relayServer.Stop()
 	e.cancel()
 	_ = e.exchange.Close()
-	_ = e.log.Shutdown(ctx) // an output that takes no lines can't be told of it
+	e.relayServer.Stop()
 }
 
 // exitMargin returns the time that is left for the exit of the process.
