slipcrankd: a host outlives the reader of its log

Cause: a write to a broken pipe on standard output ends a Go process by SIGPIPE. If the reader of the log goes away, the next line ends an entry host without a stop, and all its requests are cut.

Result: in TestHostOutlivesReaderOfItsLog the host ended with "signal: broken pipe" at the next line before the change; it serves on and stops in order with it.

--- a/cmd/slipcrankd/entry.go
+++ b/cmd/slipcrankd/entry.go
@@ -27,6 +27,7 @@
 // SIGINT, and returns the exit code. It reloads the settings on SIGHUP and when
 // their file changes.
 func runEntry() int {
+	signal.Ignore(syscall.SIGPIPE) // a write to a log that nobody reads any more would end the process
 	// Separate channels: a stop must not wait for settings that can't be read, nor be lost
 	// behind other signals.
 	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
--- a/cmd/slipcrankd/exit_test.go
+++ b/cmd/slipcrankd/exit_test.go
@@ -59,3 +59,27 @@
 		t.Errorf("the process runs %v after SIGTERM, want an exit within %v", 2*grace, grace)
 	}
 }
+
+// TestHostOutlivesReaderOfItsLog guards against a process that ends, and cuts all requests, since its log isn't read any more.
+func TestHostOutlivesReaderOfItsLog(t *testing.T) {
+	t.Parallel()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	p, exited := startWithOutput(t, 6, time.Second, w)
+	_ = r.Close()
+	for range 3 {
+		p.signal(syscall.SIGHUP) // is logged
+	}
+	select {
+	case err := <-exited:
+		t.Errorf("the process exited: %v", err)
+	case <-time.After(time.Second):
+	}
+	p.signal(syscall.SIGTERM)
+	if err := <-exited; err != nil {
+		t.Errorf("the process exited with %v after SIGTERM, want 0", err)
+	}
+}
