web: an answer of a peer that is alive is not given up for its silence

Streams of engines were broken off after 20 s without data even if the engine answered the liveness checks, which begin after 2 s: the stall timeout bounded each read as well. Callers have 60 s by default and 30 min at most, and the next engine may refuse the stream or has to read the prompt again.

With liveness checks, only a check that fails or the deadline of the request now ends a read. A connection that is dead while its peer is alive is found by TCP keep-alive probes, after 20 s as before; no test cuts a path to show that.

--- a/clients/web/client.go
+++ b/clients/web/client.go
@@ -38,6 +38,10 @@
 	defaultTimeout = 5 * time.Second
 	dialTimeout    = time.Second
 	maxConns       = 4096
+	// keepAlivePeriod and keepAliveProbes have the kernel break a dead connection to a
+	// peer that is alive after the default stall timeout.
+	keepAlivePeriod = 5 * time.Second
+	keepAliveProbes = 3
 )
 
 type (
@@ -57,8 +61,9 @@
 	// Option configures a [Client].
 	Option func(*Client)
 
-	// stallConn fails a read that receives no data within the stall timeout, or
-	// before the deadline that fasthttp set, whichever is earlier. It starts to
+	// stallConn fails a read that receives no data within the stall timeout, or from a
+	// peer that fails a liveness check, or before the deadline that fasthttp set,
+	// whichever is earliest. It starts to
 	// write a request only before the deadline of the request, by its own clock.
 	stallConn struct {
 		net.Conn
@@ -79,7 +84,8 @@
 	HeaderCarrier struct{ Header *fasthttp.RequestHeader }
 )
 
-// WithStallTimeout sets how long a read may receive no data before it fails.
+// WithStallTimeout sets how long a read may receive no data before it fails. It has no effect
+// with liveness checks.
 func WithStallTimeout(d time.Duration) Option { return func(c *Client) { c.stall = d } }
 
 // WithMaxBody bounds the bodies of the responses to JSON requests, in bytes, instead of
@@ -117,7 +123,10 @@
 }
 
 func (c *Client) dial(addr string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
+	}}
+	conn, err := d.Dial("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
@@ -139,16 +148,19 @@
 	return nil
 }
 
-// Read waits for data until the stall timeout or the read deadline, and fails
-// earlier if a liveness check fails.
+// Read waits for data until the read deadline. It fails earlier if a liveness check fails
+// or, without checks, after the stall timeout.
 func (s *stallConn) Read(b []byte) (int, error) {
-	deadline := time.Now().Add(s.stall)
-	if d := s.readDeadline.Load(); d != nil && !d.IsZero() && d.Before(deadline) {
+	var deadline time.Time // zero for none
+	if s.alive == nil {
+		deadline = time.Now().Add(s.stall)
+	}
+	if d := s.readDeadline.Load(); d != nil && !d.IsZero() && (deadline.IsZero() || d.Before(deadline)) {
 		deadline = *d
 	}
 	for {
 		next := deadline
-		if check := time.Now().Add(s.checkAfter); s.alive != nil && check.Before(deadline) {
+		if check := time.Now().Add(s.checkAfter); s.alive != nil && (deadline.IsZero() || check.Before(deadline)) {
 			next = check
 		}
 		if err := s.Conn.SetReadDeadline(next); err != nil {
@@ -159,7 +171,7 @@
 		if n > 0 {
 			s.waiting.Store(false)
 		}
-		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(deadline) {
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !deadline.IsZero() && !time.Now().Before(deadline) {
 			return n, err
 		}
 		if !s.alive(s.addr) {
