calls: a call that may run only once is not given up for the service's silence

A plain service that took over 20 s had its connection closed and the key was recorded as lost: the caller got outcome_unknown and could never have the answer, which the service went on to make. No other host may get such a call, so nothing was gained. These calls now wait until their deadlines (60 s by default). A service that ends or whose connection dies still ends them at once or after the 20 s of the keep-alive probes.

--- a/daemon/calls/calls.go
+++ b/daemon/calls/calls.go
@@ -23,6 +23,7 @@
 	"slipcrank.example/core/fault"
 	"slipcrank.example/core/limit"
 	"slipcrank.example/core/pause"
+	"slipcrank.example/core/template"
 	"slipcrank.example/daemon/control"
 )
 
@@ -52,7 +53,8 @@
 	// Client sends calls. It is safe for concurrent use.
 	Client struct {
 		loop     *control.Loop
-		web      *web.Client
+		web      *web.Client // for repeatable calls
+		onceWeb  *web.Client // for all others
 		once     *Once
 		budgets  *limit.RetryBudgets
 		attempts int
@@ -68,10 +70,14 @@
 // WithAttempts sets the maximum number of attempts at a repeatable call.
 func WithAttempts(n int) Option { return func(c *Client) { c.attempts = n } }
 
-// New returns a Client.
+// New returns a Client that sends repeatable calls by w. All others wait for their answers
+// until their deadlines, whatever the stall timeout of w, since no other host may answer them.
 func New(l *control.Loop, w *web.Client, o *Once, os ...Option) *Client {
 	const defaultRetryShare, defaultAttempts = 0.1, 3
-	c := &Client{loop: l, web: w, once: o, budgets: limit.NewRetryBudgets(defaultRetryShare), attempts: defaultAttempts}
+	c := &Client{
+		loop: l, web: w, onceWeb: web.New(web.WithStallTimeout(template.MaxDeadline)), once: o,
+		budgets: limit.NewRetryBudgets(defaultRetryShare), attempts: defaultAttempts,
+	}
 	for _, o := range os {
 		o(c)
 	}
@@ -98,7 +104,7 @@
 		return claim.Answer{}, noHost(call.Service)
 	}
 	for n := 0; ; n++ {
-		a, err := c.send(ctx, hs[n%len(hs)], call)
+		a, err := c.send(ctx, c.web, hs[n%len(hs)], call)
 		switch {
 		case err == nil:
 			return a, nil
@@ -125,7 +131,7 @@
 		if err := deadline.Err(ctx); err != nil {
 			return claim.Answer{}, errors.Mark(err, ErrNotSent)
 		}
-		a, err := c.send(ctx, h, call)
+		a, err := c.send(ctx, c.onceWeb, h, call)
 		if err == nil || !web.NotSent(err) {
 			return a, err
 		}
@@ -143,7 +149,7 @@
 }
 
 // send sends a call to a host.
-func (c *Client) send(ctx context.Context, h hosts.Host, call Call) (claim.Answer, error) {
+func (c *Client) send(ctx context.Context, w *web.Client, h hosts.Host, call Call) (claim.Answer, error) {
 	r, a := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(r)
 	defer fasthttp.ReleaseResponse(a)
@@ -153,7 +159,7 @@
 	r.Header.Set(headerKey, call.Key)
 	r.Header.Set(headerDeadline, strconv.FormatInt(time.Until(call.Deadline).Milliseconds(), 10))
 	r.SetBodyRaw(call.Body)
-	if err := c.web.Do(ctx, r, a); err != nil {
+	if err := w.Do(ctx, r, a); err != nil {
 		return claim.Answer{}, errors.Wrapf(err, "call %s", call.Service)
 	}
 	b, err := web.ReadBody(a)
