gateway: a delegated call that can't be repeated is not given up for a quiet host

A delegated call was canceled after 2 s without an answer if no message of the other host had arrived for 1.6 s, as on a host that stands still or whose messages are lost. No other host may get such a call, and its caller may not repeat it after the 502, so an answer that was on its way was lost for nothing. If the host is gone, the connection is reset, or breaks by the time-outs of package upstream (2.5 s and more; not measured here). Calls that may be repeated are still given up: their callers ask again.

--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -148,8 +148,9 @@
 	begun.Store(c.headSent && !c.handover.isPending())
 	timer := &silenceTimer{
 		timeout: silentHostTimeout, onExpire: func() { cancel(errHostGone) },
-		// A stream isn't resumed after that; if the host is gone, the connection breaks.
-		mayExpire: func() bool { return !begun.Load() },
+		// A stream isn't resumed after that, and some callers may not repeat the call. If the
+		// host is gone, the connection breaks.
+		mayExpire: func() bool { return !begun.Load() && c.route.Resumable() },
 		extension: func(silent time.Duration) time.Duration {
 			if g.delegation.Alive(to.Number) {
 				return silent - silentHostTimeout + hostCheckInterval
