dispatch: a group whose lead sends tokens is not given up for renewals that fail

A member of a group counted as lost after two renewals in a row had failed, at times 4 s after they began to. The stream was canceled, although its lead needs the memory of each member for each token and went on, and the memory is set aside for 20 s. The prompt, too large for one engine, then had to find a group anew.

A renewal that fails now counts only if the lead has sent nothing since the one before. A member that has restarted still is lost at once.

TestGroupThatGoesOnIsKept failed where the lead goes on (8 of 14 tokens) and passes with -race, 2 of 2.

--- a/daemon/dispatch/dispatch.go
+++ b/daemon/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -98,8 +99,9 @@
 		prompt        route.Prompt
 		emit          func(engine.Piece) error
 		excluded      map[string]bool
-		nextOffset    int    // of the next token to relay
-		reservationID string // of the group's memory, empty if there is none
+		nextOffset    int          // of the next token to relay
+		pieces        atomic.Int64 // that engines have sent
+		reservationID string       // of the group's memory, empty if there is none
 		// reserveTries counts the tries to reserve a group. Each try has a
 		// reservation ID of its own.
 		reserveTries       int
--- a/daemon/dispatch/reservation.go
+++ b/daemon/dispatch/reservation.go
@@ -43,8 +43,9 @@
 // Error implements error.
 func (l *lostMemberError) Error() string { return "engine " + l.addr + " of the group was lost" }
 
-// startRenewals starts to renew the reservations of all members. If a member can't be
-// reached or has restarted, it is lost and the whole reservation is canceled.
+// startRenewals starts to renew the reservations of all members. If a member has restarted, or
+// can't be reached while the lead sends nothing, it is lost and the whole reservation is canceled.
+// The lead needs the memory of all members for each token, so they are alive if it sends one.
 func (x *run) startRenewals(v *control.View, h *reservation) {
 	h.ctx, h.cancel = context.WithCancelCause(context.Background())
 	for _, m := range h.members {
@@ -53,12 +54,14 @@
 }
 
 func (x *run) renewMember(v *control.View, h *reservation, m group.Member) {
+	pieces := x.pieces.Load()
 	for failed := 0; failed < maxFailedRenewals && !restarted(v, x.loop.View(), m.Addr); {
 		if pause.For(h.ctx, renewInterval) != nil {
 			return
 		}
 		failed++
-		if x.renewOnce(v, h, m) == nil {
+		err, before := x.renewOnce(v, h, m), pieces
+		if pieces = x.pieces.Load(); err == nil || pieces > before {
 			failed = 0
 		}
 	}
--- a/daemon/dispatch/reservation_test.go
+++ b/daemon/dispatch/reservation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -17,6 +18,7 @@
 	"slipcrank.example/core/member"
 	"slipcrank.example/core/pause"
 	"slipcrank.example/daemon/control"
+	"slipcrank.example/daemon/peers"
 )
 
 // TestReleaseWaitsForRenewalInFlight releases a reservation while a renewal is in
@@ -143,3 +145,56 @@
 		t.Errorf("engine has the reservations %v, want only %s", reserved, h.id)
 	}
 }
+
+// TestGroupThatGoesOnIsKept has all renewals at a member fail. A lead can send no tokens without the memory of its members.
+func TestGroupThatGoesOnIsKept(t *testing.T) {
+	for name, tc := range map[string]struct {
+		tokens int // that the lead sends, two a second, before it sends nothing more
+		want   bool
+	}{
+		"lead goes on": {14, true}, "lead falls silent": {0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			other := httptest.NewServer(http.NotFoundHandler())
+			defer other.Close()
+			lead := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/v1/completions" {
+					_, _ = w.Write([]byte("{}"))
+					return
+				}
+				send := func(p engine.Piece) {
+					p.Request, p.Attempt, p.Incarnation = "r", "a", 1
+					b, _ := json.Marshal(p) // a struct of texts and numbers
+					_, _ = fmt.Fprintf(w, "data: %s\n\n", b)
+					_ = http.NewResponseController(w).Flush()
+				}
+				_ = http.NewResponseController(w).Flush()
+				for n := range tc.tokens {
+					send(engine.Piece{Offset: n, Text: "x"})
+					_ = pause.For(r.Context(), 500*time.Millisecond)
+				}
+				if tc.tokens == 0 {
+					_ = pause.For(r.Context(), 7*time.Second)
+				}
+				send(engine.Piece{Offset: tc.tokens, End: true, Finish: "stop"})
+			}))
+			defer lead.Close()
+			l := control.New(member.Member{Addr: "self", Hall: "a", Incarnation: 1})
+			go l.Run(t.Context())
+			d := New(l, peers.NewClient(), engine.New(web.New()))
+			tokens := 0
+			x := &run{
+				Dispatcher: d, request: Request{ID: "r", Path: "/v1/completions", Deadline: time.Now().Add(time.Minute)},
+				excluded: map[string]bool{}, emit: func(engine.Piece) error { tokens++; return nil },
+			}
+			addr := lead.Listener.Addr().String()
+			h := &reservation{id: "group", members: []group.Member{{Addr: addr, Tokens: 2}, {Addr: other.Listener.Addr().String(), Tokens: 1}}}
+			x.startRenewals(l.View(), h)
+			defer h.cancel(nil)
+			if err := x.runOnLead(t.Context(), "a", h, addr); (err == nil) != tc.want || tc.want && tokens != tc.tokens {
+				t.Errorf("got %d tokens and %v, want that the answer is whole: %v", tokens, err, tc.want)
+			}
+		})
+	}
+}
--- a/daemon/dispatch/stream.go
+++ b/daemon/dispatch/stream.go
@@ -55,6 +55,7 @@
 		case err != nil:
 			return first, err
 		}
+		x.pieces.Add(1)
 		if first == 0 {
 			first = time.Since(started)
 			x.recordFirstToken()
