--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -115,7 +115,7 @@
 	ClaimUndecided, CallOutcomeUnknown, AnswerNotStored,
 	LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 	PlatformUnreachable, PlatformReachable,
-	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceLimited, WorkspaceLimitLifted, EngineTimeScarce, PartSuspected, PartRefused, AnswerInvalid, RequestCut,
+	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceLimited, WorkspaceLimitLifted, EngineTimeScarce, PartSuspected, PartRefused, AnswerInvalid, RequestCut, StreamHandover,
 	SuspectChanged, SuspectRefused, SuspectCleared, SuspectRemoved,
 	ServerAvoided, ServersChanged, ServerCrashed, CrashConfirmed, ServerLeavingOrReturned, ServerLimitChanged, ServerNoticeUnreadable, ServerReportsLeaving, ServerRequestsBackoff, RequestDelegated, PathChanged, HallEvacuated, HallEvacuationEnded, PlatformReturned, PlatformRestored, ConfigInForce, PlatformRowUnusable, KeysUnproven, KeysProven,
 	SettingsReloaded, SettingsUnusable, UpdateLost, HostsChanged, RelayStreamLost, SourcesChosen, ForwardersChosen,
