decision: lines of requests whose answers were cut have a reserve

Cause: the end of a request (SC1514) has a rate of 40 lines a second, and shares the rest with all events.

Change: SC1514 with stream_broken, write_failed, or caller_gone during a stop, and refusals that could not be written, go ahead of the queue. Up to 2048 of them wait, and 200 a second are written after that; above these they are lines like others, so that memory and volume stay bounded. Nothing waits for them.

--- a/daemon/decision/decision.go
+++ b/daemon/decision/decision.go
@@ -6,21 +6,23 @@
 // and the next line that is written contains the count. Each event has a rate that no other
 // event can use up, and half of the queue takes only lines within these rates.
 //
-// The lines of [Log.WriteLast] are always written, ahead of the queue, so that a slow output still
-// gets them before the process is killed.
+// Lines about requests whose answers were cut, and about the end of the process, are written
+// ahead of the queue, so that a slow output still gets them before the process is killed.
 //
 // # Usage
 //
 //	l := decision.New(os.Stdout)
 //	l.Write(event.RequestEnded, slog.String("id", id))
-//	l.WriteLast(event.RequestCut, slog.String("id", id)) // the process is about to end
-//	err := l.Shutdown(ctx)                               // waits for the output until ctx ends
+//	l.WriteReserved(event.RequestEnded, slog.String("id", id)) // its answer was cut
+//	l.WriteLast(event.RequestCut, slog.String("id", id))       // the process is about to end
+//	err := l.Shutdown(ctx)                                     // waits for the output until ctx ends
 package decision
 
 import (
 	"context"
 	"io"
 	"log/slog"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +43,11 @@
 	// sharedQueueLines is the part of the queue that lines above the rate of their event
 	// may use.
 	sharedQueueLines = queueLines / 2
+	// reservedLines bounds the lines of WriteReserved that wait, a few MB, and with
+	// reservedLinesPerSecond their volume: a host may lose all its streams at once, but no
+	// load can break that many streams in each second.
+	reservedLines          = 2048
+	reservedLinesPerSecond = 200
 )
 
 // Log is a log of decisions. It is safe for concurrent use.
@@ -51,9 +58,10 @@
 	byEvent sync.Map // *rate.Limiter by event number
 	dropped atomic.Int64
 
-	mu    sync.Mutex
-	first []slog.Record // written ahead of the queue
-	added chan struct{} // has an entry after first has grown
+	reserved *rate.Limiter
+	mu       sync.Mutex
+	first    []slog.Record // written ahead of the queue
+	added    chan struct{} // has an entry after first has grown
 
 	closing chan struct{} // closed by Close; records stays open, since Write may be called concurrently
 	done    chan struct{}
@@ -70,6 +78,8 @@
 		added:   make(chan struct{}, 1),
 		closing: make(chan struct{}),
 		done:    make(chan struct{}),
+
+		reserved: rate.NewLimiter(reservedLinesPerSecond, reservedLines),
 	}
 	go l.run()
 	return l
@@ -89,16 +99,34 @@
 	}
 }
 
+// WriteReserved writes a line about a request whose answer was cut ahead of the queue. No
+// volume of other lines can have it dropped: such lines have a rate and a space of their own.
+// Above these, it is written like other lines.
+func (l *Log) WriteReserved(e event.Event, attrs ...slog.Attr) {
+	if !l.reserved.Allow() || !l.writeFirst(record(e, attrs), reservedLines) {
+		l.Write(e, attrs...)
+	}
+}
+
 // WriteLast writes a line ahead of the queue, and is never dropped. It is for the few lines at
 // the end of the process that must not be lost.
 func (l *Log) WriteLast(e event.Event, attrs ...slog.Attr) {
+	l.writeFirst(record(e, attrs), math.MaxInt)
+}
+
+// writeFirst adds a line to those that are written ahead of the queue, unless limit of them wait.
+func (l *Log) writeFirst(r slog.Record, limit int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.first = append(l.first, record(e, attrs))
+	if len(l.first) >= limit {
+		return false
+	}
+	l.first = append(l.first, r)
 	select {
 	case l.added <- struct{}{}:
 	default:
 	}
+	return true
 }
 
 // allow reports whether the rates allow a line. An event that is logged very often takes
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -294,7 +294,7 @@
 		}
 		c.lastFailure = out.reason
 		if out.result == callerGone {
-			g.logEnd(c, "caller_gone", 0, out)
+			g.logEnd(c, resultCallerGone, 0, out)
 			panic(http.ErrAbortHandler)
 		}
 		if !g.mayRetry(ctx, c, out) {
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -68,6 +68,8 @@
 		view          *backend.View
 		config        *site.Config
 		configCurrent bool
+		log           logLines
+		decisions     *decision.Log
 		// reserved counts memory reservations. They fail, except on the servers whose
 		// addresses are in hasMemory.
 		reserved  atomic.Int64
@@ -174,7 +176,8 @@
 		late, quick, read, wait, split,
 	}, []site.Service{{Name: "plain"}, {Name: "engine", Engine: engine}}, site.KeysOf(map[string]site.Workspace{"k1": {Name: "w1"}}),
 		site.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 10})
-	l := decision.New(io.Discard)
+	l := decision.New(&f.log)
+	f.decisions = l
 	t.Cleanup(l.Close)
 	budget := limit.NewRetryWindow(10*time.Second, 0.2, func() float64 { return 10 })
 	f.scheduler, f.metrics = schedule.New(1), telemetry.NewMetrics()
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -16,6 +16,13 @@
 	"slipcrank.example/daemon/event"
 )
 
+// Results of requests whose callers have no whole answer.
+const (
+	resultStreamBroken = "stream_broken"
+	resultWriteFailed  = "write_failed"
+	resultCallerGone   = "caller_gone"
+)
+
 // logAnswered records the end and the latencies of an answered call.
 func (g *Gateway) logAnswered(c *call, out outcome) {
 	g.logEnd(c, "answered", out.answer.status, out)
@@ -25,13 +32,24 @@
 	}
 }
 
+// endLog returns how the end of a call is logged: lines of answers that were cut get a reserve.
+// A caller that goes is the cause itself, unless this host is stopping.
+func (g *Gateway) endLog(resultLabel string) func(event.Event, ...slog.Attr) {
+	switch {
+	case resultLabel == resultStreamBroken, resultLabel == resultWriteFailed, resultLabel == resultCallerGone && g.stop.Load() != nil:
+		return g.log.WriteReserved
+	}
+	return g.log.Write
+}
+
 // logEnd logs the end of a call and counts its result.
 func (g *Gateway) logEnd(c *call, resultLabel string, status int, out outcome) {
 	g.metrics.Count("gateway_requests", 1, "result", resultLabel, "status", strconv.Itoa(status))
 	if out.framing != "" {
 		g.metrics.Count("gateway_answers", 1, "framing", string(out.framing), "inside_event", strconv.FormatBool(out.partial > 0))
 	}
-	g.log.Write(event.RequestEnded, slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("route", c.route.Name),
+	write := g.endLog(resultLabel)
+	write(event.RequestEnded, slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("route", c.route.Name),
 		slog.String("workspace", c.workspace.Name), slog.String("result", resultLabel), slog.Int("status", status),
 		slog.String("server", out.server),
 		slog.String("why", c.lastFailure), slog.Int("attempts", c.attempts), slog.Bool("delegated", c.delegated != nil),
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -101,10 +101,12 @@
 			slog.Bool("delegated", c.delegated != nil), slog.Int("sent", c.sent), slog.String("last_event", c.lastEventID),
 			slog.Duration("held", time.Since(c.arrivedAt)))
 	}
+	write := g.log.Write
 	if err != nil {
+		write = g.log.WriteReserved // the caller may have no answer
 		attrs = append(attrs, slog.String("write_error", err.Error()))
 	}
-	g.log.Write(event.RequestRefused, attrs...)
+	write(event.RequestRefused, attrs...)
 }
 
 // formatRetryAfter returns a Retry-After time in seconds, extended by a part of the jitter
@@ -118,7 +120,7 @@
 // request was not run is used only if that is certain.
 func (g *Gateway) finishFailed(w http.ResponseWriter, c *call, out outcome) {
 	if c.headSent {
-		g.logEnd(c, "stream_broken", 0, out)
+		g.logEnd(c, resultStreamBroken, 0, out)
 		panic(http.ErrAbortHandler) // the caller sees that the answer is truncated
 	}
 	overdue := g.clock.Now() >= c.bootDeadline
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -467,7 +467,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(out.answer.body)))
 	w.WriteHeader(out.answer.status)
 	if _, err := w.Write(out.answer.body); err != nil {
-		g.logEnd(c, "write_failed", out.answer.status, out)
+		g.logEnd(c, resultWriteFailed, out.answer.status, out)
 	}
 	if out.result != answered {
 		g.logEnd(c, "passed_failure", out.answer.status, out)
