gateway: a stopping host hands delegated streams back

Cause: a stream that a host delegates ends with the planned stop of the other one. The connection breaks then, and the delegating host doesn't know what was used: it counts all attempts of the route, so it never resumes the stream.

Change: a host that delegates a stream which may be resumed says that it reads how it ends (ends=true). The other host then announces a trailer in the head, Slipcrank-Delegation-End, with whether the stream is whole, and the attempts and sends of the call. Shortly before the end of its stop, if attempts are left, or when it gives a stream up, it ends the chunks in order with whole=false. The delegating host takes an announced stream for whole only if the trailer says so, and otherwise goes on with the numbers told, if the route's attempts, the retry budget and its own stop allow. To a host of an earlier version a stream that isn't whole ends by a broken connection as before, and one that announces no trailer is read as before.

--- a/daemon/gateway/broken_test.go
+++ b/daemon/gateway/broken_test.go
@@ -82,10 +82,10 @@
 		err = nil // the answer is shorter
 	}
 	if err != nil {
-		return answer{a.StatusCode, a.Header, string(first[:n]), err, a.Close}
+		return answer{a.StatusCode, a.Header, string(first[:n]), err, a.Close, a.Trailer}
 	}
 	b, err := io.ReadAll(a.Body)
-	return answer{a.StatusCode, a.Header, string(first[:n]) + string(b), err, a.Close}
+	return answer{a.StatusCode, a.Header, string(first[:n]) + string(b), err, a.Close, a.Trailer}
 }
 
 // text returns the events after the given one.
--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -166,8 +166,8 @@
 	if err != nil && upstream.NotSent(err) {
 		return outcome{result: unsent, reason: "host_not_reached", err: err}
 	}
-	// The other host may use all attempts that are left. After a broken connection this
-	// host doesn't know how many it has used.
+	// The other host may use all attempts that are left. Unless it reports how the stream has
+	// ended, this host doesn't know how many it has used.
 	spent := max(c.attempts, c.route.Attempts, 1)
 	if err != nil {
 		c.attempts, c.mayHaveRun = spent, true
@@ -188,8 +188,10 @@
 	if server, ok := s.Servers.Get(r.server); ok {
 		g.applyNotices(c, server, a) // what this host passes on binds it, too
 	}
+	attempts := c.attempts
 	c.attempts, c.mayHaveRun = spent, true
-	return g.forward(w, c, a, timer, relayHooks{first: func() { begun.Store(true) }}, g.collectFromPeer)
+	a.Body = &delegatedBody{a.Body, a}
+	return c.learnEnd(a, attempts, g.forward(w, c, a, timer, relayHooks{first: func() { begun.Store(true) }}, g.collectFromPeer))
 }
 
 // collectFromPeer reads an answer that another host has received from a server, and
--- a/daemon/gateway/delegated.go
+++ b/daemon/gateway/delegated.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"slipcrank.example/core/reach"
+	"slipcrank.example/core/site"
 	"slipcrank.example/daemon/upstream"
 )
 
@@ -46,6 +47,7 @@
 		elapsed  time.Duration // since the call arrived at the other host
 		counted  bool          // the other host has counted it in the retry budget
 		leaving  []string      // IDs of servers that leave, by answers that the other host has passed on
+		readsEnd bool          // the other host reads how a stream ends
 	}
 
 	// report describes the answer to a delegated call.
@@ -68,6 +70,7 @@
 			return
 		}
 		r.Header.Del(delegationHeader)
+		d.readsEnd = d.readsEnd && r.ProtoAtLeast(1, 1) // earlier versions have no trailers
 		// Holds for refusals before the call is read.
 		w.Header().Set(delegationHeader, report{origin: originHost, attempts: d.attempts, sent: d.sent}.String())
 		g.handle(w, r, &d)
@@ -116,7 +119,8 @@
 		version: max(s.Config.Version(), g.servedVersion.Load()), elapsed: time.Since(c.arrivedAt),
 		// Other hosts may not know it, since they remember what they are told for some seconds
 		// only. They may list servers that this host doesn't.
-		leaving: g.notices.LeavingServers(maxLeavingServers),
+		leaving:  g.notices.LeavingServers(maxLeavingServers),
+		readsEnd: c.route.Kind == site.Stream && c.route.Resume,
 	}
 }
 
@@ -157,8 +161,8 @@
 	for _, id := range d.leaving {
 		leaving = append(leaving, url.QueryEscape(id))
 	}
-	return fmt.Sprintf("attempts=%d, sent=%d, paid=%s, paid_ms=%d, version=%d, elapsed=%d, counted=%t, leaving=%s",
-		d.attempts, d.sent, url.QueryEscape(d.paid), d.paidAge.Milliseconds(), d.version, d.elapsed.Milliseconds(), d.counted, strings.Join(leaving, " "))
+	return fmt.Sprintf("attempts=%d, sent=%d, paid=%s, paid_ms=%d, version=%d, elapsed=%d, counted=%t, leaving=%s, ends=%t",
+		d.attempts, d.sent, url.QueryEscape(d.paid), d.paidAge.Milliseconds(), d.version, d.elapsed.Milliseconds(), d.counted, strings.Join(leaving, " "), d.readsEnd)
 }
 
 // String returns the value of the header of an answer to a delegated request.
@@ -203,7 +207,7 @@
 	}
 	return delegation{
 		int(attempts), sent, paid, time.Duration(paidAge) * time.Millisecond, version, time.Duration(elapsed) * time.Millisecond,
-		f["counted"] == "true", leaving,
+		f["counted"] == "true", leaving, f["ends"] == "true",
 	}, nil
 }
 
--- a/daemon/gateway/delegated_internal_test.go
+++ b/daemon/gateway/delegated_internal_test.go
@@ -15,6 +15,7 @@
 		"old and used": {attempts: 9, version: 1, elapsed: time.Millisecond, counted: true},
 		"paid":         {attempts: 1, sent: 2, paid: "a, service=%", paidAge: 40 * time.Millisecond, version: 3},
 		"with servers": {version: 1, leaving: []string{"i-1@17", "odd, id=%"}},
+		"stream":       {attempts: 1, sent: 1, version: 1, readsEnd: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got, err := parseDelegation(d.String()); err != nil || !reflect.DeepEqual(got, d) {
--- a/daemon/gateway/delegated_test.go
+++ b/daemon/gateway/delegated_test.go
@@ -38,7 +38,7 @@
 	}
 	defer a.Body.Close()
 	b, err := io.ReadAll(a.Body)
-	return answer{a.StatusCode, a.Header, string(b), err, a.Close}, a.Header.Get("Slipcrank-Delegation")
+	return answer{a.StatusCode, a.Header, string(b), err, a.Close, a.Trailer}, a.Header.Get("Slipcrank-Delegation")
 }
 
 // TestDelegatedRequestIsServedOnce checks what a host does with a request that another host
--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -79,7 +79,7 @@
 
 // refuseWaiting cancels the calls that wait to be sent until there is no time left for them,
 // and shortly before end all whose callers have no part of an answer, so that their callers
-// are answered.
+// are answered, and streams with which the hosts that delegate them may go on.
 func (g *Gateway) refuseWaiting(end time.Time) {
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
--- a/daemon/gateway/gateway_test.go
+++ b/daemon/gateway/gateway_test.go
@@ -212,6 +212,8 @@
 	body   string
 	err    error // the answer was truncated
 	close  bool  // the server closes the connection after it
+
+	trailer http.Header
 }
 
 // do sends a request; headers are pairs of name and value.
@@ -233,7 +235,7 @@
 	}
 	defer a.Body.Close()
 	b, err := io.ReadAll(a.Body)
-	return answer{a.StatusCode, a.Header, string(b), err, a.Close}
+	return answer{a.StatusCode, a.Header, string(b), err, a.Close, a.Trailer}
 }
 
 func (f *fixture) requestCount() int {
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -34,6 +34,7 @@
 		waiting       bool                    // no server has it
 		canceled      bool                    // while waiting, or before its head was sent
 		headSent      bool                    // to the caller
+		handsBack     bool                    // the host that delegates it may go on with its stream
 		server        string                  // to which it was sent last, empty for none
 		firstAt       time.Time               // when it was sent first, zero before
 		sentAt        time.Time               // when it was sent last
@@ -131,21 +132,23 @@
 	}
 }
 
-// cancelUnanswered cancels the call if its caller has no part of an answer.
+// cancelUnanswered cancels the call if its caller has no part of an answer, or another host may go
+// on with it.
 func (p *progress) cancelUnanswered() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.cancel != nil && !p.headSent && !p.canceled {
+	if p.cancel != nil && (!p.headSent || p.handsBack) && !p.canceled {
 		p.canceled = true
 		p.cancel(errStopping)
 	}
 }
 
-// setHeadSent records that the caller has the head of a stream.
-func (p *progress) setHeadSent() {
+// setHeadSent records that the caller has the head of a stream, and whether that may be handed back
+// to the host that delegates it.
+func (p *progress) setHeadSent(handsBack bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.headSent = true
+	p.headSent, p.handsBack = true, handsBack
 }
 
 // isAllowed reports whether the call is allowed now.
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -117,6 +117,10 @@
 // finishFailed answers a call that no server has answered. A status that means that the
 // request was not run is used only if that is certain.
 func (g *Gateway) finishFailed(w http.ResponseWriter, c *call, out outcome) {
+	if c.headSent && c.reportEnd(w, false) {
+		g.logEnd(c, "stream_handed_back", 0, out)
+		return
+	}
 	if c.headSent {
 		g.logEnd(c, "stream_broken", 0, out)
 		panic(http.ErrAbortHandler) // the caller sees that the answer is truncated
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -71,6 +71,7 @@
 		return out
 	}
 	c.endCloseFramed()
+	c.reportEnd(w, true)
 	a.Finish()
 	out.result, out.answer = answered, &bufferedAnswer{status: a.Status}
 	return out
@@ -81,11 +82,12 @@
 	if c.headSent {
 		return
 	}
-	c.progress.setHeadSent()
+	c.progress.setHeadSent(c.mayHandBack())
 	g.closeIfStopping(w)
 	copyHeaders(w, a.Header)
 	w.Header().Del("Content-Length") // the stream may be resumed at another server
 	g.setReport(w, c, originServer)
+	c.announceEnd(w)
 	c.beginCloseFramed()
 	w.WriteHeader(a.Status)
 	c.headSent = true
--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -72,6 +72,15 @@
 // Addr returns the address of the server.
 func (a *Answer) Addr() string { return a.addr }
 
+// Announces reports whether the head of the answer announces a trailer.
+func (a *Answer) Announces(name string) bool {
+	_, ok := a.resp.Trailer[http.CanonicalHeaderKey(name)]
+	return ok
+}
+
+// Trailer returns the value of a trailer, which is known once the body was read to its end.
+func (a *Answer) Trailer(name string) string { return a.resp.Trailer.Get(name) }
+
 // Finish records that the body was read to its end, so that Close may return the
 // connection to the pool.
 func (a *Answer) Finish() { a.complete = true }
