--- a/daemon/gateway/lost_path_internal_test.go
+++ b/daemon/gateway/lost_path_internal_test.go
@@ -51,3 +51,25 @@
 		})
 	}
 }
+
+// TestLostPathWaitsForNoSlowCaller has a caller read slowly, whose stream is offered to another server, when the path seems lost.
+func TestLostPathWaitsForNoSlowCaller(t *testing.T) {
+	from := &exchange{}
+	from.work.Lock() // while an event is written to the caller
+	defer from.work.Unlock()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	x := newExchange(backend.Server{Service: "engine"}, time.Hour, true, 0, cancel)
+	x.pending = &handover{from: from}
+	if err := x.beginSending(); err != nil {
+		t.Fatal(err)
+	}
+	x.setHeadSent()
+	open := newExchanges()
+	open.add(x)
+	go open.cancelUnheard("engine", 0)
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+		t.Error("the calls of all servers wait for a slow caller")
+	}
+}
