gateway: a handover whose present server has failed has the stream

Found by the review of the handover, by reading, and then by tests: - The run at another server was given up for its silence although the present server had broken off meanwhile, and when a try of the call was refused. A running handover now has the stream as soon as its present server fails. - The call could be copied while it was changed, between the end of a try and that of its exchange. The exchange has ended before the lock is released. - The time in which a caller reads slowly counted as silence of the server. - A panic while a server is awaited would have ended the process.

The copy has no test of its own.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -110,7 +110,7 @@
 	if c.exchange == nil {
 		return out
 	}
-	h := c.exchange.end(out.result == failed || out.result == handedOver)
+	h := c.exchange.settle(out.result != answered && out.result != callerGone && out.result != final)
 	if h == nil || out.result == answered {
 		return out
 	}
@@ -128,14 +128,16 @@
 	return h.out
 }
 
-// end ends an exchange, and returns its handover, nil if there was none. That may still get the
-// stream if the server of the exchange has failed.
-func (e *exchange) end(mayContinue bool) *handover {
+// settle returns the handover of an exchange that has ended, nil if there was none. If the server
+// has failed and a handover is running, that has the stream from now on.
+func (e *exchange) settle(mayContinue bool) *handover {
 	e.work.Lock()
 	defer e.work.Unlock()
-	e.ended = true
-	if !mayContinue {
+	switch {
+	case !mayContinue:
 		e.handover.revoke()
+	case e.handover.isRunning() && !e.handover.revoked:
+		e.handover.claimed.Store(true)
 	}
 	return e.handover
 }
@@ -144,9 +146,11 @@
 func (g *Gateway) handoverOf(ctx context.Context, w http.ResponseWriter, c *call, p schedule.Placement, server backend.Server) handoverFunc {
 	x := c.exchange
 	return func(why outcome) {
+		asked := time.Now()
 		x.work.Lock()
 		defer x.work.Unlock()
-		if x.ended || x.handover.isRunning() || x.handover != nil && !x.handover.isPending() {
+		// This host may have written to the caller meanwhile, and not read what the server sent.
+		if x.ended || x.waitsSince.After(asked) || x.handover.isRunning() || x.handover != nil && !x.handover.isPending() {
 			return
 		}
 		if x.handover != nil {
--- a/daemon/gateway/handover_test.go
+++ b/daemon/gateway/handover_test.go
@@ -125,3 +125,23 @@
 		t.Errorf("the metrics have no caller that has gone, or a broken stream:\n%s", text)
 	}
 }
+
+// TestStreamStaysWithTheLastServerThatHasIt has the present server of a silent stream break off while the next one is silent, too.
+func TestStreamStaysWithTheLastServerThatHasIt(t *testing.T) {
+	var runs atomic.Int64
+	answer := func(r *http.Request, w io.Writer) bool {
+		if runs.Add(1) > 1 {
+			<-time.After(2 * time.Second)
+			return streamFrom(eventCount)(r, w)
+		}
+		begin := formatEvent(1) + formatEvent(2)
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nTry: t1\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(begin), begin)
+		<-time.After(1500 * time.Millisecond)
+		return false
+	}
+	f := start(t, slices.Repeat([]reply{answer}, 6)...)
+	a := f.do("POST", "/wait/", "b", "Size", "1000,10")
+	if a.err != nil || a.body != allEvents() || runs.Load() != 2 {
+		t.Errorf("error %v, got %q after %d runs, want all events after 2", a.err, a.body, runs.Load())
+	}
+}
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -42,10 +42,11 @@
 		pending      *handover    // in which the call was sent to this server, nil for none
 
 		// work is held while this host works on the call, rather than waits for the server. It
-		// protects the call, ended and handover.
-		work     sync.Mutex
-		ended    bool
-		handover *handover // the last one; nil if there was none
+		// protects the call and the fields below it.
+		work       sync.Mutex
+		waitsSince time.Time // when this host last began to wait for the server
+		ended      bool
+		handover   *handover // the last one; nil if there was none
 
 		mu       sync.Mutex
 		sent     bool          // the request may have begun to leave this host
@@ -142,9 +143,12 @@
 		f()
 		return true
 	}
-	e.work.Unlock()
-	f()
-	e.work.Lock()
+	e.waitsSince = time.Now()
+	func() {
+		e.work.Unlock()
+		defer e.work.Lock() // also if f panics
+		f()
+	}()
 	return e.handover == nil || e.handover.isPending()
 }
 
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -21,10 +21,10 @@
 	for {
 		var e []byte
 		var err error
+		timer.reset() // the time of writing to the caller is no silence
 		if !hooks.exchange.await(func() { e, err = events.next() }) {
 			return outcome{result: handedOver}
 		}
-		timer.reset()
 		now := time.Now()
 		if err != nil && !errors.Is(err, io.EOF) {
 			failure := g.failure(c, err, "stream")
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -297,7 +297,10 @@
 	c.exchange = x
 	x.handOver, x.pending = g.handoverOf(parent, w, c, p, server), c.handover
 	x.work.Lock()
-	defer x.work.Unlock()
+	defer func() {
+		x.ended = true // the call may change after that
+		x.work.Unlock()
+	}()
 	g.exchanges.add(x)
 	defer g.exchanges.remove(x)
 	if c.headSent {
