gateway: refusals of requests that could not be read name them

Cause: the line of a refusal took the id from the call, which doesn't exist if there is no configuration yet (the first moments of a process), or the body broke off, is too large or finds no memory. Such lines named no request.

Change: the id of the head is logged. The answer is as before.

Result: "body breaks off" and "body is too large" of TestRequestWithoutWholeAnswerIsNamed, and TestRequestBeforeFirstConfigurationIsNamed fail before the change and pass with it. Four other ends of requests had their line before: broken by the server, and left by the caller before the answer, inside a stream, and inside a large answer.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -259,7 +259,7 @@
 		refusal = g.refuseDelegated(c, g.state())
 	}
 	if refusal != nil {
-		g.writeRefusal(w, c, refusal)
+		g.writeRefusalOf(w, p.id, c, refusal)
 		return
 	}
 	g.setWriteDeadline(w, c.deadline)
--- a/daemon/gateway/named_test.go
+++ b/daemon/gateway/named_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -108,3 +109,88 @@
 		t.Errorf("%d of %d streams that were cut have no line", missing, streams)
 	}
 }
+
+// TestRequestWithoutWholeAnswerIsNamed guards against closed connections that the log doesn't tell of.
+func TestRequestWithoutWholeAnswerIsNamed(t *testing.T) {
+	event1 := "id: 1\ndata: x\n\n"
+	head := func(r *http.Request, w io.Writer, length int) {
+		fmt.Fprintf(w, "HTTP/1.1 200 X\r\nTry: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Try"), length, event1)
+	}
+	whole := plainReply(200, "fine")
+	for name, tc := range map[string]struct {
+		path   string
+		answer reply
+		send   func(c net.Conn, request string) // nil sends the request and reads
+		event  event.Event
+		result string
+		why    string
+	}{
+		"server breaks off": {path: "/stream/", answer: func(r *http.Request, w io.Writer) bool {
+			head(r, w, 100)
+			return false
+		}, event: event.RequestEnded, result: "stream_broken"},
+		"caller goes before the answer": {path: "/safe/", answer: func(*http.Request, io.Writer) bool {
+			_ = pause.For(t.Context(), time.Second)
+			return false
+		}, send: func(c net.Conn, request string) {
+			_, _ = io.WriteString(c, request)
+			_ = pause.For(t.Context(), 100*time.Millisecond)
+		}, event: event.RequestEnded, result: "caller_gone"},
+		"caller goes inside a stream": {path: "/stream/", answer: func(r *http.Request, w io.Writer) bool {
+			head(r, w, 10_000)
+			_ = pause.For(t.Context(), time.Second)
+			return false
+		}, send: func(c net.Conn, request string) {
+			_, _ = io.WriteString(c, request)
+			_, _ = io.ReadFull(c, make([]byte, 100))
+		}, event: event.RequestEnded, result: "caller_gone"},
+		"caller goes while it gets a large answer": {path: "/safe/", answer: func(r *http.Request, w io.Writer) bool {
+			return plainReply(200, strings.Repeat("x", 12<<20))(r, w)
+		}, send: func(c net.Conn, request string) {
+			_, _ = io.WriteString(c, request)
+			_, _ = io.ReadFull(c, make([]byte, 1000))
+		}, event: event.RequestEnded, result: "write_failed"},
+		"body breaks off": {path: "/safe/", answer: whole, send: func(c net.Conn, request string) {
+			_, _ = io.WriteString(c, request[:len(request)-1])
+		}, event: event.RequestRefused, why: "body_unreadable"},
+		"body is too large": {path: "/safe/", answer: whole, send: func(c net.Conn, request string) {
+			_, _ = io.WriteString(c, strings.Replace(request, "Content-Length: 1", "Content-Length: 5000", 1)+strings.Repeat("x", 4999))
+			_, _ = io.Copy(io.Discard, c)
+		}, event: event.RequestRefused, why: "body_too_large"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, tc.answer)
+			c, err := net.Dial("tcp", f.httpServer.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetDeadline(time.Now().Add(2 * time.Second))
+			request := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: shop.example\r\nTry: t7\r\nAuthorization: Key k1\r\nContent-Length: 1\r\n\r\nb", tc.path)
+			if tc.send == nil {
+				tc.send = func(c net.Conn, request string) {
+					_, _ = io.WriteString(c, request)
+					_, _ = io.Copy(io.Discard, c)
+				}
+			}
+			tc.send(c, request)
+			_ = c.Close()
+			line, ok := f.log.find(t, tc.event, "t7")
+			if !ok || line.Result != tc.result || line.Why != tc.why && tc.why != "" {
+				t.Errorf("got line %+v, want event %d of t7 with result %q, reason %q", line, tc.event.Number, tc.result, tc.why)
+			}
+		})
+	}
+}
+
+// TestRequestBeforeFirstConfigurationIsNamed guards against refusals right after a start that name no request.
+func TestRequestBeforeFirstConfigurationIsNamed(t *testing.T) {
+	f := start(t, plainReply(200, "fine"))
+	f.config = nil
+	if a := f.do("POST", "/safe/", "b"); a.status != http.StatusServiceUnavailable {
+		t.Errorf("got %+v, want 503", a)
+	}
+	if line, ok := f.log.find(t, event.RequestRefused, "t1"); !ok {
+		t.Errorf("got line %+v, want that of t1", line)
+	}
+}
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -74,8 +74,13 @@
 	return originFleet
 }
 
-// writeRefusal sends and logs a refusal. c may be nil if the request could not be read.
+// writeRefusal sends and logs a refusal of a call.
 func (g *Gateway) writeRefusal(w http.ResponseWriter, c *call, refusal *refusalResponse) {
+	g.writeRefusalOf(w, c.id, c, refusal)
+}
+
+// writeRefusalOf sends and logs a refusal of a request. c is nil if the request could not be read.
+func (g *Gateway) writeRefusalOf(w http.ResponseWriter, id string, c *call, refusal *refusalResponse) {
 	if refusal.retryAfter > 0 {
 		w.Header().Set("Retry-After", formatRetryAfter(refusal.retryAfter, rand.Float64()))
 	}
@@ -93,9 +98,9 @@
 	w.WriteHeader(refusal.status)
 	_, err = w.Write(b)
 	g.metrics.Count("gateway_refusals", 1, "why", refusal.reason, "status", strconv.Itoa(refusal.status))
-	attrs := []slog.Attr{slog.String("why", refusal.reason), slog.Int("status", refusal.status)}
+	attrs := []slog.Attr{slog.String("why", refusal.reason), slog.Int("status", refusal.status), slog.String("id", id)}
 	if c != nil {
-		attrs = append(attrs, slog.String("id", c.id), slog.String("same", c.headHash.String()), slog.String("route", c.route.Name),
+		attrs = append(attrs, slog.String("same", c.headHash.String()), slog.String("route", c.route.Name),
 			slog.String("workspace", c.workspace.Name),
 			slog.Int("attempts", c.attempts), slog.Any("ports", c.sends.Ports()), slog.Bool("may_have_run", c.mayHaveRun),
 			slog.Bool("delegated", c.delegated != nil), slog.Int("sent", c.sent), slog.String("last_event", c.lastEventID),
