gateway: a request whose handler panics is named in the log

Cause: a panic in a handler closes the caller's connection, and only net/http's stack on standard error told of it, without the request. SC1106 was written by slipcrank's own interface only.

Change: SC1106 with id and error; the panic goes on, so that the stack is printed and the connection closed as before.

Result: "panic in a handler" of TestRequestWithoutWholeAnswerIsNamed fails before the change and passes with it.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -239,6 +239,7 @@
 	now := time.Now()
 	p := g.progresses.add(r.Header.Get(g.dialect.AttemptID), d != nil, now)
 	defer g.progresses.remove(p)
+	defer g.logPanic(p)
 	g.setWriteDeadline(w, now.Add(defaultTimeout))
 	buffer := &bodyBuffer{buffers: g.buffers}
 	defer buffer.release()
--- a/daemon/gateway/log.go
+++ b/daemon/gateway/log.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
+	"net/http"
 	"os"
 	"strconv"
 	"syscall"
@@ -58,6 +60,19 @@
 		slog.Duration("first", out.firstEvent), slog.Duration("pause", c.maxPause), slog.Duration("held", time.Since(c.arrivedAt)))
 }
 
+// logPanic logs a panic in the handler of a request, whose connection is then closed. It panics
+// again, so that the stack is printed.
+func (g *Gateway) logPanic(p *progress) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v != http.ErrAbortHandler {
+		g.log.WriteReserved(event.InternalError, slog.String("id", p.id), slog.String("error", fmt.Sprint(v)))
+	}
+	panic(v)
+}
+
 // logRetried logs a failed try that is followed by another. The times tell a server that
 // fails by itself from a path that fails: how long the try took, and when any server was
 // last heard.
--- a/daemon/gateway/named_test.go
+++ b/daemon/gateway/named_test.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"slipcrank.example/core/pause"
+	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/event"
+	"slipcrank.example/daemon/gateway"
 )
 
 type (
@@ -120,6 +122,7 @@
 	for name, tc := range map[string]struct {
 		path   string
 		answer reply
+		opts   []gateway.Option
 		send   func(c net.Conn, request string) // nil sends the request and reads
 		event  event.Event
 		result string
@@ -129,6 +132,9 @@
 			head(r, w, 100)
 			return false
 		}, event: event.RequestEnded, result: "stream_broken"},
+		"panic in a handler": {path: "/safe/", answer: whole, opts: []gateway.Option{
+			gateway.WithPlacementHooks(func(schedule.Placement) { panic("a fault") }, func(schedule.ID) {}, func(schedule.ID) {}),
+		}, event: event.InternalError},
 		"caller goes before the answer": {path: "/safe/", answer: func(*http.Request, io.Writer) bool {
 			_ = pause.For(t.Context(), time.Second)
 			return false
@@ -160,7 +166,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := start(t, tc.answer)
+			f := startWith(t, tc.opts, tc.answer)
 			c, err := net.Dial("tcp", f.httpServer.Listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
