gateway: answers that aren't written and requests read at the exit are named as cut

Cause: SC1527 names the requests whose handlers run when the end of a stop is reached. A request whose handler has returned while the end of its answer isn't written is cut without it (its SC1513 or SC1514 reads as if its caller had the answer), as is one whose head is read while the connections are closed; the latter might even be sent to a server.

Change: a request counts until its answer is written or its connection closed, also on the port of other hosts, and one that begins after the end is refused and named. `handled` tells the first kind.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -129,10 +130,13 @@
 
 // New assembles a daemon. The only socket that it opens is the one for updates of other
 // hosts.
-func New(s settings.Entry, p Platform) (*Entry, error) {
+func New(s settings.Entry, p Platform) (*Entry, error) { return newEntry(s, p, os.Stdout) }
+
+// newEntry does what New does, for a daemon that writes its log to logTo.
+func newEntry(s settings.Entry, p Platform, logTo io.Writer) (*Entry, error) {
 	e := &Entry{
 		platform: p,
-		log:      decision.New(os.Stdout, slog.String("host", s.Host)),
+		log:      decision.New(logTo, slog.String("host", s.Host)),
 		metrics:  telemetry.NewMetrics(),
 		clock:    boottime.New(),
 
@@ -262,7 +266,6 @@
 		return err
 	}
 	e.callerServer = e.newServer(e.gateway)
-	e.callerServer.ConnContext = gateway.ConnContext
 	ctx, e.cancel = context.WithCancel(ctx)
 	e.readinessServer = &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout}
 	e.operatorServer = &http.Server{Handler: e.operatorHandler(), ReadHeaderTimeout: headerTimeout}
@@ -293,7 +296,13 @@
 		IdleTimeout:       idleTimeout,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         e.answering.track,
+		ConnContext:       gateway.ConnContext,
+		ConnState: func(c net.Conn, s http.ConnState) {
+			if s != http.StateActive {
+				e.gateway.AnswerWritten(c)
+			}
+			e.answering.track(c, s)
+		},
 		// The library's own answer to "OPTIONS *" is a success of no server.
 		DisableGeneralOptionsHandler: true,
 	}
--- a/daemon/gateway/close.go
+++ b/daemon/gateway/close.go
@@ -12,8 +12,8 @@
 type connKey struct{}
 
 // ConnContext makes the connection of a request known to the gateway. It is to be set as the
-// ConnContext of the [http.Server] that serves callers: to a caller of HTTP/1.0 the close of
-// its connection is the end of a stream, so that a broken stream has to end by a reset.
+// ConnContext of an [http.Server] that calls [Gateway.AnswerWritten]. To a caller of HTTP/1.0 the
+// close of its connection is the end of a stream, so that a broken stream has to end by a reset.
 func ConnContext(ctx context.Context, c net.Conn) context.Context {
 	return context.WithValue(ctx, connKey{}, c)
 }
@@ -24,7 +24,12 @@
 	if r.ProtoAtLeast(1, 1) {
 		return nil // gets chunks
 	}
-	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	return connOf(r.Context())
+}
+
+// connOf returns the connection of a request, and nil if it isn't known.
+func connOf(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connKey{}).(net.Conn)
 	return c
 }
 
--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -54,6 +54,9 @@
 	if s == nil {
 		return true
 	}
+	if g.progresses.hasEnded() {
+		return false
+	}
 	plan := s.plan
 	if p.delegated {
 		plan.RefuseFrom = s.begun // the other host needs no balancer to notice the stop
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -238,6 +238,9 @@
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request, d *delegation) {
 	now := time.Now()
 	p := g.progresses.add(r.Header.Get(g.dialect.AttemptID), d != nil, now)
+	if p.conn = connOf(r.Context()); p.late {
+		g.logCut(p, false) // its connection is being closed
+	}
 	defer g.progresses.remove(p)
 	defer g.logPanic(p)
 	g.setWriteDeadline(w, now.Add(defaultTimeout))
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
+	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +17,10 @@
 type (
 	// progresses are the requests in progress. It is safe for concurrent use.
 	progresses struct {
-		mu   sync.Mutex
-		open map[*progress]bool
+		mu        sync.Mutex
+		open      map[*progress]bool
+		unwritten map[net.Conn]*progress // whose handlers have returned, until their answers are written
+		ended     bool                   // the end of the process has begun
 	}
 
 	// progress is how far a request has come: whether a planned stop may still refuse it, and
@@ -24,6 +29,8 @@
 		id        string
 		delegated bool // by another host
 		arrivedAt time.Time
+		late      bool     // the end of the process had begun
+		conn      net.Conn // nil if it isn't known
 
 		mu            sync.Mutex
 		readAt        time.Time // when its body was complete, zero before
@@ -41,21 +48,50 @@
 	}
 )
 
-func newProgresses() *progresses { return &progresses{open: map[*progress]bool{}} }
+func newProgresses() *progresses {
+	return &progresses{open: map[*progress]bool{}, unwritten: map[net.Conn]*progress{}}
+}
 
 // add registers a request whose head has arrived.
 func (s *progresses) add(id string, delegated bool, now time.Time) *progress {
 	p := &progress{id: id, delegated: delegated, arrivedAt: now}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.open[p] = true
+	s.open[p], p.late = true, s.ended
 	return p
 }
 
+// remove removes a request whose handler returns.
 func (s *progresses) remove(p *progress) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, p)
+	if p.conn != nil {
+		s.unwritten[p.conn] = p
+	}
+}
+
+// setWritten records that the answers on a connection are written, or that it is closed.
+func (s *progresses) setWritten(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.unwritten, c)
+}
+
+// hasEnded reports whether the end of the process has begun.
+func (s *progresses) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended
+}
+
+// end begins the end of the process, and returns the requests in progress and those whose answers
+// aren't written.
+func (s *progresses) end() (open, unwritten []*progress) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = true
+	return slices.Collect(maps.Keys(s.open)), slices.Collect(maps.Values(s.unwritten))
 }
 
 // count returns the number of requests in progress.
@@ -69,11 +105,7 @@
 func (s *progresses) all() []*progress {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []*progress
-	for p := range s.open {
-		out = append(out, p)
-	}
-	return out
+	return slices.Collect(maps.Keys(s.open))
 }
 
 // setRead records that the call was read.
@@ -182,16 +214,32 @@
 	return attrs
 }
 
-// LogCut logs each request in progress, since the process is about to end. It returns their
-// number.
+// AnswerWritten has to be called when the answers on a connection are written, or it is closed.
+// Until then, [Gateway.LogCut] counts its last request as cut.
+func (g *Gateway) AnswerWritten(c net.Conn) { g.progresses.setWritten(c) }
+
+// LogCut logs each request in progress, since the process is about to end, and has later ones
+// refused and logged. It returns their number.
 func (g *Gateway) LogCut() int {
-	now, begun := time.Now(), time.Time{}
-	if s := g.stop.Load(); s != nil {
-		begun = s.begun
+	open, unwritten := g.progresses.end()
+	for _, p := range open {
+		g.logCut(p, false)
+	}
+	for _, p := range unwritten {
+		g.logCut(p, true)
 	}
-	cut := g.progresses.all()
-	for _, p := range cut {
-		g.log.WriteLast(event.RequestCut, p.attrs(begun, now)...)
+	return len(open) + len(unwritten)
+}
+
+// logCut logs a request that the end of the process cuts.
+func (g *Gateway) logCut(p *progress, handled bool) {
+	g.log.WriteLast(event.RequestCut, append(p.attrs(g.stopBegun(), time.Now()), slog.Bool("handled", handled))...)
+}
+
+// stopBegun returns when the planned stop has begun, and the zero time if there is none.
+func (g *Gateway) stopBegun() time.Time {
+	if s := g.stop.Load(); s != nil {
+		return s.begun
 	}
-	return len(cut)
+	return time.Time{}
 }
