gateway: the requests of a stop are named a second before its end, too

Cause: the lines of the requests that a stop cuts (SC1527) are written when the stop has come to its end.

Change: SC1529 names each request that is open 1 s before the end, with the attributes of SC1527. SC1528 is listed with the other events, as its catalogue entry demands (TestCatalogue was red).

Result: TestRequestIsNamedBeforeEndOfStop fails before the change (no line within 5 s) and passes with it.

--- a/daemon/event/event.go
+++ b/daemon/event/event.go
@@ -84,6 +84,7 @@
 	PartSuspected           = Event{1524, "part of prompts suspected of crashing servers"}
 	PartRefused             = Event{1525, "request refused since a part of its prompt crashes servers"}
 	RequestCut              = Event{1527, "request cut by the end of the process"}
+	RequestNearEnd          = Event{1529, "request in progress near the end of the process"}
 	StreamHandover          = Event{1528, "stream offered to other backend servers"}
 	AnswerInvalid           = Event{1526, "answer of a backend server is invalid"}
 	EngineTimeScarce        = Event{1523, "engines' time has become scarce, or is enough again"}
@@ -115,7 +116,7 @@
 	ClaimUndecided, CallOutcomeUnknown, AnswerNotStored,
 	LeaseTaken, LeaseLost, OrderGiven, OrderFailed,
 	PlatformUnreachable, PlatformReachable,
-	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceLimited, WorkspaceLimitLifted, EngineTimeScarce, PartSuspected, PartRefused, AnswerInvalid, RequestCut,
+	RequestPlaced, RequestRetried, RequestRefused, RequestEnded, WorkspaceLimited, WorkspaceLimitLifted, EngineTimeScarce, PartSuspected, PartRefused, AnswerInvalid, RequestCut, RequestNearEnd, StreamHandover,
 	SuspectChanged, SuspectRefused, SuspectCleared, SuspectRemoved,
 	ServerAvoided, ServersChanged, ServerCrashed, CrashConfirmed, ServerLeavingOrReturned, ServerLimitChanged, ServerNoticeUnreadable, ServerReportsLeaving, ServerRequestsBackoff, RequestDelegated, PathChanged, HallEvacuated, HallEvacuationEnded, PlatformReturned, PlatformRestored, ConfigInForce, PlatformRowUnusable, KeysUnproven, KeysProven,
 	SettingsReloaded, SettingsUnusable, UpdateLost, HostsChanged, RelayStreamLost, SourcesChosen, ForwardersChosen,
--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -16,6 +16,9 @@
 	drainPollInterval = 50 * time.Millisecond
 	// lastAnswerTime is the time before the end of the process that its last answers take.
 	lastAnswerTime = 150 * time.Millisecond
+	// openNoticeTime is the time before the end of the process at which the requests in progress
+	// are logged, in case it gets no processor time for its end.
+	openNoticeTime = time.Second
 	// stoppingReason is the reason of refusals during a planned stop.
 	stoppingReason = "stopping"
 )
@@ -86,7 +89,12 @@
 func (g *Gateway) refuseWaiting(end time.Time) {
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
+	noticed := false
 	for now := range tick.C {
+		if !noticed && now.After(end.Add(-openNoticeTime)) {
+			noticed = true
+			g.logOpen()
+		}
 		isLast := now.After(end.Add(-lastAnswerTime))
 		for _, p := range g.progresses.all() {
 			p.cancelWaiting(g.mayServe)
--- a/daemon/gateway/named_test.go
+++ b/daemon/gateway/named_test.go
@@ -200,3 +200,29 @@
 		t.Errorf("got line %+v, want that of t1", line)
 	}
 }
+
+// TestRequestIsNamedBeforeEndOfStop guards against a process that stands still near its end, and is killed without a line of its requests.
+func TestRequestIsNamedBeforeEndOfStop(t *testing.T) {
+	release := make(chan struct{})
+	f := start(t, func(r *http.Request, w io.Writer) bool {
+		<-release
+		return plainReply(200, "fine")(r, w)
+	})
+	answered := make(chan answer, 1)
+	go func() { answered <- f.do("POST", "/once/", "b", "Try", "open") }()
+	for f.requestCount() == 0 && t.Context().Err() == nil {
+		_ = pause.For(t.Context(), 5*time.Millisecond)
+	}
+	now := time.Now()
+	f.gateway.Drain(now, now.Add(1200*time.Millisecond))
+	if line, ok := f.log.find(t, event.RequestNearEnd, "open"); !ok {
+		t.Errorf("got line %+v, want one about the open request", line)
+	}
+	if d := time.Since(now); d > time.Second {
+		t.Errorf("the request was named %v after the start of a stop of 1.2 s", d)
+	}
+	close(release)
+	if a := <-answered; a.status != http.StatusOK {
+		t.Errorf("got %+v", a)
+	}
+}
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -236,6 +236,14 @@
 	g.log.WriteLast(event.RequestCut, append(p.attrs(g.stopBegun(), time.Now()), slog.Bool("handled", handled))...)
 }
 
+// logOpen logs each request in progress shortly before the end of the process.
+func (g *Gateway) logOpen() {
+	now, begun := time.Now(), g.stopBegun()
+	for _, p := range g.progresses.all() {
+		g.log.WriteReserved(event.RequestNearEnd, p.attrs(begun, now)...)
+	}
+}
+
 // stopBegun returns when the planned stop has begun, and the zero time if there is none.
 func (g *Gateway) stopBegun() time.Time {
 	if s := g.stop.Load(); s != nil {
