--- a/daemon/gateway/drain.go
+++ b/daemon/gateway/drain.go
@@ -16,6 +16,9 @@
 	drainPollInterval = 50 * time.Millisecond
 	// lastAnswerTime is the time before the end of the process that its last answers take.
 	lastAnswerTime = 150 * time.Millisecond
+	// openNoticeTime is the time before the end of the process at which the requests in progress
+	// are logged, in case it gets no processor time for its end.
+	openNoticeTime = time.Second
 	// stoppingReason is the reason of refusals during a planned stop.
 	stoppingReason = "stopping"
 )
@@ -54,6 +57,9 @@
 	if s == nil {
 		return true
 	}
+	if g.progresses.hasEnded() {
+		return false
+	}
 	plan := s.plan
 	if p.delegated {
 		plan.RefuseFrom = s.begun // the other host needs no balancer to notice the stop
@@ -83,7 +89,12 @@
 func (g *Gateway) refuseWaiting(end time.Time) {
 	tick := time.NewTicker(drainPollInterval)
 	defer tick.Stop()
+	noticed := false
 	for now := range tick.C {
+		if !noticed && now.After(end.Add(-openNoticeTime)) {
+			noticed = true
+			g.logOpen()
+		}
 		isLast := now.After(end.Add(-lastAnswerTime))
 		for _, p := range g.progresses.all() {
 			p.cancelWaiting(g.mayServe)
