gateway: a stream that was handed back is resumed until the host ends

Cause: a host that stops itself resumes a call only if almost all calls of its route would be answered before its end. A stream that another stopping host has handed back was therefore cut at once, seconds before the end: in stops of neighbors that overlap, the case in which callers lost it.

Change: such a stream is sent again as long as the least time for an answer is left. Its caller has a part of it, and gets the rest from no other host. Streams that servers break off in a stop are judged as before (TestRequestThatWaitsIntoStopIsNotSent asks for that).

--- a/daemon/gateway/delegated_end.go
+++ b/daemon/gateway/delegated_end.go
@@ -82,6 +82,7 @@
 		c.sent, c.paidService = e.sent, ""
 	}
 	if !e.whole {
+		c.progress.setHandedBack()
 		out.reason, out.connBroken = "handed_back", false
 	}
 	return out
--- a/daemon/gateway/handed_back_test.go
+++ b/daemon/gateway/handed_back_test.go
@@ -55,15 +55,18 @@
 		broken        bool // the first server of the stopping host breaks off
 		runs, resumed int  // at the servers of the stopping host, and of the third one
 		whole         bool
+		firstLeft     time.Duration // until the end of the stop of the delegating host; 0: it doesn't stop
 	}{
-		"attempts left":      {"/resume/", false, 1, 1, true},
-		"attempts used":      {"/resume/", true, 2, 0, false},
-		"can not be resumed": {"/stream/", false, 1, 0, false},
+		"attempts left":      {"/resume/", false, 1, 1, true, 0},
+		"attempts used":      {"/resume/", true, 2, 0, false, 0},
+		"can not be resumed": {"/stream/", false, 1, 0, false, 0},
+		"both hosts stop":    {"/resume/", false, 1, 1, true, left + 700*time.Millisecond},
+		"both end at once":   {"/resume/", false, 1, 0, false, left},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			ended := make(chan struct{})
-			var stopping *fixture
+			var stopping, first *fixture
 			var s *httptest.Server
 			stop := func(r *http.Request, w io.Writer) bool {
 				if tc.broken && r.Header.Get("After-Event") == "" {
@@ -71,6 +74,9 @@
 				}
 				now := time.Now()
 				stopping.gateway.Drain(now, now.Add(left))
+				if tc.firstLeft > 0 {
+					first.gateway.Drain(now, now.Add(tc.firstLeft))
+				}
 				time.AfterFunc(left, func() {
 					s.CloseClientConnections()
 					close(ended)
@@ -83,7 +89,7 @@
 			defer s.Close()
 			s3 := httptest.NewServer(third.gateway.DelegatedHandler())
 			defer s3.Close()
-			first := startWith(t, []gateway.Option{delegateToAll(s, s3)})
+			first = startWith(t, []gateway.Option{delegateToAll(s, s3)})
 			first.view = unreachableServers()
 			a := first.do("POST", tc.path, "b")
 			if tc.whole != (a.err == nil) || tc.whole != (a.body == allEvents()) || !strings.HasPrefix(allEvents(), a.body) {
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -35,6 +35,7 @@
 		canceled      bool                    // while waiting, or before its head was sent
 		headSent      bool                    // to the caller
 		handsBack     bool                    // the host that delegates it may go on with its stream
+		handedBack    bool                    // by the host to which it was delegated
 		server        string                  // to which it was sent last, empty for none
 		firstAt       time.Time               // when it was sent first, zero before
 		sentAt        time.Time               // when it was sent last
@@ -151,6 +152,13 @@
 	p.headSent, p.handsBack = true, handsBack
 }
 
+// setHandedBack records that the host to which the call was delegated has handed its stream back.
+func (p *progress) setHandedBack() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handedBack = true
+}
+
 // isAllowed reports whether the call is allowed now.
 func (p *progress) isAllowed(allowed func(*progress, time.Time) bool) bool {
 	p.mu.Lock()
@@ -160,6 +168,9 @@
 
 // drainRequest returns what a planned stop decides by. The progress must be locked.
 func (p *progress) drainRequest(expected time.Duration, now time.Time) drain.Request {
+	if p.handedBack {
+		expected = 0 // a part of its answer is there, and its caller gets the rest from no other host
+	}
 	return drain.Request{
 		Stream: p.route.Kind == site.Stream, Continued: p.sentElsewhere || p.sends > 0,
 		Expected: expected, Left: p.deadline.Sub(now),
