gateway: an unanswered call goes on when its other host stops

Cause: shortly before the end of a stop a host answers calls without a part of an answer by 502, so that their connections aren't closed. To a host that has delegated the call, that was final, though the server was at work and other hosts could serve the call within its attempts.

Change: a 502 of a host for the reason that it stops is a failed try, with the attempts and sends that it reports. Calls that may run only once, and those with no attempts left, get their 502 as before.

--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -229,6 +230,9 @@
 	if !meansNotRun(a.Status) && a.Status >= http.StatusInternalServerError {
 		c.mayHaveRun = true
 	}
+	if a.Status == http.StatusBadGateway && strings.HasSuffix(parsed.Error.Kind, stoppingReason) {
+		return outcome{result: failed, reason: "host_" + stoppingReason} // its end, not the server's
+	}
 	after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
 	if err != nil || math.IsNaN(after) || after < 0 || after > time.Hour.Seconds() {
 		after = 0
--- a/daemon/gateway/handed_back_test.go
+++ b/daemon/gateway/handed_back_test.go
@@ -159,3 +159,43 @@
 		t.Errorf("error %v, trailer %q after %d runs, want %q after 2", a.err, got, runs.Load(), want)
 	}
 }
+
+// TestUnansweredCallGoesOnWhenItsOtherHostStops guards against failures of calls that the end of the other host's stop cuts off from a server at work.
+func TestUnansweredCallGoesOnWhenItsOtherHostStops(t *testing.T) {
+	const left = 400 * time.Millisecond
+	for name, tc := range map[string]struct {
+		path            string
+		status, resumed int
+	}{
+		"call":                       {"/safe/", 200, 1},
+		"stream before its head":     {"/resume/", 200, 1},
+		"call that may run once":     {"/once-two/", 502, 0},
+		"stream that may run once":   {"/stream/", 502, 0},
+		"call with a single attempt": {"/public/", 502, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ended := make(chan struct{})
+			defer close(ended)
+			var stopping *fixture
+			stopping = start(t, func(*http.Request, io.Writer) bool {
+				now := time.Now()
+				stopping.gateway.Drain(now, now.Add(left))
+				<-ended
+				return false
+			})
+			third := start(t, streamFrom(eventCount))
+			s := httptest.NewServer(stopping.gateway.DelegatedHandler())
+			defer s.Close()
+			s3 := httptest.NewServer(third.gateway.DelegatedHandler())
+			defer s3.Close()
+			first := startWith(t, []gateway.Option{delegateToAll(s, s3)})
+			first.view = unreachableServers()
+			a := first.do("POST", tc.path, "b")
+			if a.err != nil || a.status != tc.status || stopping.requestCount() != 1 || third.requestCount() != tc.resumed {
+				t.Errorf("status %d, error %v after %d and %d runs, want %d after 1 and %d: %s",
+					a.status, a.err, stopping.requestCount(), third.requestCount(), tc.status, tc.resumed, a.body)
+			}
+		})
+	}
+}
