--- a/daemon/gateway/down_internal_test.go
+++ b/daemon/gateway/down_internal_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/limit"
+	"slipcrank.example/core/reach"
 	"slipcrank.example/core/schedule"
 	"slipcrank.example/daemon/decision"
 	"slipcrank.example/daemon/telemetry"
@@ -72,3 +74,69 @@
 		t.Error("the other server was not reached before the path was lost")
 	}
 }
+
+// TestStandstillOfHostLosesNoPath guards against paths that count as lost since a host had no processor.
+func TestStandstillOfHostLosesNoPath(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after time.Duration // the timeout of the probes
+		want  reach.State
+	}{
+		"in time":    {0, reach.Lost},
+		"standstill": {maxTimerDelay + 50*time.Millisecond, reach.Sound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := startCheck(t, func(ctx context.Context, _ string) (net.Conn, error) {
+				<-ctx.Done()
+				<-time.After(tc.after)
+				return nil, ctx.Err()
+			})
+			for _, s := range g.state().Servers.Ready("engine") {
+				g.probePathTo(s)
+			}
+			if got := g.pathState("engine"); got != tc.want {
+				t.Errorf("the path is %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestSilentServersLoseNoPath guards against paths that count as lost since servers are busy.
+func TestSilentServersLoseNoPath(t *testing.T) {
+	for name, tc := range map[string]struct {
+		reached bool
+		want    reach.State
+	}{"servers reached": {true, reach.Sound}, "no server reached": {false, reach.Lost}} {
+		t.Run(name, func(t *testing.T) {
+			var probes sync.WaitGroup
+			probes.Add(1)
+			once := sync.OnceFunc(probes.Done)
+			g := startCheck(t, func(ctx context.Context, _ string) (net.Conn, error) {
+				defer once()
+				if !tc.reached {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				c, _ := net.Pipe()
+				return c, nil
+			})
+			WithDelegation(Delegation{
+				Peers: func([]string) []reach.Peer { return nil }, PathChanged: func() {},
+			})(g)
+			for _, s := range g.state().Servers.Ready("engine") {
+				g.recordPathFailure(&call{}, s, outcome{result: failed, reason: reasonSilent})
+				if got := g.pathState("engine"); got != reach.Sound {
+					t.Errorf("the path is %v before any probe has ended", got)
+				}
+			}
+			probes.Wait()
+			end := time.Now().Add(time.Second)
+			for g.pathState("engine") != tc.want && time.Now().Before(end) {
+				<-time.After(10 * time.Millisecond)
+			}
+			if got := g.pathState("engine"); got != tc.want {
+				t.Errorf("the path is %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -25,21 +25,20 @@
 		delegated bool // by another host
 		arrivedAt time.Time
 
-		mu            sync.Mutex
-		readAt        time.Time // when its body was complete, zero before
-		route         site.Route
-		deadline      time.Time
-		sentElsewhere bool                    // by the host that delegates it
-		cancel        context.CancelCauseFunc // nil before it may be sent
-		waiting       bool                    // no server has it
-		canceled      bool                    // while waiting, or before its head was sent
-		headSent      bool                    // to the caller
-		handsBack     bool                    // the host that delegates it may go on with its stream
-		handedBack    bool                    // by the host to which it was delegated
-		server        string                  // to which it was sent last, empty for none
-		firstAt       time.Time               // when it was sent first, zero before
-		sentAt        time.Time               // when it was sent last
-		sends         int
+		mu         sync.Mutex
+		readAt     time.Time // when its body was complete, zero before
+		route      site.Route
+		deadline   time.Time
+		cancel     context.CancelCauseFunc // nil before it may be sent
+		waiting    bool                    // no server has it
+		canceled   bool                    // while waiting, or before its head was sent
+		headSent   bool                    // to the caller
+		handsBack  bool                    // the host that delegates it may go on with its stream
+		handedBack bool                    // by the host to which it was delegated
+		server     string                  // to which it was sent last, empty for none
+		firstAt    time.Time               // when it was sent first, zero before
+		sentAt     time.Time               // when it was sent last
+		sends      int
 	}
 )
 
@@ -82,7 +81,7 @@
 func (p *progress) setRead(c *call, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.readAt, p.route, p.deadline, p.sentElsewhere = now, c.route, c.deadline, c.sent > 0
+	p.readAt, p.route, p.deadline = now, c.route, c.deadline
 }
 
 // setWaiting records that no server has the call, and how it can be canceled.
@@ -172,7 +171,7 @@
 		expected = 0 // a part of its answer is there, and its caller gets the rest from no other host
 	}
 	return drain.Request{
-		Stream: p.route.Kind == site.Stream, Continued: p.sentElsewhere || p.sends > 0,
+		Stream: p.route.Kind == site.Stream, Continued: p.sends > 0,
 		Expected: expected, Left: p.deadline.Sub(now),
 	}
 }
--- a/daemon/gateway/quiet_host_internal_test.go
+++ b/daemon/gateway/quiet_host_internal_test.go
@@ -18,25 +18,39 @@
 	"slipcrank.example/daemon/upstream"
 )
 
-// TestQuietHostDoesNotCutStream has the host that serves a delegated stream send nothing else for a while,
-// so that it looks gone.
-func TestQuietHostDoesNotCutStream(t *testing.T) {
+// TestQuietHostDoesNotCutAnswer has the host that serves a delegated call send nothing else for a while, so that it looks gone.
+func TestQuietHostDoesNotCutAnswer(t *testing.T) {
 	const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
-	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(delegationHeader, report{origin: originServer, attempts: 1, sent: 1, version: 1}.String())
-		w.Header().Set("Content-Type", eventStreamType)
-		_, _ = fmt.Fprint(w, events[:len(events)/2])
-		_ = http.NewResponseController(w).Flush()
-		<-time.After(silentHostTimeout + time.Second)
-		_, _ = fmt.Fprint(w, events[len(events)/2:])
-	}))
-	defer other.Close()
-	g, c, s := newDelegating(t)
-	c.route = site.Route{Kind: site.Stream, Resume: true}
-	addr := other.Listener.Addr().(*net.TCPAddr).String()
-	w := httptest.NewRecorder()
-	if out := g.sendToPeer(t.Context(), w, c, s, reach.Peer{Addr: addr}); out.result != answered || w.Body.String() != events {
-		t.Errorf("got %q, %s %v, want all events", w.Body, out.reason, out.err)
+	for name, tc := range map[string]struct {
+		route       site.Route
+		contentType string
+		before      int // bytes that are sent before the silence
+	}{
+		"stream that has begun":        {site.Route{Kind: site.Stream, Resume: true}, eventStreamType, len(events) / 2},
+		"call that can't be repeated":  {site.Route{Kind: site.Once}, "text/plain", 0},
+		"stream that can't be resumed": {site.Route{Kind: site.Stream}, eventStreamType, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(delegationHeader, report{origin: originServer, attempts: 1, sent: 1, version: 1}.String())
+				w.Header().Set("Content-Type", tc.contentType)
+				if tc.before > 0 {
+					_, _ = fmt.Fprint(w, events[:tc.before])
+					_ = http.NewResponseController(w).Flush()
+				}
+				<-time.After(silentHostTimeout + time.Second)
+				_, _ = fmt.Fprint(w, events[tc.before:])
+			}))
+			defer other.Close()
+			g, c, s := newDelegating(t)
+			c.route = tc.route
+			addr := other.Listener.Addr().(*net.TCPAddr).String()
+			w := httptest.NewRecorder()
+			if out := g.sendToPeer(t.Context(), w, c, s, reach.Peer{Addr: addr}); out.result != answered || w.Body.String() != events {
+				t.Errorf("got %q, %s %v, want the whole answer", w.Body, out.reason, out.err)
+			}
+		})
 	}
 }
 
