gateway: a lost path waits for no call

Cause: cancelUnheard holds the lock of all exchanges while it asks whether a handover is pending, which took the work lock of the exchange that is handed over. That lock is held while its call writes to its caller, and while it removes its exchange, which needs the lock of all exchanges: a deadlock, after which no request is served.

Change: whether another server has the stream is read without a lock. It is changed under the work lock, as before.

The literal in TestHandoverThatHasTheStreamIsAwaited sets the same state by Store.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,9 +36,10 @@
 		done     chan struct{}
 		out      outcome // set when done is closed
 
-		// These are protected by the lock of from.
-		claimed bool // another server has sent an event
-		revoked bool // the present server has sent an event, or the call has ended
+		// These are changed under the lock of from. Reading claimed needs no lock: who holds locks
+		// that all calls need, as a lost path does, must not wait for the work on one of them.
+		claimed atomic.Bool // another server has sent an event
+		revoked bool        // the present server has sent an event, or the call has ended
 	}
 
 	// handoverFunc begins a handover because of what the present server has done.
@@ -49,16 +51,16 @@
 func (h *handover) claim() bool {
 	h.from.work.Lock()
 	defer h.from.work.Unlock()
-	if !h.claimed && !h.revoked {
-		h.claimed = true
+	if !h.claimed.Load() && !h.revoked {
+		h.claimed.Store(true)
 		h.from.cancel(errHandedOver)
 	}
-	return h.claimed
+	return h.claimed.Load()
 }
 
 // revoke cancels the handover unless another server has the stream. The lock of from must be held.
 func (h *handover) revoke() {
-	if h != nil && !h.claimed {
+	if h != nil && !h.claimed.Load() {
 		h.revoked = true
 		h.cancel(errGoesOn)
 	}
@@ -78,14 +80,7 @@
 }
 
 // isPending reports whether the present server still has the stream.
-func (h *handover) isPending() bool {
-	if h == nil {
-		return false
-	}
-	h.from.work.Lock()
-	defer h.from.work.Unlock()
-	return !h.claimed
-}
+func (h *handover) isPending() bool { return h != nil && !h.claimed.Load() }
 
 // mayForward reports whether a part of the answer of the present try may be sent to the caller.
 func (c *call) mayForward() bool { return c.handover == nil || c.handover.claim() }
@@ -121,7 +116,7 @@
 		return out
 	}
 	<-h.done // it may still write to the caller, and its sends count
-	if !h.claimed {
+	if !h.claimed.Load() {
 		c.learn(h)
 		if errors.Is(ctx.Err(), context.Canceled) && !isStopping(ctx) {
 			out.result, out.reason = callerGone, "caller_gone"
@@ -152,7 +147,7 @@
 	return func(why outcome) {
 		x.work.Lock()
 		defer x.work.Unlock()
-		if x.ended || x.handover.isRunning() || x.handover != nil && x.handover.claimed {
+		if x.ended || x.handover.isRunning() || x.handover != nil && x.handover.claimed.Load() {
 			return
 		}
 		if x.handover != nil {
--- a/daemon/gateway/handover_end_internal_test.go
+++ b/daemon/gateway/handover_end_internal_test.go
@@ -17,7 +17,8 @@
 			ctx, cancel := context.WithCancelCause(t.Context())
 			defer cancel(nil)
 			x := &exchange{}
-			x.handover = &handover{from: x, cancel: cancel, claimed: tc.claimed}
+			x.handover = &handover{from: x, cancel: cancel}
+			x.handover.claimed.Store(tc.claimed)
 			if h := x.end(tc.mayContinue); h != x.handover || h.revoked != tc.revoked || (ctx.Err() != nil) != tc.revoked {
 				t.Errorf("got %p of %p, canceled: %v, want revoked: %t", h, x.handover, ctx.Err(), tc.revoked)
 			}
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -145,7 +145,7 @@
 	e.work.Unlock()
 	f()
 	e.work.Lock()
-	return e.handover == nil || !e.handover.claimed
+	return e.handover == nil || !e.handover.claimed.Load()
 }
 
 // lastHeard returns when the server last sent something, or the exchange began.
