gateway: a server that refuses a resumed stream ends no handover

Cause: the end of a try revoked its handover unless the try had failed. A resumed stream may be refused (503, not run) by a server that was silent before, or be not sent, while another server already runs the stream: that run was canceled, its attempt was counted, and the stream broke off with attempts_used.

Change: the handover goes on also after tries that were refused or not sent.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -111,7 +111,7 @@
 	if c.exchange == nil {
 		return out
 	}
-	h := c.exchange.end(out.result == failed || out.result == handedOver)
+	h := c.exchange.end(out.mayContinue())
 	if h == nil || out.result == answered {
 		return out
 	}
@@ -129,6 +129,16 @@
 	return h.out
 }
 
+// mayContinue reports whether another server may go on with the stream after a try: its own has
+// failed or turned it away.
+func (o outcome) mayContinue() bool {
+	switch o.result {
+	case failed, refused, unsent, handedOver:
+		return true
+	}
+	return false
+}
+
 // end ends an exchange, and returns its handover, nil if there was none. That may still get the
 // stream if the server of the exchange has failed.
 func (e *exchange) end(mayContinue bool) *handover {
