--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -110,7 +110,7 @@
 	if c.exchange == nil {
 		return out
 	}
-	h := c.exchange.settle(out.result != answered && out.result != callerGone && out.result != final)
+	h := c.exchange.settle(out.mayContinue())
 	if h == nil || out.result == answered {
 		return out
 	}
@@ -128,6 +128,16 @@
 	return h.out
 }
 
+// mayContinue reports whether another server may go on with the stream after a try: its own has
+// failed or turned it away.
+func (o outcome) mayContinue() bool {
+	switch o.result {
+	case failed, refused, unsent, handedOver:
+		return true
+	}
+	return false
+}
+
 // settle returns the handover of an exchange that has ended, nil if there was none. If the server
 // has failed and a handover is running, that has the stream from now on.
 func (e *exchange) settle(mayContinue bool) *handover {
