gateway: no handover begins after its try

Cause: between the end of a try and the end of its exchange, the call's result is recorded, which may probe servers. A verdict on the path, or a silence, that had waited for the lock meanwhile began a handover then: it copied the call (maps included) while it was changed, or took over an earlier handover's results. Unlike a race of values, a map that is copied while it is written ends the process. After an answer that had ended, nothing awaited such a handover.

Change: an exchange ends under the lock that the work on its call has held.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -139,12 +139,11 @@
 	return false
 }
 
-// end ends an exchange, and returns its handover, nil if there was none. That may still get the
-// stream if the server of the exchange has failed.
+// end returns the handover of an exchange whose work has ended, nil if there was none. That may
+// still get the stream if the server of the exchange has failed.
 func (e *exchange) end(mayContinue bool) *handover {
 	e.work.Lock()
 	defer e.work.Unlock()
-	e.ended = true
 	if !mayContinue {
 		e.handover.revoke()
 	}
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -148,6 +148,13 @@
 	return e.handover == nil || !e.handover.claimed.Load()
 }
 
+// finish ends the work on the call. No handover begins from then on: the call may change without
+// the lock.
+func (e *exchange) finish() {
+	e.ended = true
+	e.work.Unlock()
+}
+
 // lastHeard returns when the server last sent something, or the exchange began.
 func (e *exchange) lastHeard() time.Duration {
 	e.mu.Lock()
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -297,7 +297,7 @@
 	c.exchange = x
 	x.handOver, x.pending = g.handoverOf(parent, w, c, p, server), c.handover
 	x.work.Lock()
-	defer x.work.Unlock()
+	defer x.finish()
 	g.exchanges.add(x)
 	defer g.exchanges.remove(x)
 	if c.headSent {
