gateway: a server that alone has a stream is not given up for its silence

Cause: a server to which a stream is being handed over is given up as soon as it is silent, or the path to it seems lost, since the present server keeps the stream. That also happened after the present server had failed: the stream then had no server, and broke off if no attempts were left.

Change: once the work with the present server has ended, the other one is treated as the present one: it is given up only for a third one that has sent an event, by a handover of its own. Who gets the stream from it also claims it from the first handover. The same for a stream that was delegated meanwhile.

Without the claim of the first handover, the case with a third server fails.

--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -144,13 +144,15 @@
 func (g *Gateway) sendToPeer(parent context.Context, w http.ResponseWriter, c *call, s State, to reach.Peer) outcome {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	var begun atomic.Bool // the caller has a part of the answer
-	begun.Store(c.headSent && !c.handover.isPending())
+	var begun atomic.Bool // the other host has sent a part of the answer
+	resumed := c.headSent
 	timer := &silenceTimer{
 		timeout: silentHostTimeout, onExpire: func() { cancel(errHostGone) },
 		// A stream isn't resumed after that, and some callers may not repeat the call. If the
 		// host is gone, the connection breaks.
-		mayExpire: func() bool { return !begun.Load() && c.route.Resumable() },
+		mayExpire: func() bool {
+			return !begun.Load() && (!resumed || c.handover.isPending()) && c.route.Resumable()
+		},
 		extension: func(silent time.Duration) time.Duration {
 			if g.delegation.Alive(to.Number) {
 				return silent - silentHostTimeout + hostCheckInterval
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -30,8 +30,9 @@
 	// has the stream, and the other one is canceled.
 	handover struct {
 		from     *exchange
-		attempts int   // of call when the handover began
-		call     *call // the copy of the call that is sent to other servers
+		outer    *handover // in which the call was sent to the server of from, nil for none
+		attempts int       // of call when the handover began
+		call     *call     // the copy of the call that is sent to other servers
 		cancel   context.CancelCauseFunc
 		done     chan struct{}
 		out      outcome // set when done is closed
@@ -51,7 +52,7 @@
 func (h *handover) claim() bool {
 	h.from.work.Lock()
 	defer h.from.work.Unlock()
-	if !h.claimed.Load() && !h.revoked {
+	if !h.claimed.Load() && !h.revoked && (h.outer == nil || h.outer.claim()) {
 		h.claimed.Store(true)
 		h.from.cancel(errHandedOver)
 	}
@@ -79,8 +80,12 @@
 	}
 }
 
-// isPending reports whether the present server still has the stream.
-func (h *handover) isPending() bool { return h != nil && !h.claimed.Load() }
+// isClaimed reports whether another server has sent an event.
+func (h *handover) isClaimed() bool { return h.claimed.Load() }
+
+// isPending reports whether the present server still has the stream. If it doesn't, a server that
+// may get it is given up only for one that has sent an event.
+func (h *handover) isPending() bool { return h != nil && !h.claimed.Load() && !h.from.ended.Load() }
 
 // mayForward reports whether a part of the answer of the present try may be sent to the caller.
 func (c *call) mayForward() bool { return c.handover == nil || c.handover.claim() }
@@ -156,14 +161,14 @@
 	return func(why outcome) {
 		x.work.Lock()
 		defer x.work.Unlock()
-		if x.ended || x.handover.isRunning() || x.handover != nil && x.handover.claimed.Load() {
+		if x.ended.Load() || x.handover.isRunning() || x.handover != nil && x.handover.claimed.Load() {
 			return
 		}
 		if x.handover != nil {
 			c.learn(x.handover)
 		}
 		hctx, cancel := context.WithCancelCause(ctx)
-		h := &handover{from: x, cancel: cancel, done: make(chan struct{})}
+		h := &handover{from: x, outer: c.handover, cancel: cancel, done: make(chan struct{})}
 		h.call = c.forHandover(h)
 		h.call.leave(why)
 		h.attempts, x.handover = h.call.attempts, h
@@ -202,14 +207,14 @@
 		g.recordResult(c, p, server, why)
 	}
 	h.out, c.lastFailure = why, why.reason
-	for h.isPending() && g.hasOtherServer(c) && g.mayRetry(ctx, c, h.out) {
+	for !h.isClaimed() && g.hasOtherServer(c) && g.mayRetry(ctx, c, h.out) {
 		g.logRetried(c, h.out)
 		h.out = g.follow(ctx, w, c)
 		c.lastFailure = h.out.reason
 		tries++
 	}
 	result := "handed_over"
-	if h.isPending() {
+	if !h.isClaimed() {
 		result = "kept"
 		c.progress.setServer(server.ID)
 	}
--- a/daemon/gateway/handover_kept_test.go
+++ b/daemon/gateway/handover_kept_test.go
@@ -29,10 +29,17 @@
 			return streamFrom(eventCount)(r, w)
 		}
 	}
+	breakOff := func(r *http.Request, w io.Writer) bool {
+		begin(r, w, formatEvent(1), formatEvent(2))
+		<-time.After(1600 * time.Millisecond)
+		return false
+	}
 	for name, tc := range map[string]struct {
 		attempts int
 		runs     []reply
 	}{
+		"breaks off, and the other one takes long": {2, []reply{breakOff, goOnAfter(2 * time.Second)}},
+		"breaks off, and a third one goes on":      {3, []reply{breakOff, goOnAfter(6 * time.Second), goOnAfter(0)}},
 		"refuses": {3, []reply{fail, func(r *http.Request, w io.Writer) bool {
 			<-time.After(1600 * time.Millisecond)
 			return plainReply(503, "full", "Not-Run: 1\r\n")(r, w)
--- a/daemon/gateway/lost_path_internal_test.go
+++ b/daemon/gateway/lost_path_internal_test.go
@@ -13,7 +13,8 @@
 // TestLostPathEndsNoStreamThatMayGoOn has the path to a server get lost, or seem so, during a stream.
 func TestLostPathEndsNoStreamThatMayGoOn(t *testing.T) {
 	const heard = time.Second
-	pending := &handover{from: &exchange{}}
+	pending, alone := &handover{from: &exchange{}}, &handover{from: &exchange{}}
+	alone.from.ended.Store(true)
 	for name, tc := range map[string]struct {
 		headSent          bool
 		pending           *handover
@@ -24,6 +25,7 @@
 		"stream that has begun":             {true, nil, heard, false, true},
 		"stream that goes on":               {true, nil, 2 * heard, false, false},
 		"server to which a stream may move": {true, pending, heard, true, false},
+		"server that alone has the stream":  {true, alone, heard, false, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancelCause(t.Context())
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,9 +43,9 @@
 		pending      *handover    // in which the call was sent to this server, nil for none
 
 		// work is held while this host works on the call, rather than waits for the server. It
-		// protects the call, ended and handover.
+		// protects the call and handover. Reading ended needs no lock.
 		work     sync.Mutex
-		ended    bool
+		ended    atomic.Bool
 		handover *handover // the last one; nil if there was none
 
 		mu       sync.Mutex
@@ -151,7 +152,7 @@
 // finish ends the work on the call. No handover begins from then on: the call may change without
 // the lock.
 func (e *exchange) finish() {
-	e.ended = true
+	e.ended.Store(true)
 	e.work.Unlock()
 }
 
