--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -30,13 +30,15 @@
 	// has the stream, and the other one is canceled.
 	handover struct {
 		from     *exchange
-		attempts int   // of call when the handover began
-		call     *call // the copy of the call that is sent to other servers
+		outer    *handover // in which the call was sent to the server of from, nil for none
+		attempts int       // of call when the handover began
+		call     *call     // the copy of the call that is sent to other servers
 		cancel   context.CancelCauseFunc
 		done     chan struct{}
 		out      outcome // set when done is closed
 
-		// These change under the lock of from. It may be held for as long as a caller reads slowly.
+		// These are changed under the lock of from. Reading claimed needs no lock: who holds locks
+		// that all calls need, as a lost path does, must not wait for the work on one of them.
 		claimed atomic.Bool // another server has sent an event
 		revoked bool        // the present server has sent an event, or the call has ended
 	}
@@ -50,7 +52,7 @@
 func (h *handover) claim() bool {
 	h.from.work.Lock()
 	defer h.from.work.Unlock()
-	if !h.claimed.Load() && !h.revoked {
+	if !h.claimed.Load() && !h.revoked && (h.outer == nil || h.outer.claim()) {
 		h.claimed.Store(true)
 		h.from.cancel(errHandedOver)
 	}
@@ -59,7 +61,7 @@
 
 // revoke cancels the handover unless another server has the stream. The lock of from must be held.
 func (h *handover) revoke() {
-	if h.isPending() {
+	if h != nil && !h.claimed.Load() {
 		h.revoked = true
 		h.cancel(errGoesOn)
 	}
@@ -78,8 +80,12 @@
 	}
 }
 
-// isPending reports whether the present server still has the stream.
-func (h *handover) isPending() bool { return h != nil && !h.claimed.Load() }
+// isClaimed reports whether another server has sent an event.
+func (h *handover) isClaimed() bool { return h.claimed.Load() }
+
+// isPending reports whether the present server still has the stream. If it doesn't, a server that
+// may get it is given up only for one that has sent an event.
+func (h *handover) isPending() bool { return h != nil && !h.claimed.Load() && !h.from.ended.Load() }
 
 // mayForward reports whether a part of the answer of the present try may be sent to the caller.
 func (c *call) mayForward() bool { return c.handover == nil || c.handover.claim() }
@@ -110,12 +116,12 @@
 	if c.exchange == nil {
 		return out
 	}
-	h := c.exchange.settle(out.mayContinue())
+	h := c.exchange.end(out.mayContinue())
 	if h == nil || out.result == answered {
 		return out
 	}
 	<-h.done // it may still write to the caller, and its sends count
-	if h.isPending() {
+	if !h.claimed.Load() {
 		c.learn(h)
 		if errors.Is(ctx.Err(), context.Canceled) && !isStopping(ctx) {
 			out.result, out.reason = callerGone, "caller_gone"
@@ -138,16 +144,13 @@
 	return false
 }
 
-// settle returns the handover of an exchange that has ended, nil if there was none. If the server
-// has failed and a handover is running, that has the stream from now on.
-func (e *exchange) settle(mayContinue bool) *handover {
+// end returns the handover of an exchange whose work has ended, nil if there was none. That may
+// still get the stream if the server of the exchange has failed.
+func (e *exchange) end(mayContinue bool) *handover {
 	e.work.Lock()
 	defer e.work.Unlock()
-	switch {
-	case !mayContinue:
+	if !mayContinue {
 		e.handover.revoke()
-	case e.handover.isRunning() && !e.handover.revoked:
-		e.handover.claimed.Store(true)
 	}
 	return e.handover
 }
@@ -160,14 +163,14 @@
 		x.work.Lock()
 		defer x.work.Unlock()
 		// This host may have written to the caller meanwhile, and not read what the server sent.
-		if x.ended || x.waitsSince.After(asked) || x.handover.isRunning() || x.handover != nil && !x.handover.isPending() {
+		if x.ended.Load() || x.waitsSince.After(asked) || x.handover.isRunning() || x.handover != nil && x.handover.claimed.Load() {
 			return
 		}
 		if x.handover != nil {
 			c.learn(x.handover)
 		}
 		hctx, cancel := context.WithCancelCause(ctx)
-		h := &handover{from: x, cancel: cancel, done: make(chan struct{})}
+		h := &handover{from: x, outer: c.handover, cancel: cancel, done: make(chan struct{})}
 		h.call = c.forHandover(h)
 		h.call.leave(why)
 		h.attempts, x.handover = h.call.attempts, h
@@ -206,14 +209,14 @@
 		g.recordResult(c, p, server, why)
 	}
 	h.out, c.lastFailure = why, why.reason
-	for h.isPending() && g.hasOtherServer(c) && g.mayRetry(ctx, c, h.out) {
+	for !h.isClaimed() && g.hasOtherServer(c) && g.mayRetry(ctx, c, h.out) {
 		g.logRetried(c, h.out)
 		h.out = g.follow(ctx, w, c)
 		c.lastFailure = h.out.reason
 		tries++
 	}
 	result := "handed_over"
-	if h.isPending() {
+	if !h.isClaimed() {
 		result = "kept"
 		c.progress.setServer(server.ID)
 	}
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,10 +43,10 @@
 		pending      *handover    // in which the call was sent to this server, nil for none
 
 		// work is held while this host works on the call, rather than waits for the server. It
-		// protects the call and the fields below it.
+		// protects the call and the fields below it. Reading ended needs no lock.
 		work       sync.Mutex
 		waitsSince time.Time // when this host last began to wait for the server
-		ended      bool
+		ended      atomic.Bool
 		handover   *handover // the last one; nil if there was none
 
 		mu       sync.Mutex
@@ -149,13 +150,13 @@
 		defer e.work.Lock() // also if f panics
 		f()
 	}()
-	return e.handover == nil || e.handover.isPending()
+	return e.handover == nil || !e.handover.claimed.Load()
 }
 
 // finish ends the work on the call. No handover begins from then on: the call may change without
 // the lock.
 func (e *exchange) finish() {
-	e.ended = true
+	e.ended.Store(true)
 	e.work.Unlock()
 }
 
