--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -106,7 +106,7 @@
 	c.sent, c.sends, c.unsentTries, c.unreached = next.sent, next.sends, next.unsentTries, next.unreached
 	c.paidService, c.paidAt, c.balance = next.paidService, next.paidAt, next.balance
 	c.failedServers, c.delegations = next.failedServers, next.delegations
-	c.freshConn, c.copiesFailed = next.freshConn, next.copiesFailed
+	c.freshConn, c.copiesFailed, c.attemptReturned = next.freshConn, next.copiesFailed, next.attemptReturned
 }
 
 // follow makes a try, and waits for the end of the stream if another server has it or may get it.
@@ -117,12 +117,15 @@
 		return out
 	}
 	h := c.exchange.end(out.result == failed || out.result == handedOver)
-	if h == nil {
+	if h == nil || out.result == answered {
 		return out
 	}
-	<-h.done
+	<-h.done // it may still write to the caller, and its sends count
 	if !h.claimed {
 		c.learn(h)
+		if errors.Is(ctx.Err(), context.Canceled) && !isStopping(ctx) {
+			out.result, out.reason = callerGone, "caller_gone"
+		}
 		return out
 	}
 	next := *h.call
@@ -131,15 +134,14 @@
 	return h.out
 }
 
-// end ends an exchange, and returns its handover if that has the stream, or may get it. A handover
-// may get the stream if the server of the exchange has failed.
+// end ends an exchange, and returns its handover, nil if there was none. That may still get the
+// stream if the server of the exchange has failed.
 func (e *exchange) end(mayContinue bool) *handover {
 	e.work.Lock()
 	defer e.work.Unlock()
 	e.ended = true
 	if !mayContinue {
 		e.handover.revoke()
-		return nil
 	}
 	return e.handover
 }
@@ -177,10 +179,11 @@
 		c.attempts++
 		c.recordSent()
 	}
-	if why.reason == reasonPathLost {
-		c.attempts-- // a server that is cut off doesn't count
-	} else {
+	if why.reason != reasonPathLost {
 		c.freshConn = true
+	} else if !c.attemptReturned {
+		c.attempts-- // a server that is cut off doesn't count, but this one may go on
+		c.attemptReturned = true
 	}
 }
 
