--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,9 +36,9 @@
 		done     chan struct{}
 		out      outcome // set when done is closed
 
-		// These are protected by the lock of from.
-		claimed bool // another server has sent an event
-		revoked bool // the present server has sent an event, or the call has ended
+		// These change under the lock of from. It may be held for as long as a caller reads slowly.
+		claimed atomic.Bool // another server has sent an event
+		revoked bool        // the present server has sent an event, or the call has ended
 	}
 
 	// handoverFunc begins a handover because of what the present server has done.
@@ -49,16 +50,16 @@
 func (h *handover) claim() bool {
 	h.from.work.Lock()
 	defer h.from.work.Unlock()
-	if !h.claimed && !h.revoked {
-		h.claimed = true
+	if !h.claimed.Load() && !h.revoked {
+		h.claimed.Store(true)
 		h.from.cancel(errHandedOver)
 	}
-	return h.claimed
+	return h.claimed.Load()
 }
 
 // revoke cancels the handover unless another server has the stream. The lock of from must be held.
 func (h *handover) revoke() {
-	if h != nil && !h.claimed {
+	if h.isPending() {
 		h.revoked = true
 		h.cancel(errGoesOn)
 	}
@@ -78,14 +79,7 @@
 }
 
 // isPending reports whether the present server still has the stream.
-func (h *handover) isPending() bool {
-	if h == nil {
-		return false
-	}
-	h.from.work.Lock()
-	defer h.from.work.Unlock()
-	return !h.claimed
-}
+func (h *handover) isPending() bool { return h != nil && !h.claimed.Load() }
 
 // mayForward reports whether a part of the answer of the present try may be sent to the caller.
 func (c *call) mayForward() bool { return c.handover == nil || c.handover.claim() }
@@ -116,12 +110,12 @@
 	if c.exchange == nil {
 		return out
 	}
-	h := c.exchange.end(out.result == failed || out.result == handedOver)
+	h := c.exchange.settle(out.result != answered && out.result != callerGone && out.result != final)
 	if h == nil || out.result == answered {
 		return out
 	}
 	<-h.done // it may still write to the caller, and its sends count
-	if !h.claimed {
+	if h.isPending() {
 		c.learn(h)
 		if errors.Is(ctx.Err(), context.Canceled) && !isStopping(ctx) {
 			out.result, out.reason = callerGone, "caller_gone"
@@ -134,14 +128,16 @@
 	return h.out
 }
 
-// end ends an exchange, and returns its handover, nil if there was none. That may still get the
-// stream if the server of the exchange has failed.
-func (e *exchange) end(mayContinue bool) *handover {
+// settle returns the handover of an exchange that has ended, nil if there was none. If the server
+// has failed and a handover is running, that has the stream from now on.
+func (e *exchange) settle(mayContinue bool) *handover {
 	e.work.Lock()
 	defer e.work.Unlock()
-	e.ended = true
-	if !mayContinue {
+	switch {
+	case !mayContinue:
 		e.handover.revoke()
+	case e.handover.isRunning() && !e.handover.revoked:
+		e.handover.claimed.Store(true)
 	}
 	return e.handover
 }
@@ -150,9 +146,11 @@
 func (g *Gateway) handoverOf(ctx context.Context, w http.ResponseWriter, c *call, p schedule.Placement, server backend.Server) handoverFunc {
 	x := c.exchange
 	return func(why outcome) {
+		asked := time.Now()
 		x.work.Lock()
 		defer x.work.Unlock()
-		if x.ended || x.handover.isRunning() || x.handover != nil && x.handover.claimed {
+		// This host may have written to the caller meanwhile, and not read what the server sent.
+		if x.ended || x.waitsSince.After(asked) || x.handover.isRunning() || x.handover != nil && !x.handover.isPending() {
 			return
 		}
 		if x.handover != nil {
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -21,10 +21,10 @@
 	for {
 		var e []byte
 		var err error
+		timer.reset() // the time of writing to the caller is no silence
 		if !hooks.exchange.await(func() { e, err = events.next() }) {
 			return outcome{result: handedOver}
 		}
-		timer.reset()
 		now := time.Now()
 		if err != nil && !errors.Is(err, io.EOF) {
 			failure := g.failure(c, err, "stream")
@@ -71,6 +71,7 @@
 		return out
 	}
 	c.endCloseFramed()
+	c.reportEnd(w, true)
 	a.Finish()
 	out.result, out.answer = answered, &bufferedAnswer{status: a.Status}
 	return out
@@ -81,11 +82,12 @@
 	if c.headSent {
 		return
 	}
-	c.progress.setHeadSent()
+	c.progress.setHeadSent(c.mayHandBack())
 	g.closeIfStopping(w)
 	copyHeaders(w, a.Header)
 	w.Header().Del("Content-Length") // the stream may be resumed at another server
 	g.setReport(w, c, originServer)
+	c.announceEnd(w)
 	c.beginCloseFramed()
 	w.WriteHeader(a.Status)
 	c.headSent = true
