gateway: a caller that reads slowly is no silence of the server

Cause: the time in which this host is blocked in writing an event to a caller counted as silence of the server, whose next events wait unread meanwhile. The check waits for the work on the call, so that the stream was offered to another server as soon as the write ended: the server was avoided for 500 ms, its idle connections were closed, a retry was paid, an attempt could be used, and a second server ran the request.

Change: the silence counts from when this host waits for the server, and a handover whose verdict has waited for the work on the call begins only if the server has been silent since then.

The test of handovers after the end of a try now has an exchange that was silent; it fails as before without that fix.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -164,6 +164,10 @@
 		if x.ended.Load() || x.handover.isRunning() || x.handover != nil && x.handover.claimed.Load() {
 			return
 		}
+		silent := g.clock.Now() - x.lastHeard()
+		if silent < unheardTimeout {
+			return // the judgment has waited while this host worked on the call, and read nothing
+		}
 		if x.handover != nil {
 			c.learn(x.handover)
 		}
@@ -172,7 +176,7 @@
 		h.call = c.forHandover(h)
 		h.call.leave(why)
 		h.attempts, x.handover = h.call.attempts, h
-		why.server, why.service, why.took = server.ID, server.Service, g.clock.Now()-x.lastHeard()
+		why.server, why.service, why.took = server.ID, server.Service, silent
 		go func() {
 			defer close(h.done)
 			defer cancel(nil)
--- a/daemon/gateway/handover_after_internal_test.go
+++ b/daemon/gateway/handover_after_internal_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/schedule"
@@ -16,6 +17,7 @@
 	c.failedServers, c.delegations = map[string]bool{}, map[uint32]bool{}
 	g.sendWatched(t.Context(), httptest.NewRecorder(), c, s, schedule.Placement{}, backend.Server{Addr: "127.0.0.1:1"})
 	x := c.exchange
+	x.heard = -time.Minute
 	x.handOver(outcome{result: failed, reason: reasonPathLost}) // as by a verdict that has waited for the try
 	if h := x.end(true); h != nil {
 		<-h.done
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -53,7 +53,7 @@
 		canceled bool          // before the request was sent
 		begun    bool          // the server has begun to answer
 		headSent bool          // the caller has the head of the answer
-		heard    time.Duration // when the server last sent something, or the exchange began
+		heard    time.Duration // when the server last sent something, or this host began to wait for it
 		blamed   bool          // the server has failed, and sent nothing since
 	}
 
@@ -156,7 +156,14 @@
 	e.work.Unlock()
 }
 
-// lastHeard returns when the server last sent something, or the exchange began.
+// setWaiting records that this host waits for the server from now on. The exchange may be nil.
+func (e *exchange) setWaiting(now time.Duration) {
+	if e != nil {
+		e.setHeard(now)
+	}
+}
+
+// lastHeard returns when the server last sent something, or this host began to wait for it.
 func (e *exchange) lastHeard() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -64,6 +64,8 @@
 		if id := eventID(e); id != "" {
 			c.lastEventID = id
 		}
+		timer.reset() // a slow caller isn't the server's silence
+		hooks.exchange.setWaiting(g.clock.Now())
 	}
 	g.sendHead(w, c, a)
 	if err := control.Flush(); err != nil {
