gateway: a panic while a call waits for its server ends no process

Cause: the wait releases the lock of the work on the call. If it panics, the lock isn't held again, and its second release ends the process: no handler recovers from that. Before the lock, net/http recovered from it.

Change: the lock is taken again also then.

Measured: TestPanicWhileWaitingForServerEndsNoProcess fails before and passes after. No such panic is known.

--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -143,9 +143,11 @@
 		f()
 		return true
 	}
-	e.work.Unlock()
-	f()
-	e.work.Lock()
+	func() {
+		e.work.Unlock()
+		defer e.work.Lock() // also if f panics, since the call's work then ends by its lock
+		f()
+	}()
 	return e.handover == nil || !e.handover.claimed.Load()
 }
 
