gateway: a panic in a handover ends no process

Cause: a handover runs in a goroutine of its own, beside the handler's. net/http recovers from panics in the latter only, so that a fault that one request meets would have ended the process, and with it all answers in progress.

Change: the goroutine recovers and logs SC1106 with the stack. The stream goes on at its present server; if that has lost it already, the call ends as broken.

Measured: TestPanicInHandoverEndsNoProcess: before, the test's process ends; after, the stream is whole. No such panic is known.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -180,11 +182,22 @@
 		go func() {
 			defer close(h.done)
 			defer cancel(nil)
+			defer g.recoverHandover(h)
 			g.handOver(hctx, w, h, p, server, why)
 		}()
 	}
 }
 
+// recoverHandover recovers from a panic in the goroutine of a handover, which would end the process.
+// The call goes on at its present server, or fails.
+func (g *Gateway) recoverHandover(h *handover) {
+	if r := recover(); r != nil {
+		h.out = outcome{result: final, reason: "internal_error"}
+		g.log.Write(event.InternalError, slog.String("doing", "hand a stream over"), slog.String("id", h.call.id),
+			slog.String("error", fmt.Sprint(r)), slog.String("stack", string(debug.Stack())))
+	}
+}
+
 // leave records on a copy of a call how its present server has failed.
 func (c *call) leave(why outcome) {
 	c.mayHaveRun = true
