entry: a stop doesn't wait for servers that wait for descriptors

Cause: the stop closes its listeners by Shutdown, which waits until the server's loop has ended. A loop whose Accept failed for want of descriptors sleeps up to 1 s before it looks; the margin of the exit is 0.7 s, so the process is killed without its last lines.

Change: both listeners are closed at once, and waited for 100 ms at most.

--- a/daemon/entry/stop.go
+++ b/daemon/entry/stop.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/http"
 	"reflect"
+	"sync"
 	"time"
 
 	"slipcrank.example/core/pause"
@@ -29,6 +30,9 @@
 	// exitReserve is the fraction of that time for the end of the process itself, and the least
 	// that a late exit waits for the log.
 	exitReserve = 0.25
+	// maxShutdownTime bounds the wait for servers that no longer accept connections: one that
+	// has no descriptors accepts none, and waits up to a second to try again.
+	maxShutdownTime = 100 * time.Millisecond
 	// stopPollInterval is the interval at which Stop checks for requests in progress.
 	stopPollInterval = 50 * time.Millisecond
 )
@@ -122,11 +126,21 @@
 func (e *Entry) stopAccepting() {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // Shutdown would wait for connections on which no request has come
+	var servers sync.WaitGroup
 	for _, s := range []*http.Server{e.callerServer, e.delegated} {
 		if s != nil {
-			_ = s.Shutdown(ctx) // the error is that of ctx
+			servers.Go(func() { _ = s.Shutdown(ctx) }) // the error is that of ctx
 		}
 	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		servers.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(maxShutdownTime):
+	}
 }
 
 // Reload applies changed settings, or logs the error with which they were read. Bounds take
