slipcrankd: four kinds of planned stops are played at once

Two were ended by their server 25 and 109 ms after the stop's end (3.5 s of a grace of 4 s), and cut by the exit 76 to 85 ms later: the rule excuses what a server is at work on in the last sixth. Two callers saw their ends late: one 0.33 s after the process had exited, which only the test's own process can cause.

--- a/cmd/slipcrankd/stop_test.go
+++ b/cmd/slipcrankd/stop_test.go
@@ -31,6 +31,9 @@
 	// exitTimeout is how long after the grace period a process is killed that hasn't exited.
 	exitTimeout    = 5 * time.Second
 	defaultCallers = 80
+	// kindsAtOnce bounds the kinds of stops that are played at the same time: callers that get no
+	// processor see the ends of their requests late.
+	kindsAtOnce = 4
 	// afterExit is how long after the exit of a process its requests may still end.
 	afterExit = 1500 * time.Millisecond
 )
@@ -79,6 +82,7 @@
 
 // TestPlannedStops stops hosts by signals: none loses a request, and the log names those it cuts.
 func TestPlannedStops(t *testing.T) {
+	playing := make(chan struct{}, kindsAtOnce)
 	for name, k := range map[string]stopKind{
 		"late bodies":                     {seed: 1, grace: longGrace, longest: 6 * time.Second, lateBodies: true},
 		"late bodies in a short grace":    {seed: 2, grace: shortGrace, longest: 3 * time.Second, lateBodies: true},
@@ -111,6 +115,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			playing <- struct{}{}
+			defer func() { <-playing }()
 			k.play(t)
 		})
 	}
