--- a/cmd/slipcrankd/restart_test.go
+++ b/cmd/slipcrankd/restart_test.go
@@ -14,7 +14,7 @@
 // TestRestartedHostAnswersItsFirstRequests guards against requests that are cut in the first moments of a process, also if it is stopped at once.
 func TestRestartedHostAnswersItsFirstRequests(t *testing.T) {
 	const callers = 20
-	w := startStopWorld(t, 3, shortGrace)
+	w := startStopWorld(t, stopKind{hosts: 3, grace: shortGrace})
 	var hosts sync.WaitGroup
 	for n, h := range w.hosts {
 		rnd := rand.New(rand.NewPCG(*stopSeed, uint64(n)))
