gateway: a path that seems lost takes back one attempt of a stream at most, also in handovers

Cause: a try that was canceled since the path seemed lost gave its attempt back each time. That a stream that has begun gets one back at most held only for its present server, not for those that it is being handed over to: with attempts 2 each of them could run it in turn.

Change: both go by the same rule. Calls whose callers have nothing yet are as before: how many attempts they get back is open (BUDGET against RECOVER).

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -207,8 +207,18 @@
 	}
 	if why.reason != reasonPathLost {
 		c.freshConn = true
+		return
+	}
+	c.returnAttempt()
+}
+
+// returnAttempt has the attempt of a server that is cut off no longer count. The path to it may only
+// seem lost, and the server go on, so that of a stream that has begun one attempt at most is returned.
+func (c *call) returnAttempt() {
+	if !c.headSent {
+		c.attempts--
 	} else if !c.attemptReturned {
-		c.attempts-- // a server that is cut off doesn't count, but this one may go on
+		c.attempts--
 		c.attemptReturned = true
 	}
 }
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -320,7 +320,7 @@
 	}
 	if out.result == failed && errors.Is(context.Cause(ctx), errPathLost) {
 		out.reason, out.connBroken = reasonPathLost, false
-		c.attempts-- // a server that is cut off doesn't count
+		c.returnAttempt()
 	}
 	if out.result == failed && errors.Is(context.Cause(ctx), errServerSilent) {
 		out.reason, out.connBroken = reasonSilent, false
