gateway: a lost path doesn't offer a stream again at each look

Cause: a silent stream is offered to other servers once a second at most, but a lost path offered it again at each look, several times a second, also if the last offer had ended at once. Each wrote SC1512 and SC1528 and counted a retry.

Change: two handovers of a stream begin 500 ms apart at least.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -18,6 +18,10 @@
 	"slipcrank.example/daemon/event"
 )
 
+// minHandoverInterval is the least time between the begins of two handovers of a stream. A lost path
+// asks for one several times a second.
+const minHandoverInterval = silenceRecheckInterval / 2
+
 var (
 	// errHandedOver cancels an exchange whose stream goes on at another server.
 	errHandedOver = errors.New("another server goes on with the stream")
@@ -33,8 +37,9 @@
 	handover struct {
 		from     *exchange
 		outer    *handover // in which the call was sent to the server of from, nil for none
-		attempts int       // of call when the handover began
-		call     *call     // the copy of the call that is sent to other servers
+		began    time.Time
+		attempts int   // of call when the handover began
+		call     *call // the copy of the call that is sent to other servers
 		cancel   context.CancelCauseFunc
 		done     chan struct{}
 		out      outcome // set when done is closed
@@ -170,11 +175,14 @@
 		if silent < unheardTimeout {
 			return // the judgment has waited while this host worked on the call, and read nothing
 		}
+		if x.handover != nil && time.Since(x.handover.began) < minHandoverInterval {
+			return
+		}
 		if x.handover != nil {
 			c.learn(x.handover)
 		}
 		hctx, cancel := context.WithCancelCause(ctx)
-		h := &handover{from: x, outer: c.handover, cancel: cancel, done: make(chan struct{})}
+		h := &handover{from: x, outer: c.handover, began: time.Now(), cancel: cancel, done: make(chan struct{})}
 		h.call = c.forHandover(h)
 		h.call.leave(why)
 		h.attempts, x.handover = h.call.attempts, h
