gateway: a stream whose attempts are used is not handed back

Cause: whether a stopping host may hand a delegated stream back was decided when its head was sent. Later tries use attempts; with none left, the host that delegated the stream can't go on with it, but it was taken from its server 150 ms before the end of the stop all the same.

Change: it is decided again whenever the attempts change.

--- a/daemon/gateway/delegated_end.go
+++ b/daemon/gateway/delegated_end.go
@@ -52,6 +52,13 @@
 // mayHandBack reports whether the host that delegates the call may go on with its stream.
 func (c *call) mayHandBack() bool { return c.readsEnd() && c.attempts < max(c.route.Attempts, 1) }
 
+// noteHandBack records whether the stream may be handed back, after its attempts have changed.
+func (c *call) noteHandBack() {
+	if c.readsEnd() {
+		c.progress.setHandsBack(c.mayHandBack())
+	}
+}
+
 // announceEnd announces in the head of a stream that its end will be reported.
 func (c *call) announceEnd(w http.ResponseWriter) {
 	if c.readsEnd() {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -377,7 +377,10 @@
 }
 
 // recordSent records that a send may have reached a server.
-func (c *call) recordSent() { c.sent, c.paidService, c.partGranted = c.sent+1, "", 0 }
+func (c *call) recordSent() {
+	c.sent, c.paidService, c.partGranted = c.sent+1, "", 0
+	c.noteHandBack()
+}
 
 // maxUnsentTries bounds the tries of a call of which nothing was sent, because the
 // server can't be reached or has no memory. Each may take the dial timeout.
--- a/daemon/gateway/handed_back_test.go
+++ b/daemon/gateway/handed_back_test.go
@@ -153,3 +153,30 @@
 		t.Errorf("error %v, trailer %q after %d runs, want %q after 2", a.err, got, runs.Load(), want)
 	}
 }
+
+// TestStreamThatNoHostMayResumeIsNotHandedBack guards against the loss of a stream that would end in the last moments of the stop.
+func TestStreamThatNoHostMayResumeIsNotHandedBack(t *testing.T) {
+	const left = 600 * time.Millisecond
+	var f *fixture
+	answer := func(r *http.Request, w io.Writer) bool {
+		if r.Header.Get("After-Event") == "" {
+			return streamFrom(1)(r, w) // breaks off
+		}
+		now := time.Now()
+		f.gateway.Drain(now, now.Add(left))
+		ended := make(chan struct{})
+		time.AfterFunc(left-50*time.Millisecond, func() { close(ended) })
+		streamUntil(2, ended)(r, w)
+		for n := 3; n <= eventCount; n++ {
+			e := formatEvent(n)
+			fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+		return true
+	}
+	f = start(t, answer, answer)
+	a, _ := f.delegated("/resume/", "k1", "attempts=0, sent=0, ends=true, version=1, elapsed=10, counted=true")
+	if a.err != nil || a.body != allEvents() {
+		t.Errorf("error %v, got %q, trailer %q, want the whole stream", a.err, a.body, a.trailer.Get("Slipcrank-Delegation-End"))
+	}
+}
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -229,6 +229,7 @@
 		c.attempts--
 		c.attemptReturned = true
 	}
+	c.noteHandBack()
 }
 
 // handOver tries other servers until one has sent an event or no further try is allowed.
--- a/daemon/gateway/progress.go
+++ b/daemon/gateway/progress.go
@@ -150,6 +150,13 @@
 	p.headSent, p.handsBack = true, handsBack
 }
 
+// setHandsBack records whether a stream may be handed back to the host that delegates it.
+func (p *progress) setHandsBack(handsBack bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.handsBack = handsBack
+}
+
 // isAllowed reports whether the call is allowed now.
 func (p *progress) isAllowed(allowed func(*progress, time.Time) bool) bool {
 	p.mu.Lock()
