gateway: a handover forgets no failure of the present server

Cause: when a handover ended, what its copy of the call knew replaced what the call had found out meanwhile at its present server: servers that an answer blames, that copies of the request have failed together, that connections are to be new.

Change: both are joined.

Measured: TestHandoverForgetsNoFailureOfPresentServer fails before and passes after. No run shows an effect for callers.

--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -109,6 +109,7 @@
 // learn takes over what a handover that has ended without the stream has used and found out.
 func (c *call) learn(h *handover) {
 	next := h.call
+	next.remember(c)
 	c.attempts += next.attempts - h.attempts
 	c.sent, c.sends, c.unsentTries, c.unreached = next.sent, next.sends, next.unsentTries, next.unreached
 	c.paidService, c.paidAt, c.balance = next.paidService, next.paidAt, next.balance
@@ -116,6 +117,13 @@
 	c.freshConn, c.copiesFailed, c.attemptReturned = next.freshConn, next.copiesFailed, next.attemptReturned
 }
 
+// remember adds what another copy of the call has found out about servers.
+func (c *call) remember(other *call) {
+	maps.Copy(c.failedServers, other.failedServers)
+	c.copiesFailed, c.freshConn = c.copiesFailed || other.copiesFailed, c.freshConn || other.freshConn
+	c.unreached = max(c.unreached, other.unreached)
+}
+
 // follow makes a try, and waits for the end of the stream if another server has it or may get it.
 func (g *Gateway) follow(ctx context.Context, w http.ResponseWriter, c *call) outcome {
 	c.exchange = nil
@@ -135,6 +143,7 @@
 		}
 		return out
 	}
+	h.call.remember(c)
 	next := *h.call
 	next.handover, next.buffer = c.handover, c.buffer
 	*c = next
