--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -18,6 +18,10 @@
 	"slipcrank.example/daemon/event"
 )
 
+// minHandoverInterval is the least time between the begins of two handovers of a stream. A lost path
+// asks for one several times a second.
+const minHandoverInterval = silenceRecheckInterval / 2
+
 var (
 	// errHandedOver cancels an exchange whose stream goes on at another server.
 	errHandedOver = errors.New("another server goes on with the stream")
@@ -33,8 +37,9 @@
 	handover struct {
 		from     *exchange
 		outer    *handover // in which the call was sent to the server of from, nil for none
-		attempts int       // of call when the handover began
-		call     *call     // the copy of the call that is sent to other servers
+		began    time.Time
+		attempts int   // of call when the handover began
+		call     *call // the copy of the call that is sent to other servers
 		cancel   context.CancelCauseFunc
 		done     chan struct{}
 		out      outcome // set when done is closed
@@ -104,6 +109,7 @@
 // learn takes over what a handover that has ended without the stream has used and found out.
 func (c *call) learn(h *handover) {
 	next := h.call
+	next.remember(c)
 	c.attempts += next.attempts - h.attempts
 	c.sent, c.sends, c.unsentTries, c.unreached = next.sent, next.sends, next.unsentTries, next.unreached
 	c.paidService, c.paidAt, c.balance = next.paidService, next.paidAt, next.balance
@@ -111,6 +117,13 @@
 	c.freshConn, c.copiesFailed, c.attemptReturned = next.freshConn, next.copiesFailed, next.attemptReturned
 }
 
+// remember adds what another copy of the call has found out about servers.
+func (c *call) remember(other *call) {
+	maps.Copy(c.failedServers, other.failedServers)
+	c.copiesFailed, c.freshConn = c.copiesFailed || other.copiesFailed, c.freshConn || other.freshConn
+	c.unreached = max(c.unreached, other.unreached)
+}
+
 // follow makes a try, and waits for the end of the stream if another server has it or may get it.
 func (g *Gateway) follow(ctx context.Context, w http.ResponseWriter, c *call) outcome {
 	c.exchange = nil
@@ -130,6 +143,7 @@
 		}
 		return out
 	}
+	h.call.remember(c)
 	next := *h.call
 	next.handover, next.buffer = c.handover, c.buffer
 	*c = next
@@ -170,11 +184,14 @@
 		if silent < unheardTimeout {
 			return // the judgment has waited while this host worked on the call, and read nothing
 		}
+		if x.handover != nil && time.Since(x.handover.began) < minHandoverInterval {
+			return
+		}
 		if x.handover != nil {
 			c.learn(x.handover)
 		}
 		hctx, cancel := context.WithCancelCause(ctx)
-		h := &handover{from: x, outer: c.handover, cancel: cancel, done: make(chan struct{})}
+		h := &handover{from: x, outer: c.handover, began: time.Now(), cancel: cancel, done: make(chan struct{})}
 		h.call = c.forHandover(h)
 		h.call.leave(why)
 		h.attempts, x.handover = h.call.attempts, h
@@ -207,10 +224,21 @@
 	}
 	if why.reason != reasonPathLost {
 		c.freshConn = true
+		return
+	}
+	c.returnAttempt()
+}
+
+// returnAttempt has the attempt of a server that is cut off no longer count. The path to it may only
+// seem lost, and the server go on, so that of a stream that has begun one attempt at most is returned.
+func (c *call) returnAttempt() {
+	if !c.headSent {
+		c.attempts--
 	} else if !c.attemptReturned {
-		c.attempts-- // a server that is cut off doesn't count, but this one may go on
+		c.attempts--
 		c.attemptReturned = true
 	}
+	c.noteHandBack()
 }
 
 // handOver tries other servers until one has sent an event or no further try is allowed.
