--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -144,13 +145,15 @@
 func (g *Gateway) sendToPeer(parent context.Context, w http.ResponseWriter, c *call, s State, to reach.Peer) outcome {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	var begun atomic.Bool // the caller has a part of the answer
-	begun.Store(c.headSent && !c.handover.isPending())
+	var begun atomic.Bool // the other host has sent a part of the answer
+	resumed, pending := c.headSent, c.handover
 	timer := &silenceTimer{
 		timeout: silentHostTimeout, onExpire: func() { cancel(errHostGone) },
 		// A stream isn't resumed after that, and some callers may not repeat the call. If the
 		// host is gone, the connection breaks.
-		mayExpire: func() bool { return !begun.Load() && c.route.Resumable() },
+		mayExpire: func() bool {
+			return !begun.Load() && (!resumed || pending.isPending()) && c.route.Resumable()
+		},
 		extension: func(silent time.Duration) time.Duration {
 			if g.delegation.Alive(to.Number) {
 				return silent - silentHostTimeout + hostCheckInterval
@@ -230,6 +233,9 @@
 	if !meansNotRun(a.Status) && a.Status >= http.StatusInternalServerError {
 		c.mayHaveRun = true
 	}
+	if a.Status == http.StatusBadGateway && strings.HasSuffix(parsed.Error.Kind, stoppingReason) {
+		return outcome{result: failed, reason: "host_" + stoppingReason} // its end, not the server's
+	}
 	after, err := strconv.ParseFloat(a.Header.Get("Retry-After"), 64)
 	if err != nil || math.IsNaN(after) || after < 0 || after > time.Hour.Seconds() {
 		after = 0
--- a/daemon/gateway/handover.go
+++ b/daemon/gateway/handover.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"maps"
 	"net/http"
+	"runtime/debug"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,15 +32,17 @@
 	// has the stream, and the other one is canceled.
 	handover struct {
 		from     *exchange
-		attempts int   // of call when the handover began
-		call     *call // the copy of the call that is sent to other servers
+		outer    *handover // in which the call was sent to the server of from, nil for none
+		attempts int       // of call when the handover began
+		call     *call     // the copy of the call that is sent to other servers
 		cancel   context.CancelCauseFunc
 		done     chan struct{}
 		out      outcome // set when done is closed
 
-		// These are protected by the lock of from.
-		claimed bool // another server has sent an event
-		revoked bool // the present server has sent an event, or the call has ended
+		// These are changed under the lock of from. Reading claimed needs no lock: who holds locks
+		// that all calls need, as a lost path does, must not wait for the work on one of them.
+		claimed atomic.Bool // another server has sent an event
+		revoked bool        // the present server has sent an event, or the call has ended
 	}
 
 	// handoverFunc begins a handover because of what the present server has done.
@@ -49,16 +54,16 @@
 func (h *handover) claim() bool {
 	h.from.work.Lock()
 	defer h.from.work.Unlock()
-	if !h.claimed && !h.revoked {
-		h.claimed = true
+	if !h.claimed.Load() && !h.revoked && (h.outer == nil || h.outer.claim()) {
+		h.claimed.Store(true)
 		h.from.cancel(errHandedOver)
 	}
-	return h.claimed
+	return h.claimed.Load()
 }
 
 // revoke cancels the handover unless another server has the stream. The lock of from must be held.
 func (h *handover) revoke() {
-	if h != nil && !h.claimed {
+	if h != nil && !h.claimed.Load() {
 		h.revoked = true
 		h.cancel(errGoesOn)
 	}
@@ -77,15 +82,12 @@
 	}
 }
 
-// isPending reports whether the present server still has the stream.
-func (h *handover) isPending() bool {
-	if h == nil {
-		return false
-	}
-	h.from.work.Lock()
-	defer h.from.work.Unlock()
-	return !h.claimed
-}
+// isClaimed reports whether another server has sent an event.
+func (h *handover) isClaimed() bool { return h.claimed.Load() }
+
+// isPending reports whether the present server still has the stream. If it doesn't, a server that
+// may get it is given up only for one that has sent an event.
+func (h *handover) isPending() bool { return h != nil && !h.claimed.Load() && !h.from.ended.Load() }
 
 // mayForward reports whether a part of the answer of the present try may be sent to the caller.
 func (c *call) mayForward() bool { return c.handover == nil || c.handover.claim() }
@@ -116,12 +118,12 @@
 	if c.exchange == nil {
 		return out
 	}
-	h := c.exchange.end(out.result == failed || out.result == handedOver)
+	h := c.exchange.end(out.mayContinue())
 	if h == nil || out.result == answered {
 		return out
 	}
 	<-h.done // it may still write to the caller, and its sends count
-	if !h.claimed {
+	if !h.claimed.Load() {
 		c.learn(h)
 		if errors.Is(ctx.Err(), context.Canceled) && !isStopping(ctx) {
 			out.result, out.reason = callerGone, "caller_gone"
@@ -134,12 +136,21 @@
 	return h.out
 }
 
-// end ends an exchange, and returns its handover, nil if there was none. That may still get the
-// stream if the server of the exchange has failed.
+// mayContinue reports whether another server may go on with the stream after a try: its own has
+// failed or turned it away.
+func (o outcome) mayContinue() bool {
+	switch o.result {
+	case failed, refused, unsent, handedOver:
+		return true
+	}
+	return false
+}
+
+// end returns the handover of an exchange whose work has ended, nil if there was none. That may
+// still get the stream if the server of the exchange has failed.
 func (e *exchange) end(mayContinue bool) *handover {
 	e.work.Lock()
 	defer e.work.Unlock()
-	e.ended = true
 	if !mayContinue {
 		e.handover.revoke()
 	}
@@ -152,26 +163,41 @@
 	return func(why outcome) {
 		x.work.Lock()
 		defer x.work.Unlock()
-		if x.ended || x.handover.isRunning() || x.handover != nil && x.handover.claimed {
+		if x.ended.Load() || x.handover.isRunning() || x.handover != nil && x.handover.claimed.Load() {
 			return
 		}
+		silent := g.clock.Now() - x.lastHeard()
+		if silent < unheardTimeout {
+			return // the judgment has waited while this host worked on the call, and read nothing
+		}
 		if x.handover != nil {
 			c.learn(x.handover)
 		}
 		hctx, cancel := context.WithCancelCause(ctx)
-		h := &handover{from: x, cancel: cancel, done: make(chan struct{})}
+		h := &handover{from: x, outer: c.handover, cancel: cancel, done: make(chan struct{})}
 		h.call = c.forHandover(h)
 		h.call.leave(why)
 		h.attempts, x.handover = h.call.attempts, h
-		why.server, why.service, why.took = server.ID, server.Service, g.clock.Now()-x.lastHeard()
+		why.server, why.service, why.took = server.ID, server.Service, silent
 		go func() {
 			defer close(h.done)
 			defer cancel(nil)
+			defer g.recoverHandover(h)
 			g.handOver(hctx, w, h, p, server, why)
 		}()
 	}
 }
 
+// recoverHandover recovers from a panic in the goroutine of a handover, which would end the process.
+// The call goes on at its present server, or fails.
+func (g *Gateway) recoverHandover(h *handover) {
+	if r := recover(); r != nil {
+		h.out = outcome{result: final, reason: "internal_error"}
+		g.log.Write(event.InternalError, slog.String("doing", "hand a stream over"), slog.String("id", h.call.id),
+			slog.String("error", fmt.Sprint(r)), slog.String("stack", string(debug.Stack())))
+	}
+}
+
 // leave records on a copy of a call how its present server has failed.
 func (c *call) leave(why outcome) {
 	c.mayHaveRun = true
@@ -198,14 +224,14 @@
 		g.recordResult(c, p, server, why)
 	}
 	h.out, c.lastFailure = why, why.reason
-	for h.isPending() && g.hasOtherServer(c) && g.mayRetry(ctx, c, h.out) {
+	for !h.isClaimed() && g.hasOtherServer(c) && g.mayRetry(ctx, c, h.out) {
 		g.logRetried(c, h.out)
 		h.out = g.follow(ctx, w, c)
 		c.lastFailure = h.out.reason
 		tries++
 	}
 	result := "handed_over"
-	if h.isPending() {
+	if !h.isClaimed() {
 		result = "kept"
 		c.progress.setServer(server.ID)
 	}
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,9 +43,9 @@
 		pending      *handover    // in which the call was sent to this server, nil for none
 
 		// work is held while this host works on the call, rather than waits for the server. It
-		// protects the call, ended and handover.
+		// protects the call and the fields below it. Reading ended needs no lock.
 		work     sync.Mutex
-		ended    bool
+		ended    atomic.Bool
 		handover *handover // the last one; nil if there was none
 
 		mu       sync.Mutex
@@ -52,7 +53,7 @@
 		canceled bool          // before the request was sent
 		begun    bool          // the server has begun to answer
 		headSent bool          // the caller has the head of the answer
-		heard    time.Duration // when the server last sent something, or the exchange began
+		heard    time.Duration // when the server last sent something, or this host began to wait for it
 		blamed   bool          // the server has failed, and sent nothing since
 	}
 
@@ -142,13 +143,29 @@
 		f()
 		return true
 	}
+	func() {
+		e.work.Unlock()
+		defer e.work.Lock() // also if f panics, since the call's work then ends by its lock
+		f()
+	}()
+	return e.handover == nil || !e.handover.claimed.Load()
+}
+
+// finish ends the work on the call. No handover begins from then on: the call may change without
+// the lock.
+func (e *exchange) finish() {
+	e.ended.Store(true)
 	e.work.Unlock()
-	f()
-	e.work.Lock()
-	return e.handover == nil || !e.handover.claimed
 }
 
-// lastHeard returns when the server last sent something, or the exchange began.
+// setWaiting records that this host waits for the server from now on. The exchange may be nil.
+func (e *exchange) setWaiting(now time.Duration) {
+	if e != nil {
+		e.setHeard(now)
+	}
+}
+
+// lastHeard returns when the server last sent something, or this host began to wait for it.
 func (e *exchange) lastHeard() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -24,7 +24,6 @@
 		if !hooks.exchange.await(func() { e, err = events.next() }) {
 			return outcome{result: handedOver}
 		}
-		timer.reset()
 		now := time.Now()
 		if err != nil && !errors.Is(err, io.EOF) {
 			failure := g.failure(c, err, "stream")
@@ -64,6 +63,8 @@
 		if id := eventID(e); id != "" {
 			c.lastEventID = id
 		}
+		timer.reset() // a slow caller isn't the server's silence
+		hooks.exchange.setWaiting(g.clock.Now())
 	}
 	g.sendHead(w, c, a)
 	if err := control.Flush(); err != nil {
