gateway: the line of a changed path has the number of servers that failed

Cause: SC1322 tells that the path to a service is lost, not by whose failures.

Change: the line has `failing`, the servers of this service that failed.

--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -411,7 +411,14 @@
 	if max(old, s) < reach.Closed {
 		return
 	}
-	attrs := []slog.Attr{slog.String("service", service), slog.String("state", s.String()), slog.String("before", old.String()), slog.String("why", why)}
+	failing := 0
+	for _, group := range g.pathGroups(service) {
+		failing += len(g.reach.Failing(group))
+	}
+	attrs := []slog.Attr{
+		slog.String("service", service), slog.String("state", s.String()), slog.String("before", old.String()), slog.String("why", why),
+		slog.Int("failing", failing),
+	}
 	if heard, ok := g.reach.LastHeard(); ok {
 		attrs = append(attrs, slog.Duration("heard_ago", g.clock.Now()-heard))
 	}
