gateway: calls stay at servers that are not known to be out of reach

Cause: three servers that failed while none was heard for 0.1 s made the path to all servers count as lost. Calls that had waited for 0.3 s were canceled at servers that nothing was held against, and their attempts were given back.

Change: failures of other groups only make a path doubtful, which is probed at once. A call leaves its server for a lost path, and its attempt is given back, only if no connection to this server could be opened since it was last heard; otherwise it is probed first. Hosts that are cut off find that out for all halls in one round of probes.

Tests of paths, cuts and crashes in platform pass with -race.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -5,7 +5,8 @@
 // [Tracker] gathers this evidence from the traffic and from probes. It judges groups of
 // servers, such as those of a service in a data hall: if halls are cut off from each other,
 // the path to the servers of the own hall is sound. If servers of whatever groups fail, and
-// none at all is heard, the path to all groups is lost.
+// none at all is heard, the path to each group of which one has failed is lost, and that to
+// the others in doubt: all servers of a service may crash at once.
 //
 // # Usage
 //
@@ -27,7 +28,8 @@
 const (
 	// Sound means that no server has failed since one was last heard.
 	Sound State = iota
-	// Doubtful means that a server has failed, and none was heard since.
+	// Doubtful means that a server of the group has failed, or several of others, and none
+	// was heard since.
 	Doubtful
 	// Closed means that servers are heard on open connections, but most new ones fail.
 	Closed
@@ -172,17 +174,37 @@
 	p := t.group(group)
 	t.all.loseIfUnheard(now)
 	p.loseIfUnheard(now)
+	failing := p.failedSinceHeard() > 0
 	switch {
-	case p.lost, t.all.lost:
+	case p.lost, t.all.lost && failing:
 		return Lost
 	case p.closed:
 		return Closed
-	case p.failedSinceHeard() > 0:
+	case t.all.lost, failing:
 		return Doubtful
 	}
 	return Sound
 }
 
+// AllUnheard reports whether several servers of whatever groups have failed, and none was heard
+// since. Then all paths are worth a check.
+func (t *Tracker) AllUnheard(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.all.loseIfUnheard(now)
+	return t.all.lost
+}
+
+// Unreached reports whether a connection to a server could not be opened at since or later, and
+// the server was not heard after.
+func (t *Tracker) Unreached(group, server string, since time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.group(group)
+	at, ok := p.unopened[server]
+	return ok && at >= since && p.evidence(server).heard <= at
+}
+
 // OutOfReach reports whether the path to the group of a server is lost, and the server
 // was not heard since.
 func (t *Tracker) OutOfReach(group, server string, now time.Duration) bool {
--- a/core/reach/reach_test.go
+++ b/core/reach/reach_test.go
@@ -56,6 +56,9 @@
 		}, reach.Sound},
 		"more failed than serve":                     {[]step{heard("s", "d"), failed("s", "a"), heard("s", "d"), failed("s", "b"), heard("s", "d"), failed("s", "c")}, reach.Lost},
 		"servers of several groups fail, none heard": {[]step{failed("r", "x"), failed("r", "y"), failed("s", "a")}, reach.Lost},
+		"servers of another group fail, none heard":  {[]step{failed("r", "x"), failed("r", "y"), failed("r", "z")}, reach.Doubtful},
+		"the same, after this group was heard":       {[]step{heard("s", "a"), failed("r", "x"), failed("r", "y"), failed("r", "z")}, reach.Doubtful},
+		"the same, and one of this group fails":      {[]step{failed("r", "x"), failed("r", "y"), failed("r", "z"), failed("s", "a")}, reach.Lost},
 		"others fail, but this one is heard":         {[]step{failed("r", "x"), failed("r", "y"), failed("r", "z"), heard("s", "a")}, reach.Sound},
 		"lost, and one of them is heard":             {after(heard("s", "a")), reach.Lost},
 		"lost, and as many heard as fail":            {after(heard("s", "a"), heard("s", "d")), reach.Sound},
@@ -148,3 +151,31 @@
 		})
 	}
 }
+
+// TestOnlyFailedConnectionsShowThatServerIsUnreached guards against giving up calls of a server
+// that works on them, since it is silent or others fail.
+func TestOnlyFailedConnectionsShowThatServerIsUnreached(t *testing.T) {
+	for name, tc := range map[string]struct {
+		steps []step
+		since time.Duration
+		want  bool
+	}{
+		"no evidence":                  {nil, 0, false},
+		"others not reached":           {[]step{notOpened("b"), notOpened("c"), notOpened("d")}, 0, false},
+		"broken connection":            {[]step{failed("s", "a")}, 0, false},
+		"not reached":                  {[]step{notOpened("a")}, stepTime, true},
+		"not reached before":           {[]step{notOpened("a")}, 2 * stepTime, false},
+		"heard after it":               {[]step{notOpened("a"), heard("s", "a")}, 0, false},
+		"heard before it":              {[]step{heard("s", "a"), notOpened("a")}, 0, true},
+		"reached after it":             {[]step{notOpened("a"), probed("a")}, 0, false},
+		"not reached, then not listed": {[]step{notOpened("a"), func(t *reach.Tracker, _ time.Duration) { t.Retain(func(string) bool { return false }) }}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tr := reach.New()
+			play(tr, tc.steps)
+			if got := tr.Unreached("s", "a", tc.since); got != tc.want {
+				t.Errorf("unreached %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -88,7 +88,8 @@
 		exchanges          *exchanges
 		reach              *reach.Tracker
 		pathStates         pathStates
-		pathChecks         pathChecks
+		pathChecks         pathChecks // by service
+		serverChecks       pathChecks // by server ID
 		serverGroups       atomic.Pointer[serverGroups]
 		delegation         *Delegation  // nil: calls are not delegated
 		servedVersion      atomic.Int64 // the newest configuration by which a call was handled elsewhere
--- a/daemon/gateway/handover_locks_internal_test.go
+++ b/daemon/gateway/handover_locks_internal_test.go
@@ -24,7 +24,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		open.cancelUnheard("engine", time.Second)
+		open.leaveUnreached("engine", time.Second, func(backend.Server, time.Duration) bool { return true })
 	}()
 	select {
 	case <-done:
--- a/daemon/gateway/lost_path_internal_test.go
+++ b/daemon/gateway/lost_path_internal_test.go
@@ -19,13 +19,16 @@
 		headSent          bool
 		pending           *handover
 		heardAfter        time.Duration
+		reached           bool
 		canceled, offered bool
 	}{
-		"nothing sent to the caller":        {false, nil, heard, true, false},
-		"stream that has begun":             {true, nil, heard, false, true},
-		"stream that goes on":               {true, nil, 2 * heard, false, false},
-		"server to which a stream may move": {true, pending, heard, true, false},
-		"server that alone has the stream":  {true, alone, heard, false, true},
+		"nothing sent to the caller":         {false, nil, heard, false, true, false},
+		"stream that has begun":              {true, nil, heard, false, false, true},
+		"stream that goes on":                {true, nil, 2 * heard, false, false, false},
+		"server to which a stream may move":  {true, pending, heard, false, true, false},
+		"server that alone has the stream":   {true, alone, heard, false, false, true},
+		"server that is reached":             {false, nil, heard, true, false, false},
+		"stream of a server that is reached": {true, nil, heard, true, false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancelCause(t.Context())
@@ -41,7 +44,10 @@
 			x.setHeard(tc.heardAfter)
 			open := newExchanges()
 			open.add(x)
-			open.cancelUnheard("engine", heard)
+			unreached := func(_ backend.Server, since time.Duration) bool { return !tc.reached && since == tc.heardAfter }
+			if unknown := open.leaveUnreached("engine", heard, unreached); (len(unknown) == 1) != tc.reached {
+				t.Errorf("servers to probe: %v", unknown)
+			}
 			if tc.offered {
 				if why := <-offered; why.reason != reasonPathLost {
 					t.Errorf("offered to other servers since %s", why.reason)
@@ -68,7 +74,7 @@
 	x.setHeadSent()
 	open := newExchanges()
 	open.add(x)
-	go open.cancelUnheard("engine", 0)
+	go open.leaveUnreached("engine", 0, func(backend.Server, time.Duration) bool { return true })
 	select {
 	case <-ctx.Done():
 	case <-time.After(time.Second):
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -52,8 +53,8 @@
 		byService map[string][]string
 	}
 
-	// pathChecks holds which services' paths are being checked, and when the next checks
-	// may begin. The zero value is ready to use.
+	// pathChecks holds which paths, to services or servers, are being checked, and when the
+	// next checks may begin. The zero value is ready to use.
 	pathChecks struct {
 		mu      sync.Mutex
 		running map[string]bool
@@ -87,26 +88,32 @@
 	return names
 }
 
-// begin reports whether the path to a service may be checked now, and if so records the
-// check.
-func (p *pathChecks) begin(service string, now time.Duration) bool {
+// begin reports whether a path may be checked now, and if so records the check.
+func (p *pathChecks) begin(name string, now time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running == nil {
 		p.running, p.next = map[string]bool{}, map[string]time.Duration{}
 	}
-	if p.running[service] || now < p.next[service] {
+	if p.running[name] || now < p.next[name] {
 		return false
 	}
-	p.running[service] = true
-	p.next[service] = now + minProbeInterval + rand.N(minProbeInterval)
+	p.running[name] = true
+	p.next[name] = now + minProbeInterval + rand.N(minProbeInterval)
 	return true
 }
 
-func (p *pathChecks) end(service string) {
+func (p *pathChecks) end(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.running, service)
+	delete(p.running, name)
+}
+
+// prune forgets checks after which the next ones may begin.
+func (p *pathChecks) prune(now time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.next, func(_ string, next time.Duration) bool { return now >= next })
 }
 
 // count counts a call that this host serves in the retry budget, once.
@@ -220,8 +227,11 @@
 // vain if the path to its service is lost, and otherwise finds out whether it is.
 func (g *Gateway) pathFailed(server backend.Server, why string) {
 	g.logPath(server.Service, why)
+	if g.reach.AllUnheard(g.clock.Now()) {
+		g.checkAllPaths()
+	}
 	if g.pathState(server.Service) == reach.Lost {
-		g.exchanges.cancelUnheard(server.Service, g.clock.Now()-unheardTimeout)
+		g.leaveUnreached(server.Service)
 		return
 	}
 	if g.reach.State(pathGroup(server), g.clock.Now()) != reach.Sound {
@@ -229,6 +239,29 @@
 	}
 }
 
+// leaveUnreached moves the calls that wait in vain for servers of a service which can't be
+// reached. Servers of which that isn't known are probed.
+func (g *Gateway) leaveUnreached(service string) {
+	unreached := func(s backend.Server, since time.Duration) bool { return g.reach.Unreached(pathGroup(s), s.ID, since) }
+	for _, s := range g.exchanges.leaveUnreached(service, g.clock.Now()-unheardTimeout, unreached) {
+		if g.serverChecks.begin(s.ID, g.clock.Now()) {
+			go func() {
+				defer g.serverChecks.end(s.ID)
+				g.probePathTo(s) // if it fails, the path's failure moves the calls
+			}()
+		}
+	}
+}
+
+// checkAllPaths checks the paths to all services that may be lost without a failure of their own.
+func (g *Gateway) checkAllPaths() {
+	for _, service := range g.state().Servers.Services() {
+		if g.pathState(service) == reach.Doubtful {
+			g.checkPath(service)
+		}
+	}
+}
+
 // pathCheckDelay returns how long the server of a placement may send nothing until it is
 // checked whether any server is heard.
 func pathCheckDelay(p schedule.Placement) time.Duration { return p.FirstToken + unheardTimeout }
@@ -310,16 +343,16 @@
 	}
 	lost := g.worstPathState(service) >= reach.Closed
 	var probed []backend.Server
-	servers := g.state().Servers.Ready(service)
-	for _, i := range rand.Perm(len(servers)) {
-		if s := servers[i]; len(probed) < probedServers && lost == failing[s.ID] {
+	servers := inTurn(g.state().Servers.Ready(service))
+	for _, s := range servers {
+		if len(probed) < probedServers && lost == failing[s.ID] {
 			probed = append(probed, s)
 		}
 	}
 	switch {
 	case len(servers) == 0:
 	case len(probed) == 0:
-		g.probePathTo(servers[rand.IntN(len(servers))])
+		g.probePathTo(servers[0])
 	case lost:
 		for _, s := range probed {
 			if !g.probePathTo(s) {
@@ -331,6 +364,21 @@
 	}
 }
 
+// inTurn returns servers in a random order in which those of different halls take turns, since
+// the path to each hall is judged by itself.
+func inTurn(servers []backend.Server) []backend.Server {
+	out, turn, seen := make([]backend.Server, len(servers)), map[string]int{}, map[string]int{}
+	for i, n := range rand.Perm(len(servers)) {
+		out[i] = servers[n]
+	}
+	for _, s := range out {
+		turn[s.ID] = seen[s.Hall]
+		seen[s.Hall]++
+	}
+	slices.SortStableFunc(out, func(a, b backend.Server) int { return turn[a.ID] - turn[b.ID] })
+	return out
+}
+
 // probeUntilOpened probes the first of some servers and, unless that succeeds within
 // probeHedgeDelay, the others.
 func (g *Gateway) probeUntilOpened(servers []backend.Server) {
@@ -380,10 +428,14 @@
 func (g *Gateway) maintainPaths() {
 	servers := g.state().Servers
 	g.reach.Retain(func(id string) bool { _, ok := servers.Get(id); return ok })
+	g.serverChecks.prune(g.clock.Now())
 	g.checkQuietStreams()
+	if g.reach.AllUnheard(g.clock.Now()) {
+		g.checkAllPaths()
+	}
 	for _, service := range servers.Services() {
 		if g.pathState(service) == reach.Lost {
-			g.exchanges.cancelUnheard(service, g.clock.Now()-unheardTimeout)
+			g.leaveUnreached(service)
 		}
 		if g.worstPathState(service) >= reach.Closed {
 			g.checkPath(service)
--- a/daemon/gateway/restarts.go
+++ b/daemon/gateway/restarts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,7 +18,7 @@
 // one has started: the new instance doesn't have the request.
 var errServerRestarted = errors.New("backend server has restarted")
 
-// errPathLost cancels a call that waits for a server to which this host has no path.
+// errPathLost cancels a call that waits for a server which this host can't reach.
 var errPathLost = errors.New("no path to the backend servers")
 
 // errPastDeadline cancels a call whose deadline passed while the host was suspended.
@@ -57,6 +58,9 @@
 		blamed   bool          // the server has failed, and sent nothing since
 	}
 
+	// unreachedFunc reports whether a server is known to be out of reach since a time.
+	unreachedFunc func(s backend.Server, since time.Duration) bool
+
 	// payment is a payment from the retry budget for one send to a service.
 	payment struct {
 		service string
@@ -186,21 +190,24 @@
 	return e.headSent
 }
 
-// cancelIfMovable cancels an exchange whose server has sent nothing since a time, unless
-// the call may have been sent and may run only once. A stream that has begun is handed over
-// instead.
-func (e *exchange) cancelIfMovable(since time.Duration) {
+// leaveIfUnreached cancels an exchange whose server has sent nothing since a time, unless the
+// call may have been sent and may run only once. A stream that has begun is handed over instead.
+// It reports false, and does nothing, if the call was sent and its server is not known to be out
+// of reach since it was last heard.
+func (e *exchange) leaveIfUnreached(since time.Duration, unreached unreachedFunc) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.heard > since || e.sent && !e.movable {
-		return
-	}
-	if e.sent && e.headSent && !e.pending.isPending() {
+	switch {
+	case e.heard > since, e.sent && !e.movable:
+	case e.sent && !unreached(e.server, e.heard):
+		return false
+	case e.sent && e.headSent && !e.pending.isPending():
 		go e.handOver(outcome{result: failed, reason: reasonPathLost})
-		return
+	default:
+		e.canceled = !e.sent
+		e.cancel(errPathLost)
 	}
-	e.canceled = !e.sent
-	e.cancel(errPathLost)
+	return true
 }
 
 // begunServices returns the services whose servers have begun to answer calls.
@@ -218,16 +225,19 @@
 	return names
 }
 
-// cancelUnheard cancels the calls of a service that other hosts may serve, and whose
-// servers have sent nothing since a time.
-func (x *exchanges) cancelUnheard(service string, since time.Duration) {
+// leaveUnreached moves the calls of a service that have waited in vain since a time to other
+// servers. It returns the servers whose calls stay since it isn't known whether they can be
+// reached: a server that works on a call may send nothing for long, also while others fail.
+func (x *exchanges) leaveUnreached(service string, since time.Duration, unreached unreachedFunc) []backend.Server {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	unknown := map[string]backend.Server{}
 	for e := range x.open {
-		if e.server.Service == service {
-			e.cancelIfMovable(since)
+		if e.server.Service == service && !e.leaveIfUnreached(since, unreached) {
+			unknown[e.server.ID] = e.server
 		}
 	}
+	return slices.Collect(maps.Values(unknown))
 }
 
 // cancelStale cancels the calls that are past their deadlines and those at server
