gateway: what a host fails to do itself is held against no server

Callers could see calls leave sound servers, or servers avoided, after their host had stood still or run out of descriptors.

Cause: each connection that could not be opened counted against its server and the path, also if the host had no descriptors, ports or memory for it, or got no processor and gave up a connection that had been accepted in time. Probes knew the latter, calls didn't.

Change: such failures are recorded neither for the server nor for the path.

--- a/daemon/gateway/down_internal_test.go
+++ b/daemon/gateway/down_internal_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"slipcrank.example/core/backend"
 	"slipcrank.example/core/limit"
 	"slipcrank.example/core/reach"
@@ -106,6 +109,45 @@
 	}
 }
 
+// TestOwnFailuresOfHostLoseNoPath guards against servers that are avoided, and paths that count as lost, since this host couldn't open connections.
+func TestOwnFailuresOfHostLoseNoPath(t *testing.T) {
+	dialError := func(cause error) error {
+		return errors.Mark(&net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("socket", cause)}, upstream.ErrNotSent)
+	}
+	for name, tc := range map[string]struct {
+		err  error
+		took time.Duration
+		want reach.State
+	}{
+		"refused":                 {dialError(syscall.ECONNREFUSED), 0, reach.Lost},
+		"timeout":                 {dialError(syscall.ETIMEDOUT), upstream.DialTimeout, reach.Lost},
+		"timeout in a standstill": {dialError(syscall.ETIMEDOUT), upstream.DialTimeout + 2*maxTimerDelay, reach.Sound},
+		"no descriptors":          {dialError(syscall.EMFILE), 0, reach.Sound},
+		"no ports":                {dialError(syscall.EADDRNOTAVAIL), 0, reach.Sound},
+		"no memory":               {dialError(syscall.ENOBUFS), 0, reach.Sound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := startCheck(t, func(context.Context, string) (net.Conn, error) { return nil, tc.err })
+			c := &call{failedServers: map[string]bool{}, deadline: time.Now().Add(time.Minute)}
+			for _, s := range g.state().Servers.Ready("engine") {
+				out := g.failure(c, tc.err, "send")
+				out.took = tc.took
+				g.recordResult(c, schedule.Placement{Service: "engine", Lead: s.ID}, s, out)
+				if tc.took == 0 {
+					g.probePathTo(s)
+				}
+			}
+			end := time.Now().Add(time.Second)
+			for g.pathState("engine") != tc.want && time.Now().Before(end) {
+				<-time.After(10 * time.Millisecond)
+			}
+			if got := g.pathState("engine"); got != tc.want {
+				t.Errorf("the path is %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
 // TestSilentServersLoseNoPath guards against paths that count as lost since servers are busy.
 func TestSilentServersLoseNoPath(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -223,6 +223,12 @@
 // heard reports whether the server has sent something that shows that the path to it is sound.
 func (o outcome) heard() bool { return o.answer != nil || errors.Is(o.err, upstream.ErrInvalidAnswer) }
 
+// stoodStill reports whether this host stood still while it opened a connection, so that it may have
+// given up one that the server had accepted in time.
+func (o outcome) stoodStill() bool {
+	return o.result == unsent && o.took > upstream.DialTimeout+maxTimerDelay
+}
+
 // pathFailed reacts to a failure on the path to a server: it moves the calls that wait in
 // vain if the path to its service is lost, and otherwise finds out whether it is.
 func (g *Gateway) pathFailed(server backend.Server, why string) {
@@ -400,7 +406,8 @@
 }
 
 // probePathTo probes a server, records the result and reports whether it succeeded. A probe that
-// ends too late shows that this host stood still, and nothing about the path.
+// ends too late shows that this host stood still, and nothing about the path, as does one for
+// which it can't open a connection.
 func (g *Gateway) probePathTo(s backend.Server) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), pathProbeTimeout)
 	defer cancel()
@@ -410,6 +417,10 @@
 		g.metrics.Count("gateway_path_probes", 1, "result", "standstill")
 		return false
 	}
+	if upstream.LocalError(err) {
+		g.metrics.Count("gateway_path_probes", 1, "result", reasonLocal)
+		return false
+	}
 	if err != nil {
 		g.metrics.Count("gateway_path_probes", 1, "result", errorKind(err))
 		g.reach.NotOpened(pathGroup(s), s.ID, g.listedServers(s), g.clock.Now())
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -35,11 +35,12 @@
 	handedOver               // another server goes on with the stream
 )
 
-// Reasons of the ends of tries around the handover of a stream.
+// Reasons of the ends of tries.
 const (
 	reasonSilent   = "server_silent"
 	reasonPathLost = "path_lost"
 	reasonGoesOn   = "server_goes_on"
+	reasonLocal    = "no_connections_left" // this host can't open any
 )
 
 const (
@@ -251,7 +252,7 @@
 	case out.reason == "no_open_connection":
 		c.unreached++
 		return
-	case out.reason == "not_allowed", out.reason == "out_of_time", !time.Now().Before(c.deadline):
+	case out.reason == "not_allowed", out.reason == "out_of_time", out.reason == reasonLocal, out.stoodStill(), !time.Now().Before(c.deadline):
 		return
 	case out.result == failed && out.answer != nil:
 		backoff = g.scheduler.RecordAnswer(p.Service, blamed, true, now)
@@ -397,6 +398,8 @@
 		return outcome{result: unsent, reason: "not_allowed"}
 	case errors.Is(err, upstream.ErrNoOpenConnection):
 		return outcome{result: unsent, reason: "no_open_connection"}
+	case upstream.NotSent(err) && upstream.LocalError(err):
+		return outcome{result: unsent, reason: reasonLocal, err: err}
 	case upstream.NotSent(err):
 		return outcome{result: unsent, reason: "not_reached", err: err}
 	}
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -364,6 +364,12 @@
 // and closed it.
 func PortClosed(err error) bool { return errors.IsAny(err, syscall.ECONNREFUSED, errClosedAtOnce) }
 
+// LocalError reports whether err shows that this host can't open connections at all, since it
+// is short of descriptors, ports or memory. It says nothing about the server.
+func LocalError(err error) bool {
+	return errors.IsAny(err, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL)
+}
+
 // CloseIdle closes the idle connections to a server. It is used after one of them has
 // failed: connections may stop working all at once and without a reset while new ones
 // work, and each one that is tried delays a request.
