entry: hosts whose sources are silent hear of changes in time

Cause: a source counted as alive for 2.5 s after its last message, longer than the bound. Until then only a few hosts asked the store, by rank and by the age of their proof. The logs show it: two hosts ask at 1.7 s, two at 2.0 s, the others change their sources when all streams are given up, 2.5 s after the last message.

Change: sources show that they live four times within the bound, and count as unreachable after half of it, so that other hosts take their place. A host that hears nobody at all asks for all tables 0.7 s before the bound. In an outage of the store sources are alive, and as few hosts ask as before.

--- a/daemon/entry/readers.go
+++ b/daemon/entry/readers.go
@@ -30,6 +30,15 @@
 	// second.
 	sourcesPerHost = 2
 	fanout         = 16
+	// keepalivesPerBound is how many signs of life a host sends to those that hear it, and
+	// latesPerBound how often it could be found silent, within the time in which a change
+	// has to take effect.
+	keepalivesPerBound = 4
+	latesPerBound      = 2
+	// silentMargin is how long before a change has to be in force a host that hears nobody
+	// queries all tables itself: it has to wait for the next tick of upkeep, then for two
+	// answers of the platform, one after the other.
+	silentMargin = 700 * time.Millisecond
 	// queryMargin is how long before the age at which a change has to be in force
 	// further hosts begin to query the platform, because no proofs are relayed to them.
 	queryMargin = 300 * time.Millisecond
@@ -73,6 +82,9 @@
 		// relayedAge is the age of the newest proof of the configuration that other
 		// hosts relayed, provenAge that of the newest proof from anywhere.
 		relayedAge, provenAge time.Duration
+		// unheardFor is the time since any source has sent a message, be it only a sign of
+		// life.
+		unheardFor time.Duration
 		// serversStaleFor is how long the list of servers has been older than bound
 		// while the configuration was proven.
 		serversStaleFor time.Duration
@@ -123,7 +135,9 @@
 // remoteAlive reports whether hosts of other halls are alive. Hosts ranked after the first
 // maxQuerying query only the configuration, which proves their keys, and rarely: when an
 // outage of 8 s ended, 295 hosts that all queried everything made up most of a day's 7,800
-// calls. A host of any rank whose list of servers stays too old while the configuration is
+// calls. In an outage of the platform the sources of a host are alive. A host of any rank whose
+// sources are silent, and that has found no others in time, queries all tables: it can't tell
+// what has changed. A host of any rank whose list of servers stays too old while the configuration is
 // proven queries all tables: its sources may be alive and have an old list themselves, and
 // with that list it would send requests to servers that have left.
 func (in sourceInput) queriesAt(rank int, remoteAlive bool) watch.PollScope {
@@ -131,6 +145,8 @@
 	switch {
 	case rank < in.queryingHosts(remoteAlive), overdue > relayTimeout && in.provenAge < in.bound, in.serversStaleFor > in.bound/2:
 		return watch.PollAll
+	case in.unheardFor > max(in.bound-silentMargin, in.bound/latesPerBound):
+		return watch.PollAll
 	case overdue > 0:
 		return watch.PollConfig
 	}
@@ -176,7 +192,8 @@
 	st.recordServers(now, provenAge < bound && ageOr(sinceKnown, e.watcher.ServersAge) > bound)
 	c := sourceInput{
 		ranking: ranking, alive: e.aliveHosts(sinceKnown < assumedAliveTime),
-		relayedAge: ageOr(sinceKnown, e.watcher.RelayedAge), provenAge: provenAge, serversStaleFor: st.serversStaleFor(now), bound: bound,
+		relayedAge: ageOr(sinceKnown, e.watcher.RelayedAge), provenAge: provenAge, bound: bound,
+		unheardFor: ageOr(sinceKnown, e.relayClient.HeardAgo), serversStaleFor: st.serversStaleFor(now),
 	}.choose()
 	e.apply(st, c, now)
 }
@@ -228,8 +245,14 @@
 	st.sourceChoice = c
 	e.watcher.SetPolling(c.queries, c.pause)
 	e.relayClient.SetServers(c.sources)
-	e.log.Write(event.SourcesChosen, slog.Bool("asks", c.queries != watch.PollNothing), slog.String("hears", strings.Join(c.sources, ",")),
-		slog.Int("others", e.neighbors.Load().otherHosts))
+	attrs := []slog.Attr{
+		slog.Bool("asks", c.queries != watch.PollNothing), slog.String("hears", strings.Join(c.sources, ",")),
+		slog.Int("others", e.neighbors.Load().otherHosts),
+	}
+	if ago, ok := e.relayClient.HeardAgo(); ok {
+		attrs = append(attrs, slog.Duration("heard_ago", ago))
+	}
+	e.log.Write(event.SourcesChosen, attrs...)
 }
 
 // discoverHosts chooses this host's queries while it knows of no other host.
--- a/daemon/entry/readers_test.go
+++ b/daemon/entry/readers_test.go
@@ -118,6 +118,32 @@
 	}
 }
 
+// TestHostThatHearsNobodyQueriesInTime guards against changes that are late since a host waits for others whose sources are silent, too. While
+// sources show that they live, as in an outage of the platform, few hosts query it.
+func TestHostThatHearsNobodyQueriesInTime(t *testing.T) {
+	for name, tc := range map[string]struct {
+		unheardFor, bound time.Duration
+		want              watch.PollScope
+	}{
+		"heard":                             {0, 2 * time.Second, watch.PollNothing},
+		"one sign of life late":             {900 * time.Millisecond, 2 * time.Second, watch.PollNothing},
+		"time to find other sources":        {1200 * time.Millisecond, 2 * time.Second, watch.PollNothing},
+		"silent":                            {1301 * time.Millisecond, 2 * time.Second, watch.PollAll},
+		"silent for part of a longer bound": {1301 * time.Millisecond, 3 * time.Second, watch.PollNothing},
+		"silent with a longer bound":        {2301 * time.Millisecond, 3 * time.Second, watch.PollAll},
+		"signs of life with a short bound":  {300 * time.Millisecond, 800 * time.Millisecond, watch.PollNothing},
+		"silent with a short bound":         {401 * time.Millisecond, 800 * time.Millisecond, watch.PollAll},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := inputAt(testHosts(25), 20, tc.bound/2, tc.bound/2)
+			in.bound, in.unheardFor = tc.bound, tc.unheardFor
+			if c := in.choose(); c.queries != tc.want {
+				t.Errorf("queries %v, want %v", c.queries, tc.want)
+			}
+		})
+	}
+}
+
 // TestUpdatesReachAllHosts has the platform serve a single host and reject all others, and
 // checks that the sources of the hosts relay its updates to every host.
 func TestUpdatesReachAllHosts(t *testing.T) {
--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -15,9 +15,9 @@
 //
 // # Usage
 //
-//	s := relay.NewServer(watcher)
+//	s := relay.NewServer(watcher, relay.WithKeepalive(500*time.Millisecond))
 //	go s.Serve(listener)
-//	c := relay.NewClient(watcher, log)
+//	c := relay.NewClient(watcher, log, relay.WithLateAfter(time.Second))
 //	c.SetServers([]string{"10.0.0.2:7340"})   // replaces the previous servers
 package relay
 
@@ -47,10 +47,13 @@
 	serviceName = "slipcrank.Relay"
 	methodName  = "Hear"
 	// silenceTimeout is how long a server may send nothing before the client
-	// gives up the stream. A server without updates, as during an outage of the
-	// platform, sends one without a table each keepaliveInterval.
-	silenceTimeout    = 2500 * time.Millisecond
-	keepaliveInterval = time.Second
+	// gives up the stream.
+	silenceTimeout = 2500 * time.Millisecond
+	// defaultKeepalive is the interval at which a server without updates, as during an
+	// outage of the platform, sends one without a table, and defaultLateAfter how long a
+	// server may send nothing until the client no longer relies on it.
+	defaultKeepalive = 500 * time.Millisecond
+	defaultLateAfter = 2 * defaultKeepalive
 	// firstMessageTimeout bounds the time until the first message, which may
 	// hold 3,000 servers in half a megabyte and share a link of 20 Mbit/s with
 	// those of 30 other clients.
@@ -79,23 +82,32 @@
 type (
 	// Server streams the updates of a watcher to clients.
 	Server struct {
-		grpc     *grpc.Server
-		watcher  *watch.Watcher
-		packings *packings
+		grpc      *grpc.Server
+		watcher   *watch.Watcher
+		packings  *packings
+		keepalive time.Duration
 	}
 
+	// ServerOption configures a Server during construction.
+	ServerOption func(*Server)
+
 	// Client receives updates from servers and passes them to a watcher. It is
 	// safe for concurrent use.
 	Client struct {
-		watcher *watch.Watcher
-		log     *decision.Log
+		watcher   *watch.Watcher
+		log       *decision.Log
+		lateAfter time.Duration
 
 		mu          sync.Mutex
 		streams     map[string]context.CancelFunc // by address
 		received    map[string]time.Time          // time of the last message of an open stream, by address
 		unreachable map[string]time.Time          // time of the last failure, by address
+		heardAt     time.Time                     // time of the last message of any server
 	}
 
+	// ClientOption configures a Client during construction.
+	ClientOption func(*Client)
+
 	// streamRequest starts a stream of updates.
 	streamRequest struct {
 		// Digests are the digests of the rows that the client has, by table.
@@ -122,9 +134,23 @@
 // client was too slow, or has lost track of the values that it was sent.
 var errRetryLater = errors.New("the stream has to be opened again")
 
+// WithKeepalive sets the interval at which a server without updates shows that it is alive.
+func WithKeepalive(interval time.Duration) ServerOption {
+	return func(s *Server) { s.keepalive = interval }
+}
+
+// WithLateAfter sets how long a server may send nothing until it counts as unreachable. Its
+// stream stays open for longer. It has to be a multiple of the keepalive interval.
+func WithLateAfter(silence time.Duration) ClientOption {
+	return func(c *Client) { c.lateAfter = silence }
+}
+
 // NewServer returns a server that streams the updates of w.
-func NewServer(w *watch.Watcher) *Server {
-	s := &Server{grpc: grpc.NewServer(grpc.MaxSendMsgSize(maxMessageBytes)), watcher: w, packings: newPackings()}
+func NewServer(w *watch.Watcher, os ...ServerOption) *Server {
+	s := &Server{grpc: grpc.NewServer(grpc.MaxSendMsgSize(maxMessageBytes)), watcher: w, packings: newPackings(), keepalive: defaultKeepalive}
+	for _, o := range os {
+		o(s)
+	}
 	s.grpc.RegisterService(&serviceDesc, s)
 	return s
 }
@@ -153,7 +179,7 @@
 	}
 	updates, cancel := s.watcher.Subscribe(r.Digests)
 	defer cancel()
-	keepalive := time.NewTicker(keepaliveInterval)
+	keepalive := time.NewTicker(s.keepalive)
 	defer keepalive.Stop()
 	for {
 		var u watch.Update
@@ -172,7 +198,7 @@
 				return err
 			}
 		}
-		keepalive.Reset(keepaliveInterval)
+		keepalive.Reset(s.keepalive)
 	}
 }
 
@@ -212,8 +238,15 @@
 }
 
 // NewClient returns a client without servers.
-func NewClient(w *watch.Watcher, l *decision.Log) *Client {
-	return &Client{watcher: w, log: l, streams: map[string]context.CancelFunc{}, received: map[string]time.Time{}, unreachable: map[string]time.Time{}}
+func NewClient(w *watch.Watcher, l *decision.Log, os ...ClientOption) *Client {
+	c := &Client{
+		watcher: w, log: l, lateAfter: defaultLateAfter,
+		streams: map[string]context.CancelFunc{}, received: map[string]time.Time{}, unreachable: map[string]time.Time{},
+	}
+	for _, o := range os {
+		o(c)
+	}
+	return c
 }
 
 // SetServers sets the addresses of the servers from which updates are received. It
@@ -238,9 +271,9 @@
 	}
 }
 
-// Unreachable reports whether the last stream from a server could not be opened or
-// broke, no longer than unreachableTTL ago. A stream that a live server has ended
-// itself doesn't count.
+// Unreachable reports whether the last stream from a server could not be opened, broke or
+// was silent for too long, no longer than unreachableTTL ago. A stream that a live server
+// has ended itself doesn't count.
 func (c *Client) Unreachable(addr string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -253,14 +286,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	at, ok := c.received[addr]
-	return ok && time.Since(at) < silenceTimeout
+	return ok && time.Since(at) < c.lateAfter
+}
+
+// HeardAgo returns the time since any server has sent a message, and false if none ever has.
+func (c *Client) HeardAgo() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.heardAt), !c.heardAt.IsZero()
 }
 
 // setReceived records that a stream from a server has delivered a message.
 func (c *Client) setReceived(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.received[addr] = time.Now()
+	c.heardAt = time.Now()
+	c.received[addr] = c.heardAt
 	delete(c.unreachable, addr)
 }
 
@@ -371,6 +412,12 @@
 	defer cancel(nil)
 	timer := time.AfterFunc(firstMessageTimeout, func() { cancel(errors.New("no message from the host in time")) })
 	defer timer.Stop()
+	var late *time.Timer // nil before the first message
+	defer func() {
+		if late != nil {
+			late.Stop()
+		}
+	}()
 	if err := waitReady(ctx, conn); err != nil {
 		return false, errors.Wrap(err, "connect")
 	}
@@ -394,8 +441,10 @@
 		timer.Reset(silenceTimeout)
 		c.setReceived(addr)
 		if n == 0 {
+			late = time.AfterFunc(c.lateAfter, func() { c.setUnreachable(addr) })
 			go c.measureClock(ctx, conn)
 		}
+		late.Reset(c.lateAfter)
 		u, err := values.unpack(&m)
 		if err != nil {
 			return n > 0, errors.Mark(err, errRetryLater)
--- a/daemon/relay/slow_test.go
+++ b/daemon/relay/slow_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"math/rand/v2"
+	"net"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"slipcrank.example/core/feed"
 	"slipcrank.example/core/pause"
+	"slipcrank.example/daemon/decision"
+	"slipcrank.example/daemon/relay"
 	"slipcrank.example/daemon/watch"
 )
 
@@ -70,3 +75,86 @@
 		t.Errorf("a change took %v, want at most %v", slowest, maxDelay)
 	}
 }
+
+// TestSilentServerIsSoonUnreachable guards against hosts that rely on one which stands still, longer than changes may take.
+func TestSilentServerIsSoonUnreachable(t *testing.T) {
+	const (
+		keepalive = 100 * time.Millisecond
+		lateAfter = 4 * keepalive
+	)
+	source, other := newConfigSource(t, 1), newWatcher(t, nil)
+	source.put(1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := relay.NewServer(source.Watcher, relay.WithKeepalive(keepalive))
+	go func() { _ = s.Serve(l) }() // ends with Stop
+	t.Cleanup(s.Stop)
+	var held gate
+	addr := held.start(t, l.Addr().String())
+	c := relay.NewClient(other, decision.New(io.Discard), relay.WithLateAfter(lateAfter))
+	c.SetServers([]string{addr})
+	t.Cleanup(func() { c.SetServers(nil) })
+	eventually(t, "the server is heard", func() bool { return c.Receiving(addr) })
+	for end := time.Now().Add(2 * lateAfter); time.Now().Before(end); _ = pause.For(t.Context(), pollInterval) {
+		if c.Unreachable(addr) {
+			t.Fatal("a server that only shows that it lives counts as unreachable")
+		}
+	}
+	held.mu.Lock()
+	began := time.Now()
+	eventually(t, "the silent server is unreachable", func() bool { return c.Unreachable(addr) && !c.Receiving(addr) })
+	if took := time.Since(began); took > 3*lateAfter {
+		t.Errorf("the silent server was relied on for %v", took)
+	}
+	if ago, ok := c.HeardAgo(); !ok || ago < lateAfter/2 {
+		t.Errorf("heard %v ago", ago)
+	}
+	held.mu.Unlock()
+	eventually(t, "the server is heard again", func() bool { return c.Receiving(addr) && !c.Unreachable(addr) })
+}
+
+// gate forwards connections while it isn't locked.
+type gate struct{ mu sync.Mutex }
+
+func (g *gate) write(c net.Conn, b []byte) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, err := c.Write(b)
+	return err
+}
+
+func (g *gate) start(t *testing.T, to string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			d, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = c.Close()
+				return
+			}
+			go func() { _, _ = io.Copy(d, c) }() // ends when the connection is closed
+			go func() {
+				defer c.Close()
+				b := make([]byte, 32<<10)
+				for {
+					n, err := d.Read(b)
+					if g.write(c, b[:n]) != nil || err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
