watch: a late answer doesn't hand on older rows

Hosts that subscribe to a host which has just got an old answer of the store, for example after it stood still, could take a server that leaves for ready, with a proof as new as the newest that this host has heard.

Cause: what a host tells new subscribers was overwritten by whatever it read last, the revisions of the rows were not compared.

Change: rows older than the known ones, and entries that are unknown by then and no newer than the table, are left out. The configuration is excepted, which the operator's version orders.

--- a/daemon/watch/relay.go
+++ b/daemon/watch/relay.go
@@ -116,6 +116,9 @@
 	case r.complete:
 		u.Rows, u.Complete = t.changes(r.batch, r.table == w.tables.Servers), false
 	}
+	if r.table != w.tables.Config { // there, the operator's version goes before the revision
+		u.Rows = t.newer(u.Rows, u.Revision)
+	}
 	t.apply(u.Rows)
 	t.revision = max(t.revision, u.Revision)
 	t.stamp = max(t.stamp, u.Stamp)
@@ -171,6 +174,18 @@
 	return rows
 }
 
+// newer returns rows that were read at a revision without those older than the known ones. An
+// answer may come late, after other hosts have relayed newer rows; an entry that is unknown by
+// then and no newer than the table has been removed.
+func (t *table) newer(rows []feed.Row, revision int64) []feed.Row {
+	return slices.DeleteFunc(slices.Clone(rows), func(r feed.Row) bool {
+		if old, ok := t.rows[r.Key]; ok {
+			return r.Revision < old.Revision
+		}
+		return revision < t.revision && r.Revision <= t.revision
+	})
+}
+
 // apply applies changed rows to the table.
 func (t *table) apply(rows []feed.Row) {
 	for _, row := range rows {
