upstream: a status outside of HTTP's is no answer

Cause: every status below 200 was skipped as an interim answer, and the call waited for a head that never came. Nothing had failed, so the server was chosen again. Above 599 nothing was checked.

Change: only 100, 102 and 103 are interim answers. Any other status outside of 200 to 599 is no answer: what may be repeated goes elsewhere at once, anything else gets 502, and the server is avoided. The same reader serves collected answers, streams, resumed heads and delegated calls.

--- a/daemon/upstream/answer.go
+++ b/daemon/upstream/answer.go
@@ -22,9 +22,12 @@
 		if err != nil {
 			return nil, errors.Wrap(markInvalid(err), "read answer")
 		}
-		if resp.StatusCode < http.StatusOK {
+		if isInterim(resp.StatusCode) {
 			continue
 		}
+		if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+			return nil, errors.Mark(errors.Wrapf(errStatus, "status %q", resp.Status), ErrInvalidAnswer)
+		}
 		if id := resp.Header.Get(r.IDHeader); r.ID != "" && id != "" && id != r.ID {
 			c.limiter.limit(maxSkippedBodyBytes, slowHeadTimeout)
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
@@ -49,6 +52,12 @@
 	return nil, errors.Mark(ErrIDMismatch, ErrInvalidAnswer)
 }
 
+// isInterim reports whether the answer follows behind one with a status. Any other status below
+// 200 is none that a request of this package asks for, and no answer may follow.
+func isInterim(status int) bool {
+	return status == http.StatusContinue || status == http.StatusProcessing || status == http.StatusEarlyHints
+}
+
 // markInvalid marks an error of reading the head of an answer with ErrInvalidAnswer, unless
 // the connection has failed.
 func markInvalid(err error) error {
--- a/daemon/upstream/upstream.go
+++ b/daemon/upstream/upstream.go
@@ -63,6 +63,8 @@
 	// requests, are skipped before the connection is given up.
 	maxSkippedAnswers = 2
 	readBufferBytes   = 4 << 10
+	// maxStatus is the highest status that HTTP defines a class for.
+	maxStatus = 599
 	// maxHeadBytes bounds the head of an answer, and maxSkippedBodyBytes the body of an
 	// answer to another request.
 	maxHeadBytes        = 32 << 10
@@ -95,6 +97,7 @@
 	// ErrInvalidAnswer.
 	ErrIDMismatch = errors.New("the answer belongs to another request")
 
+	errStatus       = errors.New("no status of an answer")
 	errClosedAtOnce = errors.New("closed right after it was opened")
 )
 
