slipcrankd: a kind of planned stops with late calls that may run once

The kinds of stops here had such calls of 0.6 s at most.

Change: a kind with calls of up to 9 s that may run once, in a grace of 8 s, one of three hosts stopping, with late bodies and callers that hardly wait.

--- a/cmd/slipcrankd/stop_test.go
+++ b/cmd/slipcrankd/stop_test.go
@@ -48,6 +48,7 @@
 	faults     stopFaults    // of servers
 	callers    int           // default defaultCallers
 	longest    time.Duration // of streams; 0 for calls and short streams
+	once       time.Duration // longest of calls that may run only once; 0 for other requests
 	lateBodies bool          // half of the callers' bodies come after the head
 	slow       bool          // callers read about as fast as events come
 	mixed      bool          // half of the requests are calls
@@ -66,7 +67,9 @@
 // work returns what a caller asks for next.
 func (k stopKind) work(r *rand.Rand) stopWork {
 	kind, longest, size := "stream", k.longest, 20
-	if longest == 0 || k.mixed && r.IntN(2) == 0 {
+	if k.once > 0 {
+		kind, longest = "once", k.once
+	} else if longest == 0 || k.mixed && r.IntN(2) == 0 {
 		kind, longest = []string{"stream", "once", "call", "call"}[r.IntN(4)], 600*time.Millisecond
 	}
 	var work stopWork
@@ -99,6 +102,7 @@
 		"neighbors stop with overlap":     {seed: 13, grace: longGrace, longest: 6 * time.Second, lateBodies: true, hosts: 3, overlap: 3 * time.Second},
 		"eager callers of stopping hosts": {seed: 15, grace: longGrace, longest: 7 * time.Second, lateBodies: true, eager: true, overlap: 500 * time.Millisecond},
 		"calls beside stopping neighbors": {seed: 14, grace: longGrace, hosts: 3, overlap: 2 * time.Second},
+		"late calls that may run once":    {seed: 20, grace: longGrace, hosts: 3, once: 9 * time.Second, lateBodies: true, eager: true},
 		"servers that refuse and fall silent": {
 			seed: 16, grace: longGrace, longest: 4 * time.Second, servers: 3, faults: stopFaults{room: 24, pauses: 30},
 		},
