web: a status outside of HTTP's is no response

A server that answered an order with the status 000 counted as one that had reserved the memory, and the store as having written the rows; after 199 the order waited to its deadline. Found while the status 000 was looked for on related paths.

Cause: fasthttp takes the status 0 for 200, and any status below 200 for one of an interim response.

Change: the client's connection checks the first bytes of a response: only 100, 102, 103 and 200 to 599 may go on.

Measured: 2 of 13 cases of TestHeadThatIsNoneIsAnError failed before (000: no error; 199: 5.0 s, its deadline). The nine cases of heads, chunks and trailers without end were bounded before, too. clients/web and the tests of platform that use it pass with -race.

--- a/clients/web/client.go
+++ b/clients/web/client.go
@@ -77,6 +77,7 @@
 		// waiting is true from the write of a request until the first byte of its
 		// response.
 		waiting atomic.Bool
+		status  statusCheck // of the response
 		bytes   *atomic.Int64
 	}
 
@@ -170,6 +171,9 @@
 		s.bytes.Add(int64(n))
 		if n > 0 {
 			s.waiting.Store(false)
+			if !s.status.allows(b[:n]) {
+				return 0, ErrNoStatus
+			}
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !deadline.IsZero() && !time.Now().Before(deadline) {
 			return n, err
@@ -196,6 +200,7 @@
 	}
 	s.writeDeadline = time.Time{}
 	s.waiting.Store(true)
+	s.status = statusCheck{}
 	n, err := s.Conn.Write(b)
 	s.bytes.Add(int64(n))
 	return n, err
