gateway: a server that a busy host couldn't connect to in time is avoided

Cause: since a connection that took over 0.7 s to fail said nothing about its server, so that a host which is often that late could go on choosing one that is gone.

Change: the server is avoided as before; only the path isn't judged by it, but probed.

--- a/daemon/gateway/path.go
+++ b/daemon/gateway/path.go
@@ -201,8 +201,8 @@
 		return
 	}
 	c.unreached++
-	if out.reason == reasonSilent {
-		g.checkPath(server.Service) // a server may be silent, so only probes tell
+	if out.reason == reasonSilent || out.stoodStill() {
+		g.checkPath(server.Service) // a server may be silent and a host stand still, so only probes tell
 		return
 	}
 	record := g.reach.Failed
--- a/daemon/gateway/try.go
+++ b/daemon/gateway/try.go
@@ -252,7 +252,7 @@
 	case out.reason == "no_open_connection":
 		c.unreached++
 		return
-	case out.reason == "not_allowed", out.reason == "out_of_time", out.reason == reasonLocal, out.stoodStill(), !time.Now().Before(c.deadline):
+	case out.reason == "not_allowed", out.reason == "out_of_time", out.reason == reasonLocal, !time.Now().Before(c.deadline):
 		return
 	case out.result == failed && out.answer != nil:
 		backoff = g.scheduler.RecordAnswer(p.Service, blamed, true, now)
