relay: signs of life come before a stream is given up, whatever the bound

Cause: since the interval of signs of life is a quarter of the bound for changes. With bounds above 10 s it exceeds the 2.5 s after which a stream is given up, so that the streams of a quiet platform would break again and again. Found by reading the change.

Change: at most a second between signs of life, and at most 2.5 s until a silent source counts as unreachable.

--- a/daemon/relay/relay.go
+++ b/daemon/relay/relay.go
@@ -54,6 +54,9 @@
 	// server may send nothing until the client no longer relies on it.
 	defaultKeepalive = 500 * time.Millisecond
 	defaultLateAfter = 2 * defaultKeepalive
+	// maxKeepalive is the maximum interval between signs of life. Clients give up the stream
+	// after silenceTimeout.
+	maxKeepalive = time.Second
 	// firstMessageTimeout bounds the time until the first message, which may
 	// hold 3,000 servers in half a megabyte and share a link of 20 Mbit/s with
 	// those of 30 other clients.
@@ -134,15 +137,16 @@
 // client was too slow, or has lost track of the values that it was sent.
 var errRetryLater = errors.New("the stream has to be opened again")
 
-// WithKeepalive sets the interval at which a server without updates shows that it is alive.
+// WithKeepalive sets the interval at which a server without updates shows that it is alive, at
+// most a second.
 func WithKeepalive(interval time.Duration) ServerOption {
-	return func(s *Server) { s.keepalive = interval }
+	return func(s *Server) { s.keepalive = min(interval, maxKeepalive) }
 }
 
-// WithLateAfter sets how long a server may send nothing until it counts as unreachable. Its
-// stream stays open for longer. It has to be a multiple of the keepalive interval.
+// WithLateAfter sets how long a server may send nothing until it counts as unreachable, at most
+// until its stream is given up. It has to be a multiple of the keepalive interval.
 func WithLateAfter(silence time.Duration) ClientOption {
-	return func(c *Client) { c.lateAfter = silence }
+	return func(c *Client) { c.lateAfter = min(silence, silenceTimeout) }
 }
 
 // NewServer returns a server that streams the updates of w.
