relay: the silent server of a test uses the tests' proxy

Cause: the test had a second copy of the proxy's accept loop.

Change: the proxy may hold back what a server sends. Test code only.

Measured: daemon/relay passes with -race.

--- a/daemon/relay/opening_test.go
+++ b/daemon/relay/opening_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +22,7 @@
 type proxy struct {
 	openingDelay   time.Duration // until it forwards anything on a new connection
 	bytesPerSecond int           // of what the server sends, 0 for no limit
+	gate           *sync.Mutex   // while it is locked, nothing of that is forwarded; nil for none
 }
 
 // start starts the proxy before an address, and returns its own address.
@@ -55,10 +57,26 @@
 	if p.bytesPerSecond > 0 {
 		answers = &slowReader{d, p.bytesPerSecond}
 	}
+	if p.gate != nil {
+		answers = gatedReader{answers, p.gate}
+	}
 	_, _ = io.Copy(c, answers)
 	_ = c.Close()
 }
 
+// gatedReader holds back what it has read while its gate is locked.
+type gatedReader struct {
+	io.Reader
+	gate *sync.Mutex
+}
+
+func (r gatedReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.gate.Lock()
+	defer r.gate.Unlock()
+	return n, err
+}
+
 // slowReader reads a limited number of bytes a second.
 type slowReader struct {
 	io.Reader
--- a/daemon/relay/slow_test.go
+++ b/daemon/relay/slow_test.go
@@ -91,8 +91,8 @@
 	s := relay.NewServer(source.Watcher, relay.WithKeepalive(keepalive))
 	go func() { _ = s.Serve(l) }() // ends with Stop
 	t.Cleanup(s.Stop)
-	var held gate
-	addr := held.start(t, l.Addr().String())
+	var gate sync.Mutex
+	addr := proxy{gate: &gate}.start(t, l.Addr().String())
 	c := relay.NewClient(other, decision.New(io.Discard), relay.WithLateAfter(lateAfter))
 	c.SetServers([]string{addr})
 	t.Cleanup(func() { c.SetServers(nil) })
@@ -102,7 +102,7 @@
 			t.Fatal("a server that only shows that it lives counts as unreachable")
 		}
 	}
-	held.mu.Lock()
+	gate.Lock()
 	began := time.Now()
 	eventually(t, "the silent server is unreachable", func() bool { return c.Unreachable(addr) && !c.Receiving(addr) })
 	if took := time.Since(began); took > 3*lateAfter {
@@ -111,50 +111,6 @@
 	if ago, ok := c.HeardAgo(); !ok || ago < lateAfter/2 {
 		t.Errorf("heard %v ago", ago)
 	}
-	held.mu.Unlock()
+	gate.Unlock()
 	eventually(t, "the server is heard again", func() bool { return c.Receiving(addr) && !c.Unreachable(addr) })
 }
-
-// gate forwards connections while it isn't locked.
-type gate struct{ mu sync.Mutex }
-
-func (g *gate) write(c net.Conn, b []byte) error {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	_, err := c.Write(b)
-	return err
-}
-
-func (g *gate) start(t *testing.T, to string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			d, err := net.Dial("tcp", to)
-			if err != nil {
-				_ = c.Close()
-				return
-			}
-			go func() { _, _ = io.Copy(d, c) }() // ends when the connection is closed
-			go func() {
-				defer c.Close()
-				b := make([]byte, 32<<10)
-				for {
-					n, err := d.Read(b)
-					if g.write(c, b[:n]) != nil || err != nil {
-						return
-					}
-				}
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
