gateway: hosts that hear no server delegate also what has not failed yet

Cause: since a service without failures of its own is in doubt, not lost, when no server is heard. When a server is replaced during a cut, its group has no failures left; calls were then placed on it, or refused, instead of being delegated.

Change: while no server of any service is heard, calls are delegated as before. Nothing is given back by that: calls in progress still leave their servers only if these can't be reached.

--- a/daemon/gateway/delegate.go
+++ b/daemon/gateway/delegate.go
@@ -74,18 +74,20 @@
 
 // needsPeer reports whether another host has a better chance to serve a call: one with a
 // path, or one with a configuration as new as that by which a call of this host was
-// served. A path that is in doubt is not tried twice.
+// served. A path that is in doubt is not tried twice, and not at all while no server of
+// any service is heard.
 func (g *Gateway) needsPeer(c *call, s State) bool {
 	if s.Config.Version() < g.servedVersion.Load() {
 		return true
 	}
+	allUnheard := g.reach.AllUnheard(g.clock.Now())
 	for _, service := range c.services() {
 		switch g.pathState(service) {
 		case reach.Lost:
 			g.checkPath(service)
 			return true
 		case reach.Closed, reach.Doubtful:
-			if c.unreached > 0 {
+			if c.unreached > 0 || allUnheard {
 				return true
 			}
 		case reach.Sound:
--- a/daemon/gateway/quiet_host_internal_test.go
+++ b/daemon/gateway/quiet_host_internal_test.go
@@ -106,3 +106,40 @@
 		})
 	}
 }
+
+// TestHostThatHearsNoServerDelegatesAtOnce guards against calls that wait or are refused at a host without a path, whose own service has not failed yet.
+func TestHostThatHearsNoServerDelegatesAtOnce(t *testing.T) {
+	servers := backend.NewRegistry()
+	for n := range int64(3) {
+		servers.Put(backend.Server{ID: fmt.Sprint("down", n), Service: "engine", Hall: "hall-a", Addr: "a", Slots: 1}, n+1)
+	}
+	servers.Put(backend.Server{ID: "quiet", Service: "plain", Hall: "hall-b", Addr: "b", Slots: 1}, 9)
+	view := servers.View(0)
+	for name, tc := range map[string]struct {
+		failing int // servers of the other service
+		heard   bool
+		want    bool
+	}{
+		"no evidence":                           {0, false, false},
+		"two servers of another service fail":   {2, false, false},
+		"all servers of another service fail":   {3, false, true},
+		"the same, and its own server is heard": {3, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g, c, s := newDelegating(t)
+			s.Servers = view
+			g.state = func() State { return s }
+			c.route = site.Route{Kind: site.Repeatable, Targets: []site.Target{{Service: "plain", Weight: 1}}}
+			for n := range tc.failing {
+				g.reach.NotOpened("engine@hall-a", fmt.Sprint("down", n), reach.Listed{Group: 3, All: 4}, g.clock.Now())
+			}
+			<-time.After(150 * time.Millisecond) // none is heard meanwhile
+			if tc.heard {
+				g.reach.Heard("plain@hall-b", "quiet", g.clock.Now())
+			}
+			if got := g.needsPeer(c, s); got != tc.want {
+				t.Errorf("needs another host: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
